--- a/packages/base/include/godwittrestle/base.hpp
+++ b/packages/base/include/godwittrestle/base.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwittrestle/base/algorithm.hpp>
 #include <godwittrestle/base/bounded_ring.hpp>
 #include <godwittrestle/base/digest.hpp>
 #include <godwittrestle/base/error.hpp>
--- /dev/null
+++ b/packages/base/include/godwittrestle/base/algorithm.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <algorithm>
+#include <ranges>
+
+namespace godwittrestle
+{
+	// Whether a range holds an element equal to the value (std::ranges::contains of C++23).
+	template <std::ranges::input_range Range, typename T>
+	[[nodiscard]] constexpr bool contains(Range&& range, T const& value)
+	{
+		return std::ranges::find(range, value) != std::ranges::end(range);
+	}
+}
--- a/packages/base/include/godwittrestle/base/bounded_ring.hpp
+++ b/packages/base/include/godwittrestle/base/bounded_ring.hpp
@@ -17,7 +17,7 @@
 	template <typename T>
 	class bounded_ring
 	{
-	public:
+	  public:
 		explicit bounded_ring(std::size_t capacity)
 			: items(capacity)
 		{
@@ -86,7 +86,7 @@
 			return this->items.size();
 		}
 
-	private:
+	  private:
 		[[nodiscard]] std::optional<T> take()
 		{
 			if (this->items.empty())
--- a/packages/base/include/godwittrestle/base/error.hpp
+++ b/packages/base/include/godwittrestle/base/error.hpp
@@ -51,11 +51,8 @@
 	template <typename Function, typename Handler>
 	[[nodiscard]] auto handle_failure(Function&& function, Handler&& on_failure)
 	{
-		return boost::leaf::try_handle_all(std::forward<Function>(function),
-			[&](failure const& error) { return on_failure(error); },
-			[&]
-			{
-				return on_failure(failure{error_kind::io, "", "unexpected error", "report it with the log", {}});
-			});
+		return boost::leaf::try_handle_all(
+			std::forward<Function>(function), [&](failure const& error) { return on_failure(error); },
+			[&] { return on_failure(failure{error_kind::io, "", "unexpected error", "report it with the log", {}}); });
 	}
 }
--- a/packages/base/include/godwittrestle/base/strong_type.hpp
+++ b/packages/base/include/godwittrestle/base/strong_type.hpp
@@ -17,7 +17,7 @@
 	template <typename Tag>
 	class strong_string
 	{
-	public:
+	  public:
 		strong_string() = default;
 
 		explicit strong_string(std::string value) noexcept
@@ -37,7 +37,7 @@
 
 		[[nodiscard]] auto operator<=>(strong_string const&) const = default;
 
-	private:
+	  private:
 		std::string text;
 	};
 
@@ -45,7 +45,7 @@
 	template <typename Tag, std::integral Rep>
 	class strong_count
 	{
-	public:
+	  public:
 		constexpr strong_count() noexcept = default;
 
 		constexpr explicit strong_count(Rep value) noexcept
@@ -82,7 +82,7 @@
 			return left -= right;
 		}
 
-	private:
+	  private:
 		Rep number = 0;
 	};
 }
--- /dev/null
+++ b/packages/daemon/impl/application.cpp
@@ -0,0 +1,185 @@
+#include <godwittrestle/daemon/application.hpp>
+
+#include <utility>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <godwittrestle/base/digest.hpp>
+#include <godwittrestle/daemon/backend_link.hpp>
+#include <godwittrestle/daemon/caller_face.hpp>
+#include <godwittrestle/daemon/core_loop.hpp>
+#include <godwittrestle/daemon/operator_face.hpp>
+#include <godwittrestle/daemon/peer_link.hpp>
+#include <godwittrestle/daemon/platform_link.hpp>
+#include <godwittrestle/daemon/telemetry.hpp>
+
+namespace godwittrestle::daemon
+{
+	namespace
+	{
+		constexpr std::size_t key_secret_bytes = 32;
+		constexpr duration retry_push_after = milliseconds(5);
+		// Answers on their way out when the core has left get this long.
+		constexpr duration flush_time = milliseconds(200);
+
+		std::uint64_t wall_clock_us()
+		{
+			auto const reading = std::chrono::system_clock::now().time_since_epoch();
+			return static_cast<std::uint64_t>(std::chrono::duration_cast<duration>(reading).count());
+		}
+
+		decide::core_settings make_core_settings(daemon_settings const& settings, incarnation started)
+		{
+			decide::core_settings core;
+			core.instance = settings.instance;
+			core.started = started;
+			core.data_centre = settings.data_centre;
+			core.wall_offset = wall_clock_us() - static_cast<std::uint64_t>(monotonic_now().time_since_epoch().count());
+			core.key_secret = random_bytes(key_secret_bytes);
+			core.heartbeat_interval = settings.heartbeat_interval;
+			core.peer_timeout = settings.peer_timeout;
+			core.load_poll_interval = settings.load_poll_interval;
+			core.key_lifetime = settings.key_lifetime;
+			return core;
+		}
+	}
+
+	class application::implementation
+	{
+	  public:
+		explicit implementation(daemon_settings given)
+			: settings(std::move(given))
+			, started(wall_clock_us())
+			, events(settings)
+			, core(make_core_settings(settings, started), settings.ring_capacity,
+				  [this](decide::action&& action) { this->carry_out(std::move(action)); })
+			, backend(core, settings.ring_capacity)
+			, peers(core, settings)
+			, platform(core, settings)
+			, callers(core, settings, started)
+			, operators(core, events, settings, [this] { return this->figures(); }, [this] { this->drain(); })
+		{
+		}
+
+		int run()
+		{
+			boost::asio::signal_set signals(this->main_loop, SIGTERM, SIGINT);
+			signals.async_wait(
+				[this](boost::system::error_code const& error, int)
+				{
+					if (!error)
+					{
+						this->drain();
+					}
+				});
+			this->events.start();
+			this->peers.start();
+			this->callers.start();
+			this->operators.start();
+			this->backend.start();
+			this->core.start();
+			this->platform.start();
+			this->events.log_info("started", http::to_string(this->settings.caller_address));
+			auto const work = boost::asio::make_work_guard(this->main_loop);
+			this->main_loop.run();
+			this->stop();
+			return 0;
+		}
+
+	  private:
+		void carry_out(decide::action&& action)
+		{
+			std::visit(
+				[this](auto& each)
+				{
+					using kind = std::decay_t<decltype(each)>;
+					if constexpr (std::is_same_v<kind, decide::record_event>)
+					{
+						this->events.record(std::move(each));
+					}
+					else if constexpr (std::is_same_v<kind, decide::send_peer>)
+					{
+						this->peers.push(std::move(each));
+					}
+					else if constexpr (std::is_same_v<kind, decide::set_watch>)
+					{
+						this->platform.set_watching(each.watching);
+					}
+					else if constexpr (std::is_same_v<kind, decide::leave>)
+					{
+						boost::asio::post(this->main_loop, [this] { this->main_loop.stop(); });
+					}
+					else if constexpr (
+						requires {
+							each.request;
+							each.call;
+						} || !requires { each.request; })
+					{
+						this->backend.push(std::move(each));
+					}
+					else
+					{
+						this->callers.push(std::move(each));
+					}
+				},
+				action);
+		}
+
+		void drain()
+		{
+			core_input input(decide::event(decide::drain_requested{}));
+			while (!this->core.try_push(input))
+			{
+				std::this_thread::sleep_for(retry_push_after);
+			}
+		}
+
+		[[nodiscard]] process_figures figures() const
+		{
+			process_figures read;
+			read.core_ring_depth = this->core.depth();
+			read.caller_ring_depth = this->callers.depth();
+			read.backend_ring_depth = this->backend.depth();
+			read.peer_ring_depth = this->peers.depth();
+			read.dropped_events = this->events.dropped();
+			read.platform_answers = this->platform.is_answering();
+			return read;
+		}
+
+		void stop()
+		{
+			std::this_thread::sleep_for(flush_time);
+			this->core.stop();
+			this->platform.stop();
+			this->callers.stop();
+			this->operators.stop();
+			this->backend.stop();
+			this->peers.stop();
+			this->events.log_info("stopped", "");
+			this->events.stop();
+		}
+
+		daemon_settings settings;
+		incarnation started;
+		boost::asio::io_context main_loop{1};
+		telemetry events;
+		core_loop core;
+		backend_link backend;
+		peer_link peers;
+		platform_link platform;
+		caller_face callers;
+		operator_face operators;
+	};
+
+	application::application(daemon_settings settings)
+		: impl(std::make_unique<implementation>(std::move(settings)))
+	{
+	}
+
+	application::~application() = default;
+
+	int application::run()
+	{
+		return this->impl->run();
+	}
+}
--- /dev/null
+++ b/packages/daemon/impl/platform_link.cpp
@@ -0,0 +1,107 @@
+#include <godwittrestle/daemon/platform_link.hpp>
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <godwittrestle/daemon/settings.hpp>
+
+namespace godwittrestle::daemon
+{
+	namespace
+	{
+		// A watch that the platform holds back; also the time within which a silent connection to it is found.
+		constexpr duration watch_time = milliseconds(1000);
+		constexpr duration retry_after_failure = milliseconds(250);
+		constexpr duration retry_push_after = milliseconds(1);
+
+		asio::awaitable<void> sleep_for(duration span)
+		{
+			asio::steady_timer timer(co_await asio::this_coro::executor, span);
+			co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+		}
+	}
+
+	platform_link::platform_link(core_loop& loop, daemon_settings const& settings)
+		: core(&loop)
+		, poll_interval(settings.config_poll_interval)
+		, client(this->thread.context().get_executor())
+		, platform(make_http_platform(this->client, settings.platform_address))
+	{
+	}
+
+	void platform_link::start()
+	{
+		asio::co_spawn(this->thread.context(), this->follow_policy(), asio::detached);
+		asio::co_spawn(this->thread.context(), this->follow_instances(), asio::detached);
+		this->thread.start();
+	}
+
+	void platform_link::stop()
+	{
+		this->thread.stop();
+	}
+
+	void platform_link::set_watching(bool is_watching) noexcept
+	{
+		this->watching = is_watching;
+	}
+
+	asio::awaitable<void> platform_link::follow_policy()
+	{
+		platform_version known;
+		for (;;)
+		{
+			auto answer = co_await this->platform.policy(known, watch_time);
+			if (answer.value)
+			{
+				known = answer.value->version;
+				decide::event event(std::move(*answer.value));
+				co_await this->deliver(std::move(event));
+			}
+			co_await this->pause_after(answer.is_answered);
+		}
+	}
+
+	asio::awaitable<void> platform_link::follow_instances()
+	{
+		platform_version known;
+		for (;;)
+		{
+			auto answer = co_await this->platform.instances(known, watch_time);
+			if (answer.value)
+			{
+				known = answer.value->list.version;
+				decide::event event(std::move(*answer.value));
+				co_await this->deliver(std::move(event));
+			}
+			co_await this->pause_after(answer.is_answered);
+		}
+	}
+
+	asio::awaitable<void> platform_link::pause_after(bool was_answered)
+	{
+		this->answering = was_answered;
+		if (!this->watching)
+		{
+			co_await sleep_for(this->poll_interval);
+		}
+		else if (!was_answered)
+		{
+			co_await sleep_for(retry_after_failure);
+		}
+	}
+
+	asio::awaitable<void> platform_link::deliver(decide::event event)
+	{
+		core_input input(std::move(event));
+		while (!this->core->try_push(input))
+		{
+			co_await sleep_for(retry_push_after);
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/impl/telemetry.cpp
@@ -0,0 +1,135 @@
+#include <godwittrestle/daemon/telemetry.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <boost/json.hpp>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace godwittrestle::daemon
+{
+	namespace
+	{
+		constexpr duration poll_interval = milliseconds(200);
+
+		// Events that an operator wants to see without asking.
+		bool is_notable(std::string_view name)
+		{
+			return name.starts_with("daemon_") || name.starts_with("config_") || name.starts_with("cell_") ||
+				   name.starts_with("server_") || name.starts_with("orphan_") || name == "ready" || name == "leaving" ||
+				   name == "left" || name == "woke_up" || name == "request_refused" || name == "answer_whole";
+		}
+
+		log4cplus::Logger logger()
+		{
+			return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("godwittrestle"));
+		}
+
+		// Sets log4cplus up once for the process: one line to standard error for each message.
+		void set_up_logging(std::string const& level)
+		{
+			static log4cplus::Initializer const initializer;
+			log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+			appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+			logger().removeAllAppenders();
+			logger().addAppender(appender);
+			logger().setLogLevel(log4cplus::getLogLevelManager().fromString(level));
+		}
+	}
+
+	telemetry::telemetry(daemon_settings const& settings)
+		: instance(settings.instance.str())
+		, data_centre(settings.data_centre.str())
+		, inputs(settings.ring_capacity)
+		, kept(settings.timeline_events)
+	{
+		set_up_logging(settings.log_level);
+	}
+
+	telemetry::~telemetry()
+	{
+		this->stop();
+	}
+
+	void telemetry::start()
+	{
+		this->thread = std::thread([this] { this->run(); });
+	}
+
+	void telemetry::stop()
+	{
+		this->is_stopping = true;
+		this->inputs.close();
+		if (this->thread.joinable())
+		{
+			this->thread.join();
+		}
+	}
+
+	void telemetry::record(decide::record_event event)
+	{
+		if (!this->inputs.try_push(event))
+		{
+			++this->dropped_events;
+		}
+	}
+
+	void telemetry::log_info(std::string_view event, std::string_view detail)
+	{
+		decide::record_event line;
+		line.name = event;
+		line.detail = detail;
+		this->write(line);
+	}
+
+	std::vector<decide::record_event> telemetry::timeline(std::string_view request) const
+	{
+		std::scoped_lock const lock(this->mutex);
+		std::vector<decide::record_event> events;
+		std::ranges::copy_if(this->kept, std::back_inserter(events),
+			[&](decide::record_event const& event) { return request.empty() || event.request.str() == request; });
+		return events;
+	}
+
+	void telemetry::run()
+	{
+		while (!this->is_stopping || this->inputs.size() > 0)
+		{
+			auto event = this->inputs.pop_for(poll_interval);
+			if (!event)
+			{
+				continue;
+			}
+			this->write(*event);
+			std::scoped_lock const lock(this->mutex);
+			this->kept.push_back(std::move(*event));
+		}
+	}
+
+	void telemetry::write(decide::record_event const& event)
+	{
+		auto const level =
+			is_notable(event.name) || event.timestamp == 0 ? log4cplus::INFO_LOG_LEVEL : log4cplus::DEBUG_LOG_LEVEL;
+		if (!logger().isEnabledFor(level))
+		{
+			return;
+		}
+		boost::json::object line{{"level", level == log4cplus::INFO_LOG_LEVEL ? "INFO" : "DEBUG"},
+			{"time_us", event.timestamp}, {"instance", this->instance}, {"data_centre", this->data_centre},
+			{"event", event.name}};
+		if (!event.request.empty())
+		{
+			line["request"] = event.request.str();
+		}
+		if (!event.detail.empty())
+		{
+			line["detail"] = event.detail;
+		}
+		logger().log(level, boost::json::serialize(line));
+	}
+}
--- /dev/null
+++ b/packages/daemon/include/godwittrestle/daemon/metrics.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <godwittrestle/decide/status.hpp>
+
+namespace godwittrestle::daemon
+{
+	// What the daemon's threads know besides the core.
+	struct process_figures
+	{
+		std::size_t core_ring_depth = 0;
+		std::size_t caller_ring_depth = 0;
+		std::size_t backend_ring_depth = 0;
+		std::size_t peer_ring_depth = 0;
+		std::uint64_t dropped_events = 0;
+		bool platform_answers = false;
+	};
+
+	// Returns all metrics in the text format of Prometheus.
+	[[nodiscard]] std::string render_metrics(decide::core_status const& status, process_figures const& figures);
+}
--- /dev/null
+++ b/packages/daemon/include/godwittrestle/daemon/settings.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include <godwittrestle/base/error.hpp>
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/http/message.hpp>
+#include <godwittrestle/http/server.hpp>
+
+namespace godwittrestle::daemon
+{
+	// Everything that is set by flags and environment variables, checked.
+	struct daemon_settings
+	{
+		instance_id instance;
+		data_centre_id data_centre;
+		http::endpoint caller_address;
+		http::endpoint operator_address;
+		http::endpoint peer_address;
+		http::endpoint platform_address;
+		std::string operator_token;
+		// CURVE keys in Z85; all empty without encryption between daemons.
+		std::string peer_public_key;
+		std::string peer_secret_key;
+		duration heartbeat_interval{};
+		duration peer_timeout{};
+		duration load_poll_interval{};
+		duration key_lifetime{};
+		duration config_poll_interval{};
+		http::server_limits caller_limits;
+		std::size_t ring_capacity = 0;
+		std::size_t timeline_events = 0;
+		std::string log_level;
+	};
+
+	// What the command line asked for.
+	struct command_line
+	{
+		daemon_settings settings;
+		// Print the help or the version and exit.
+		std::optional<std::string> print;
+		bool check_only = false;
+	};
+
+	// Reads flags and the variables GODWITTRESTLE_*; a flag goes before its variable. Fails with invalid_setting,
+	// which names the setting, what is wrong with it and what to give instead.
+	[[nodiscard]] result<command_line> parse_command_line(int count, char const* const* arguments);
+}
--- /dev/null
+++ b/packages/decide/impl/cell_ledger.cpp
@@ -0,0 +1,602 @@
+#include <godwittrestle/decide/cell_ledger.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+#include <godwittrestle/base/algorithm.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/rendezvous.hpp>
+#include <godwittrestle/decide/request_id.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		// Time for which a report may still name a released attempt.
+		constexpr duration release_memory = seconds(2);
+		// An engine whose report is older than this is not given work.
+		constexpr duration report_timeout = seconds(2);
+		constexpr duration failure_avoidance = seconds(2);
+		// A prefill is granted this long before its engine is expected to be free, to cover the way of the messages.
+		constexpr duration grant_lead = milliseconds(10);
+		constexpr std::size_t max_prefills_per_engine = 2;
+		constexpr duration hazard_interval = milliseconds(500);
+		constexpr double hazard_smoothing = 0.1;
+		// Share of the expected releases that promises are made against.
+		constexpr double promise_safety = 0.7;
+		// Share of the retention time that a finished prefill may wait for its slot.
+		constexpr double promise_retention_share = 0.5;
+		constexpr duration network_allowance = milliseconds(5);
+		constexpr duration cross_data_centre_cost = milliseconds(1);
+		constexpr duration least_retry_after = milliseconds(100);
+		// Expected stream length before any stream has ended.
+		constexpr duration initial_stream_time = seconds(10);
+
+		template <typename Engines>
+		void keep_only(Engines& engines, std::vector<server_id> const& ids)
+		{
+			std::erase_if(engines, [&](auto const& engine) { return !contains(ids, engine.first); });
+		}
+	}
+	cell_ledger::cell_ledger(cell described, std::shared_ptr<active_policy const> active, core_settings const& core,
+		hooks const& varying, time_point now)
+		: self(std::move(described))
+		, policy(std::move(active))
+		, settings(&core)
+		, behaviour(&varying)
+		, created(now)
+		, hazard_read_at(now)
+	{
+	}
+
+	void cell_ledger::update(cell described, std::shared_ptr<active_policy const> active, membership const& members)
+	{
+		this->self = std::move(described);
+		this->policy = std::move(active);
+		keep_only(this->prefill, this->self.prefill);
+		keep_only(this->decode, this->self.decode);
+		auto const* const prefill_pool = this->policy->find_pool(this->self.prefill_pool);
+		auto const* const decode_pool = this->policy->find_pool(this->self.decode_pool);
+		auto const refresh = [&](engine_base& engine, server_id const& id)
+		{
+			engine.id = id;
+			engine.data_centre = members.find_server(id)->data_centre;
+			engine.accepts_work = members.accepts_work(id);
+		};
+		for (auto const& id : this->self.prefill)
+		{
+			auto const speed = static_cast<double>(prefill_pool->prefill_tokens_per_second());
+			refresh(this->prefill.try_emplace(id, speed).first->second, id);
+		}
+		for (auto const& id : this->self.decode)
+		{
+			auto& engine = this->decode[id];
+			refresh(engine, id);
+			if (engine.slots != decode_pool->slots_per_server())
+			{
+				engine.slots = decode_pool->slots_per_server();
+				engine.limit = engine.slots;
+			}
+		}
+		this->token_gap_target = {};
+		for (auto const& service : this->policy->document().policy().services())
+		{
+			if (service.decode_pool() == this->self.decode_pool)
+			{
+				duration const target = milliseconds(service.token_gap_target_ms());
+				this->token_gap_target =
+					this->token_gap_target == duration{} ? target : std::min(this->token_gap_target, target);
+			}
+		}
+	}
+
+	void cell_ledger::enqueue(waiting_request request)
+	{
+		this->queue.push(std::move(request));
+	}
+
+	lease const* cell_ledger::find(std::string const& attempt) const
+	{
+		auto const found = this->leases.find(attempt);
+		return found == this->leases.end() ? nullptr : &found->second;
+	}
+
+	void cell_ledger::apply(wire::LeaseUpdate const& update, instance_id const& entry, time_point now)
+	{
+		auto const attempt = attempt_id(request_id(update.request()), update.attempt());
+		this->note_failures(update, now);
+		if (update.phase() == wire::LeaseUpdate::RELEASED)
+		{
+			this->queue.erase(attempt);
+			this->release(attempt, true, now);
+			return;
+		}
+		if (!this->leases.contains(attempt))
+		{
+			this->insert_missing(update, entry, now);
+		}
+		if (auto const found = this->leases.find(attempt); found != this->leases.end())
+		{
+			this->note_phase(found->second, update, now);
+		}
+	}
+
+	void cell_ledger::insert_missing(wire::LeaseUpdate const& update, instance_id const& entry, time_point now)
+	{
+		lease held;
+		held.request = request_id(update.request());
+		held.attempt_number = update.attempt();
+		held.attempt = attempt_id(held.request, held.attempt_number);
+		if (this->released.contains(held.attempt))
+		{
+			return;
+		}
+		held.entry = entry;
+		held.service = service_id(update.service());
+		held.account = account_id(update.account());
+		held.prefill_server = server_id(update.prefill_server());
+		held.prompt_tokens = token_count(update.prompt_tokens());
+		held.output_tokens = token_count(update.output_tokens());
+		held.granted_at = now;
+		if (auto const engine = this->prefill.find(held.prefill_server);
+			engine != this->prefill.end() && update.phase() == wire::LeaseUpdate::PREFILLING)
+		{
+			engine->second.start(held.attempt, engine->second.time_for(held.prompt_tokens), now);
+		}
+		this->queue.erase(held.attempt);
+		this->leases.emplace(held.attempt, std::move(held));
+	}
+
+	void cell_ledger::note_phase(lease& held, wire::LeaseUpdate const& update, time_point now)
+	{
+		held.renewed_at = now;
+		held.produced = std::max(held.produced, update.produced_tokens());
+		if (held.decode_server.empty() && !update.decode_server().empty())
+		{
+			held.decode_server = server_id(update.decode_server());
+		}
+		if (auto const engine = this->decode.find(held.decode_server); engine != this->decode.end())
+		{
+			engine->second.active.insert(held.attempt);
+			if (update.token_gap() != 0)
+			{
+				engine->second.note_token_gap(duration(static_cast<duration::rep>(update.token_gap())));
+			}
+		}
+		if (update.phase() > held.phase && held.phase == wire::LeaseUpdate::PREFILLING)
+		{
+			if (auto const engine = this->prefill.find(held.prefill_server); engine != this->prefill.end())
+			{
+				auto const computed = token_count(
+					held.prompt_tokens.count() - std::min(held.prompt_tokens.count(), update.cached_tokens()));
+				engine->second.finish(held.attempt, computed, now);
+			}
+		}
+		held.phase = std::max(held.phase, update.phase());
+	}
+
+	void cell_ledger::note_failures(wire::LeaseUpdate const& update, time_point now)
+	{
+		auto const avoid = [now](auto& engines, std::string const& id)
+		{
+			if (auto const engine = engines.find(server_id(id)); engine != engines.end())
+			{
+				engine->second.avoid_until = now + failure_avoidance;
+			}
+		};
+		if (update.prefill_failed())
+		{
+			avoid(this->prefill, update.prefill_server());
+		}
+		if (update.decode_failed())
+		{
+			avoid(this->decode, update.decode_server());
+		}
+	}
+
+	void cell_ledger::release(std::string const& attempt, bool has_ended, time_point now)
+	{
+		auto const found = this->leases.find(attempt);
+		if (found == this->leases.end())
+		{
+			return;
+		}
+		auto const& held = found->second;
+		if (auto const engine = this->prefill.find(held.prefill_server); engine != this->prefill.end())
+		{
+			engine->second.finish(attempt, std::nullopt, now);
+		}
+		if (auto const engine = this->decode.find(held.decode_server); engine != this->decode.end())
+		{
+			engine->second.active.erase(attempt);
+		}
+		if (has_ended)
+		{
+			this->released[attempt] = now;
+			++this->releases_since;
+		}
+		this->leases.erase(found);
+	}
+
+	void cell_ledger::apply(server_id const& server, load_report const& report, bool is_as_wanted, time_point now)
+	{
+		auto const note = [&](engine_base& engine)
+		{
+			engine.reported_at = now;
+			engine.is_as_wanted = is_as_wanted;
+		};
+		if (auto const engine = this->prefill.find(server); engine != this->prefill.end())
+		{
+			note(engine->second);
+			engine->second.apply_cache_events(report);
+		}
+		if (auto const engine = this->decode.find(server); engine != this->decode.end())
+		{
+			note(engine->second);
+			auto const is_foreign = [&](held_request const& held)
+			{
+				return !this->leases.contains(held.attempt) && !this->released.contains(held.attempt);
+			};
+			engine->second.foreign = static_cast<std::uint32_t>(std::ranges::count_if(report.held, is_foreign));
+		}
+	}
+
+	std::size_t cell_ledger::drop_lapsed(membership const& members, time_point now)
+	{
+		std::vector<std::string> lapsed;
+		for (auto const& [attempt, held] : this->leases)
+		{
+			auto const origin = origin_of(attempt);
+			auto const is_old = now - held.renewed_at > this->settings->lease_lifetime;
+			if (is_old || (origin && members.is_proved_gone(origin->instance, origin->started, now)))
+			{
+				lapsed.push_back(attempt);
+			}
+		}
+		std::ranges::for_each(lapsed, [&](std::string const& attempt) { this->release(attempt, false, now); });
+		std::ranges::for_each(this->queue.abandoned(now - this->settings->lease_lifetime),
+			[this](std::string const& attempt) { this->queue.erase(attempt); });
+		std::erase_if(this->released, [&](auto const& each) { return now - each.second > release_memory; });
+		this->note_release_rate(now);
+		for (auto& [id, engine] : this->decode)
+		{
+			if (this->token_gap_target != duration{})
+			{
+				engine.adapt_limit(this->token_gap_target, now);
+			}
+		}
+		return lapsed.size();
+	}
+
+	void cell_ledger::note_release_rate(time_point now)
+	{
+		auto const elapsed = now - this->hazard_read_at;
+		if (elapsed < hazard_interval || this->leases.empty())
+		{
+			return;
+		}
+		auto const active_time = static_cast<double>(this->leases.size()) * static_cast<double>(elapsed.count());
+		auto const reading = this->releases_since / active_time;
+		this->release_hazard = this->release_hazard == 0
+								   ? reading
+								   : this->release_hazard + hazard_smoothing * (reading - this->release_hazard);
+		this->releases_since = 0;
+		this->hazard_read_at = now;
+	}
+
+	ledger_decisions cell_ledger::decide(time_point now)
+	{
+		ledger_decisions decisions;
+		this->bind_promised(decisions, now);
+		std::vector<waiting_request> order;
+		std::ranges::transform(this->queue.ordered(now), std::back_inserter(order),
+			[](waiting_request const* request) { return *request; });
+		if (order.empty())
+		{
+			return decisions;
+		}
+		auto ahead = this->make_forecast(now);
+		auto is_blocked = false;
+		for (auto const& request : order)
+		{
+			auto const where = is_blocked ? std::nullopt : this->place(request, now);
+			if (where)
+			{
+				decisions.granted.push_back(this->grant(request, *where, now));
+				ahead = this->make_forecast(now);
+				continue;
+			}
+			auto const predicted = this->predict_first_token(request, ahead, now);
+			auto const waited = now - request.waiting_since;
+			auto const is_hopeless = this->behaviour->mechanisms.immediate_refusal
+										 ? waited + predicted > request.patience
+										 : waited > request.patience;
+			auto const stream_time = request.output_tokens.count() * this->usual_token_gap();
+			if (is_hopeless || now + predicted + stream_time > request.deadline)
+			{
+				auto const late_by = waited + predicted - request.patience;
+				auto const reason = is_hopeless ? wire::LeaseRefusal::TOO_LATE : wire::LeaseRefusal::DEADLINE;
+				decisions.refused.push_back({request, reason, std::max(late_by, least_retry_after)});
+				this->queue.erase(request.attempt);
+				continue;
+			}
+			is_blocked = true;
+			ahead.prefill_backlog += duration(static_cast<duration::rep>(
+				request.prompt_tokens.count() /
+				(this->prefill.empty() ? 1.0 : this->prefill.begin()->second.tokens_per_us)));
+			--ahead.slots_left;
+		}
+		return decisions;
+	}
+
+	void cell_ledger::bind_promised(ledger_decisions& decisions, time_point now)
+	{
+		std::vector<lease*> unbound;
+		for (auto& [attempt, held] : this->leases)
+		{
+			if (held.decode_server.empty() && held.phase == wire::LeaseUpdate::TRANSFERRING)
+			{
+				unbound.push_back(&held);
+			}
+		}
+		// The oldest grant first: its KV cache is evicted first.
+		std::ranges::sort(
+			unbound, std::less{}, [](lease const* held) { return std::pair(held->granted_at, held->attempt); });
+		for (auto* const held : unbound)
+		{
+			auto const source = this->prefill.find(held->prefill_server);
+			auto const near = source == this->prefill.end() ? data_centre_id{} : source->second.data_centre;
+			auto* const engine = this->choose_decode(near, {}, true, now);
+			if (engine == nullptr)
+			{
+				return;
+			}
+			held->decode_server = engine->id;
+			engine->active.insert(held->attempt);
+			decisions.granted.push_back(*held);
+		}
+	}
+
+	cell_ledger::forecast cell_ledger::make_forecast(time_point now) const
+	{
+		forecast ahead;
+		for (auto const& [id, engine] : this->prefill)
+		{
+			if (engine.is_usable(now, report_timeout))
+			{
+				++ahead.usable_prefill;
+				ahead.prefill_backlog += std::max(duration{}, engine.busy_until - now);
+			}
+		}
+		for (auto const& [id, engine] : this->decode)
+		{
+			if (engine.is_usable(now, report_timeout))
+			{
+				ahead.slots_left += engine.free_slots();
+			}
+		}
+		ahead.slots_left -= static_cast<int>(
+			std::ranges::count_if(this->leases, [](auto const& held) { return held.second.decode_server.empty(); }));
+		auto const hazard =
+			this->release_hazard == 0 ? 1.0 / static_cast<double>(initial_stream_time.count()) : this->release_hazard;
+		ahead.releases_per_us = hazard * static_cast<double>(this->leases.size());
+		return ahead;
+	}
+
+	duration cell_ledger::predict_first_token(
+		waiting_request const& request, forecast const& ahead, time_point now) const
+	{
+		if (ahead.usable_prefill == 0)
+		{
+			// Just after a takeover the engines have not been heard yet; afterwards there is nobody to wait for.
+			return now - this->created < report_timeout ? duration{} : request.patience + least_retry_after;
+		}
+		auto const prefill_wait = ahead.prefill_backlog / static_cast<duration::rep>(ahead.usable_prefill);
+		auto slot_wait = duration{};
+		if (this->rule_for(request) != slot_rule::unreserved && ahead.slots_left < 1)
+		{
+			auto const needed = 1 - ahead.slots_left;
+			slot_wait = duration(static_cast<duration::rep>(std::min(needed / std::max(ahead.releases_per_us, 1e-12),
+				static_cast<double>(duration(seconds(3600)).count()))));
+		}
+		auto fastest = duration::max();
+		for (auto const& [id, engine] : this->prefill)
+		{
+			if (engine.is_usable(now, report_timeout))
+			{
+				auto const cached =
+					static_cast<std::uint32_t>(engine.hints.leading(request.prefix_hashes)) * piece_tokens;
+				auto const computed = request.prompt_tokens.count() - std::min(request.prompt_tokens.count(), cached);
+				fastest = std::min(fastest, engine.time_for(token_count(computed)));
+			}
+		}
+		auto const own = fastest + this->transfer_time(request.prompt_tokens);
+		auto const wait = this->rule_for(request) == slot_rule::promised ? std::max(prefill_wait + own, slot_wait)
+																		 : std::max(prefill_wait, slot_wait) + own;
+		return wait + this->usual_token_gap() + network_allowance;
+	}
+
+	std::optional<cell_ledger::placement> cell_ledger::place_on(
+		prefill_engine& engine, waiting_request const& request, time_point now) const
+	{
+		auto const start = std::max(now, engine.busy_until);
+		auto const is_open = engine.running.size() < max_prefills_per_engine && start <= now + grant_lead;
+		if (!is_open || !engine.is_usable(now, report_timeout) || contains(request.excluded, engine.id))
+		{
+			return std::nullopt;
+		}
+		auto const cached = static_cast<std::uint32_t>(engine.hints.leading(request.prefix_hashes)) * piece_tokens;
+		placement where;
+		where.prefill = &engine;
+		where.computed_tokens =
+			token_count(request.prompt_tokens.count() - std::min(request.prompt_tokens.count(), cached));
+		where.prefill_time = engine.time_for(where.computed_tokens);
+		auto const prefill_end = start + where.prefill_time;
+		where.transfer_start = std::max(prefill_end, engine.link_busy_until);
+		where.transfer_end = where.transfer_start + this->transfer_time(request.prompt_tokens);
+		auto const* const pool = this->policy->find_pool(this->self.prefill_pool);
+		auto const retention = milliseconds(pool->prefill_retention_ms());
+		// A transfer that can't end before the eviction is not started.
+		return where.transfer_end - prefill_end < retention ? std::optional(where) : std::nullopt;
+	}
+
+	std::optional<cell_ledger::placement> cell_ledger::place(waiting_request const& request, time_point now)
+	{
+		std::vector<placement> options;
+		for (auto& [id, engine] : this->prefill)
+		{
+			if (auto const option = this->place_on(engine, request, now))
+			{
+				options.push_back(*option);
+			}
+		}
+		std::ranges::sort(options, std::less{}, [](placement const& option) { return option.transfer_end; });
+		auto const rule = this->rule_for(request);
+		for (auto& option : options)
+		{
+			if (rule == slot_rule::promised)
+			{
+				if (this->has_promised_slot(option, now))
+				{
+					return option;
+				}
+				continue;
+			}
+			auto const must_be_free = rule == slot_rule::held;
+			option.decode = this->choose_decode(option.prefill->data_centre, request.excluded, must_be_free, now);
+			if (option.decode != nullptr)
+			{
+				return option;
+			}
+		}
+		return std::nullopt;
+	}
+
+	bool cell_ledger::has_promised_slot(placement const& where, time_point now) const
+	{
+		auto const ahead = this->make_forecast(now);
+		auto const* const pool = this->policy->find_pool(this->self.prefill_pool);
+		duration const retention = milliseconds(pool->prefill_retention_ms());
+		auto const horizon = static_cast<double>((where.transfer_end - now).count()) +
+							 promise_retention_share * static_cast<double>(retention.count());
+		auto const expected = this->release_hazard == 0 ? 0.0 : ahead.releases_per_us * horizon * promise_safety;
+		return ahead.slots_left + std::floor(expected) >= 1;
+	}
+
+	decode_engine* cell_ledger::choose_decode(
+		data_centre_id const& near, std::vector<server_id> const& excluded, bool must_be_free, time_point now)
+	{
+		decode_engine* best = nullptr;
+		auto best_score = std::tuple(false, 0, false);
+		for (auto& [id, engine] : this->decode)
+		{
+			if (!engine.is_usable(now, report_timeout) || contains(excluded, id))
+			{
+				continue;
+			}
+			auto const free = engine.free_slots();
+			// A free slot near by first, then the emptiest engine.
+			auto const score = std::tuple(free > 0 && engine.data_centre == near, free, engine.data_centre == near);
+			if ((free > 0 || !must_be_free) && (best == nullptr || score > best_score))
+			{
+				best = &engine;
+				best_score = score;
+			}
+		}
+		return best;
+	}
+
+	slot_rule cell_ledger::rule_for(waiting_request const& request) const noexcept
+	{
+		if (this->behaviour->slots != slot_rule::by_objective)
+		{
+			return this->behaviour->slots;
+		}
+		return request.prefers_no_waste ? slot_rule::held : slot_rule::promised;
+	}
+
+	duration cell_ledger::transfer_time(token_count prompt_tokens) const noexcept
+	{
+		auto const* const pool = this->policy->find_pool(this->self.prefill_pool);
+		auto const bytes = static_cast<double>(prompt_tokens.count()) * pool->kv_bytes_per_token();
+		// A megabyte a second is a byte a microsecond.
+		return duration(static_cast<duration::rep>(bytes / pool->link_megabytes_per_second())) + cross_data_centre_cost;
+	}
+
+	duration cell_ledger::usual_token_gap() const noexcept
+	{
+		auto sum = 0.0;
+		auto known = 0;
+		for (auto const& [id, engine] : this->decode)
+		{
+			sum += engine.token_gap_us;
+			known += engine.token_gap_us > 0 ? 1 : 0;
+		}
+		return known == 0 ? this->token_gap_target : duration(static_cast<duration::rep>(sum / known));
+	}
+
+	lease cell_ledger::grant(waiting_request const& request, placement const& where, time_point now)
+	{
+		lease granted;
+		granted.attempt = request.attempt;
+		granted.request = request.request;
+		granted.attempt_number = request.attempt_number;
+		granted.entry = request.entry;
+		granted.service = request.service;
+		granted.account = request.account;
+		granted.prefill_server = where.prefill->id;
+		granted.prompt_tokens = request.prompt_tokens;
+		granted.output_tokens = request.output_tokens;
+		granted.granted_at = now;
+		granted.renewed_at = now;
+		granted.asked_clock = request.asked_clock;
+		where.prefill->start(request.attempt, where.prefill_time, now);
+		where.prefill->link_busy_until = where.transfer_end;
+		std::ranges::for_each(request.prefix_hashes, [&](std::uint64_t piece) { where.prefill->hints.add(piece); });
+		if (where.decode != nullptr)
+		{
+			granted.decode_server = where.decode->id;
+			where.decode->active.insert(request.attempt);
+		}
+		this->queue.note_served(request);
+		this->leases.emplace(request.attempt, granted);
+		this->queue.erase(request.attempt);
+		return granted;
+	}
+
+	std::uint64_t cell_ledger::cache_sequence(server_id const& server) const
+	{
+		auto const engine = this->prefill.find(server);
+		return engine == this->prefill.end() ? 0 : engine->second.cache_sequence;
+	}
+
+	std::vector<waiting_request> cell_ledger::take_waiting()
+	{
+		std::vector<waiting_request> all;
+		std::ranges::transform(this->queue.ordered(this->created), std::back_inserter(all),
+			[](waiting_request const* request) { return *request; });
+		this->queue = {};
+		return all;
+	}
+
+	cell_status cell_ledger::status(time_point now) const
+	{
+		cell_status shown;
+		shown.cell = this->self.id;
+		shown.waiting = this->queue.size();
+		shown.leased = this->leases.size();
+		for (auto const& [id, engine] : this->prefill)
+		{
+			shown.engines.push_back({id, engine.is_usable(now, report_timeout), engine.running.size(), 0, 0});
+		}
+		for (auto const& [id, engine] : this->decode)
+		{
+			shown.engines.push_back(
+				{id, engine.is_usable(now, report_timeout), engine.active.size(), engine.free_slots(), engine.foreign});
+		}
+		return shown;
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/cell_owner.cpp
@@ -0,0 +1,379 @@
+#include <godwittrestle/decide/cell_owner.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/base/algorithm.hpp>
+#include <godwittrestle/decide/cancellations.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/request_id.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		constexpr duration disown_interval = milliseconds(300);
+		// A report may be older than the release of an attempt; only one that stays unclaimed is looked into.
+		constexpr duration unclaimed_grace = milliseconds(400);
+		constexpr duration unclaimed_memory = seconds(5);
+		constexpr duration order_interval = milliseconds(500);
+		constexpr duration not_owner_retry = milliseconds(50);
+
+		duration to_duration(std::uint64_t microseconds_left) noexcept
+		{
+			return duration(static_cast<duration::rep>(microseconds_left));
+		}
+
+		std::string_view role_name(policy::PoolRole role) noexcept
+		{
+			return role == policy::PREFILL ? "prefill" : "decode";
+		}
+
+		wire::PeerMessage make_refusal(
+			std::string const& request, std::uint32_t attempt, wire::LeaseRefusal::Reason reason, duration retry_after)
+		{
+			wire::PeerMessage message;
+			auto& refusal = *message.mutable_lease_refusal();
+			refusal.set_request(request);
+			refusal.set_attempt(attempt);
+			refusal.set_reason(reason);
+			refusal.set_retry_after(static_cast<std::uint64_t>(retry_after.count()));
+			return message;
+		}
+
+		wire::PeerMessage make_grant(lease const& held, cell_id const& cell, duration lifetime)
+		{
+			wire::PeerMessage message;
+			auto& grant = *message.mutable_lease_grant();
+			grant.set_request(held.request.str());
+			grant.set_attempt(held.attempt_number);
+			grant.set_prefill_server(held.prefill_server.str());
+			grant.set_decode_server(held.decode_server.str());
+			grant.set_valid_for(static_cast<std::uint64_t>(lifetime.count()));
+			grant.set_asked(held.asked_clock);
+			grant.set_cell(cell.str());
+			return message;
+		}
+
+		waiting_request make_waiting(wire::PeerMessage const& message, wire::LeaseRequest const& asked,
+			policy::Service const& service, time_point now)
+		{
+			waiting_request request;
+			request.request = request_id(asked.request());
+			request.attempt_number = asked.attempt();
+			request.attempt = attempt_id(request.request, asked.attempt());
+			request.entry = instance_id(message.from());
+			request.service = service_id(asked.service());
+			request.account = account_id(asked.account());
+			// A request that has cost a prefill already goes first.
+			request.priority = asked.attempt() == 0 ? service.priority() : 0;
+			request.prompt_tokens = token_count(asked.prompt_tokens());
+			request.output_tokens = token_count(asked.output_tokens());
+			request.prefix_hashes.assign(asked.prefix_hashes().begin(), asked.prefix_hashes().end());
+			std::ranges::transform(asked.excluded(), std::back_inserter(request.excluded),
+				[](std::string const& server) { return server_id(server); });
+			request.deadline = now + to_duration(asked.remaining());
+			request.waiting_since = now - to_duration(asked.waited());
+			request.asked_at = now;
+			request.asked_clock = asked.asked();
+			request.patience = milliseconds(service.patience_ms());
+			request.token_gap_target = milliseconds(service.token_gap_target_ms());
+			request.prefers_no_waste = service.objective() == policy::WASTE;
+			return request;
+		}
+	}
+
+	std::optional<instance_id> owner_of(cell const& target, membership const& members, time_point now)
+	{
+		return members.highest(target.id.str(), target.data_centres, now);
+	}
+
+	cell_owner::cell_owner(
+		core_settings const& core, hooks const& varying, cancellations& pending_cancels, counters& sums)
+		: settings(&core)
+		, behaviour(&varying)
+		, cancels(&pending_cancels)
+		, totals(&sums)
+	{
+	}
+
+	void cell_owner::update(std::vector<cell> const& cells, std::shared_ptr<active_policy const> const& active,
+		membership const& members, turn& now)
+	{
+		this->policy = active;
+		std::set<cell_id> owned;
+		for (auto const& each : cells)
+		{
+			if (owner_of(each, members, now.now()) != this->settings->instance)
+			{
+				continue;
+			}
+			owned.insert(each.id);
+			auto const [entry, is_new] =
+				this->ledgers.try_emplace(each.id, each, active, *this->settings, *this->behaviour, now.now());
+			entry->second.update(each, active, members);
+			if (is_new)
+			{
+				now.record("cell_taken", {}, each.id.str());
+			}
+		}
+		for (auto entry = this->ledgers.begin(); entry != this->ledgers.end();)
+		{
+			if (owned.contains(entry->first))
+			{
+				++entry;
+				continue;
+			}
+			now.record("cell_given_up", {}, entry->first.str());
+			for (auto const& waiting : entry->second.take_waiting())
+			{
+				now.send(waiting.entry, members.address_of(waiting.entry),
+					make_refusal(
+						waiting.request.str(), waiting.attempt_number, wire::LeaseRefusal::NOT_OWNER, not_owner_retry));
+			}
+			entry = this->ledgers.erase(entry);
+		}
+	}
+
+	void cell_owner::handle(
+		wire::PeerMessage const& message, wire::LeaseRequest const& asked, membership const& members, turn& now)
+	{
+		auto* const ledger = this->ledger_for(cell_id(asked.cell()));
+		auto const* const service = this->policy ? this->policy->find_service(service_id(asked.service())) : nullptr;
+		instance_id const entry(message.from());
+		if (ledger == nullptr || service == nullptr)
+		{
+			now.send(entry, members.address_of(entry),
+				make_refusal(asked.request(), asked.attempt(), wire::LeaseRefusal::NOT_OWNER, not_owner_retry));
+			return;
+		}
+		auto const attempt = attempt_id(request_id(asked.request()), asked.attempt());
+		if (auto const* const held = ledger->find(attempt))
+		{
+			// The grant was lost or crossed with this request.
+			auto again = *held;
+			again.asked_clock = asked.asked();
+			now.send(entry, members.address_of(entry),
+				make_grant(again, ledger->described().id, this->settings->lease_lifetime));
+			return;
+		}
+		ledger->enqueue(make_waiting(message, asked, *service, now.now()));
+		this->decide(*ledger, members, now);
+	}
+
+	void cell_owner::handle(
+		wire::PeerMessage const& message, wire::LeaseUpdate const& update, membership const& members, turn& now)
+	{
+		auto* const ledger = this->ledger_for(cell_id(update.cell()));
+		if (ledger == nullptr)
+		{
+			return;
+		}
+		ledger->apply(update, instance_id(message.from()), now.now());
+		this->decide(*ledger, members, now);
+	}
+
+	void cell_owner::handle(
+		wire::PeerMessage const& message, wire::DisownReply const& reply, membership const& members, turn& now)
+	{
+		for (auto const& attempt : reply.disowned())
+		{
+			auto const origin = origin_of(attempt);
+			auto const known = this->unclaimed.find(attempt);
+			auto const is_from_origin =
+				origin && origin->instance.str() == message.from() && origin->started.count() == message.incarnation();
+			if (known != this->unclaimed.end() && is_from_origin)
+			{
+				this->cancel_orphan(attempt, known->second.server, members, now);
+			}
+		}
+	}
+
+	void cell_owner::handle(load_reported const& reported, membership& members, turn& now)
+	{
+		if (reported.report.leaving)
+		{
+			members.mark_leaving(reported.server, now);
+		}
+		auto* const ledger = this->ledger_with(reported.server);
+		if (ledger == nullptr)
+		{
+			return;
+		}
+		auto const is_as_wanted = this->check_order(*ledger, reported, members, now);
+		ledger->apply(reported.server, reported.report, is_as_wanted, now.now());
+		this->find_orphans(*ledger, reported, members, now);
+		this->decide(*ledger, members, now);
+	}
+
+	void cell_owner::handle_tick(membership& members, bool trusted, turn& now)
+	{
+		this->is_trusted = trusted;
+		for (auto& [id, ledger] : this->ledgers)
+		{
+			this->totals->leases_lapsed += ledger.drop_lapsed(members, now.now());
+			this->poll_engines(ledger, members, now);
+			this->decide(ledger, members, now);
+		}
+		std::erase_if(
+			this->unclaimed, [&](auto const& each) { return now.now() - each.second.first_seen > unclaimed_memory; });
+	}
+
+	void cell_owner::reset() noexcept
+	{
+		this->ledgers.clear();
+		this->unclaimed.clear();
+		this->orders.clear();
+	}
+
+	cell_ledger* cell_owner::ledger_for(cell_id const& target)
+	{
+		auto const found = this->ledgers.find(target);
+		return found == this->ledgers.end() ? nullptr : &found->second;
+	}
+
+	cell_ledger* cell_owner::ledger_with(server_id const& server)
+	{
+		auto const found = std::ranges::find_if(this->ledgers,
+			[&](auto const& each)
+			{
+				auto const& cell = each.second.described();
+				return contains(cell.prefill, server) || contains(cell.decode, server);
+			});
+		return found == this->ledgers.end() ? nullptr : &found->second;
+	}
+
+	void cell_owner::decide(cell_ledger& ledger, membership const& members, turn& now)
+	{
+		if (!this->is_trusted)
+		{
+			return;
+		}
+		auto const decisions = ledger.decide(now.now());
+		for (auto const& granted : decisions.granted)
+		{
+			++this->totals->leases_granted;
+			now.record("lease_granted", granted.request,
+				fmt::format("{} -> {}", granted.prefill_server.str(),
+					granted.decode_server.empty() ? "later" : granted.decode_server.str()));
+			now.send(granted.entry, members.address_of(granted.entry),
+				make_grant(granted, ledger.described().id, this->settings->lease_lifetime));
+		}
+		for (auto const& refused : decisions.refused)
+		{
+			now.record("lease_refused", refused.request.request, wire::LeaseRefusal::Reason_Name(refused.reason));
+			now.send(refused.request.entry, members.address_of(refused.request.entry),
+				make_refusal(refused.request.request.str(), refused.request.attempt_number, refused.reason,
+					refused.retry_after));
+		}
+	}
+
+	void cell_owner::poll_engines(cell_ledger const& ledger, membership const& members, turn& now)
+	{
+		auto const poll = [&](server_id const& id)
+		{
+			auto const [entry, is_new] = this->polled.try_emplace(id, now.now());
+			auto const* const server = members.find_server(id);
+			if (server == nullptr || (!is_new && now.now() - entry->second < this->settings->load_poll_interval))
+			{
+				return;
+			}
+			entry->second = now.now();
+			now.emit(poll_load{id, server->address, ledger.cache_sequence(id)});
+		};
+		std::ranges::for_each(ledger.described().prefill, poll);
+		std::ranges::for_each(ledger.described().decode, poll);
+	}
+
+	void cell_owner::find_orphans(
+		cell_ledger const& ledger, load_reported const& reported, membership& members, turn& now)
+	{
+		if (!this->behaviour->mechanisms.orphan_cleanup)
+		{
+			return;
+		}
+		for (auto const& held : reported.report.held)
+		{
+			if (ledger.find(held.attempt) != nullptr)
+			{
+				this->unclaimed.erase(held.attempt);
+				continue;
+			}
+			auto const [entry, is_new] =
+				this->unclaimed.try_emplace(held.attempt, unclaimed_attempt{now.now(), {}, reported.server});
+			entry->second.server = reported.server;
+			auto const is_lasting = now.now() - entry->second.first_seen >= unclaimed_grace;
+			if (is_lasting && now.now() - entry->second.last_asked >= disown_interval)
+			{
+				entry->second.last_asked = now.now();
+				this->settle_orphan(held.attempt, reported.server, members, now);
+			}
+		}
+	}
+
+	void cell_owner::settle_orphan(std::string const& attempt, server_id const& server, membership& members, turn& now)
+	{
+		auto const origin = origin_of(attempt);
+		if (!origin)
+		{
+			// A request of another system; its load counts, but it is not ours to end.
+			return;
+		}
+		auto const is_gone = members.is_proved_gone(origin->instance, origin->started, now.now());
+		if (is_gone || !this->behaviour->mechanisms.disown_proof)
+		{
+			this->cancel_orphan(attempt, server, members, now);
+			return;
+		}
+		if (!members.is_reachable(origin->instance, now.now()))
+		{
+			members.probe(origin->instance, now);
+			return;
+		}
+		wire::PeerMessage query;
+		query.mutable_disown_query()->add_requests(attempt);
+		now.send(origin->instance, members.address_of(origin->instance), std::move(query));
+	}
+
+	void cell_owner::cancel_orphan(
+		std::string const& attempt, server_id const& server, membership const& members, turn& now)
+	{
+		++this->totals->orphans_cancelled;
+		now.record("orphan_cancelled", request_of(attempt), server.str());
+		this->cancels->start(server, attempt, members, now);
+	}
+
+	bool cell_owner::check_order(
+		cell_ledger const& ledger, load_reported const& reported, membership const& members, turn& now)
+	{
+		auto const is_prefill = contains(ledger.described().prefill, reported.server);
+		auto const* const pool =
+			this->policy->find_pool(is_prefill ? ledger.described().prefill_pool : ledger.described().decode_pool);
+		auto const* const server = members.find_server(reported.server);
+		if (pool == nullptr || server == nullptr)
+		{
+			return false;
+		}
+		auto const role = role_name(pool->role());
+		if (reported.report.model == pool->model() && reported.report.role == role)
+		{
+			this->orders.erase(reported.server);
+			return true;
+		}
+		auto const fence = this->policy->version();
+		auto const [entry, is_new] = this->orders.try_emplace(reported.server, pending_order{fence, now.now()});
+		auto const is_due = entry->second.fence != fence || (now.now() - entry->second.sent >= order_interval &&
+																this->behaviour->mechanisms.order_repetition);
+		if ((is_new || is_due) && this->is_trusted)
+		{
+			entry->second = pending_order{fence, now.now()};
+			++this->totals->orders_sent;
+			now.emit(send_order{reported.server, server->address, pool->model(), std::string(role), fence});
+			now.record("order_sent", {}, fmt::format("{} {} {}", reported.server.str(), pool->model(), fence.count()));
+		}
+		return false;
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/completions.cpp
@@ -0,0 +1,680 @@
+#include <godwittrestle/decide/completions.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/base/algorithm.hpp>
+#include <godwittrestle/decide/cancellations.hpp>
+#include <godwittrestle/decide/cell_owner.hpp>
+#include <godwittrestle/decide/limits.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/rendezvous.hpp>
+#include <godwittrestle/decide/request_id.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		constexpr duration ask_interval = milliseconds(500);
+		constexpr duration renew_interval = seconds(1);
+		// Time past the patience after which an owner that does not answer is no longer waited for.
+		constexpr duration owner_slack = milliseconds(500);
+		constexpr duration usual_retry_after = seconds(1);
+		// A decode call without a token for this long has stalled.
+		constexpr duration stall_timeout = milliseconds(1500);
+		// A transfer may take this many times as long as its link needs.
+		constexpr int transfer_slack = 4;
+		constexpr int prefill_slack = 4;
+		// A prefill that was finished is repeated at most once.
+		constexpr std::uint32_t max_prefills = 2;
+		constexpr std::uint32_t max_attempts = 4;
+		// Tokens held that came ahead of their turn; more are a fault of the engine.
+		constexpr std::size_t max_early_tokens = 256;
+
+		std::uint64_t to_wire(duration span) noexcept
+		{
+			return static_cast<std::uint64_t>(std::max(span, duration{}).count());
+		}
+	}
+
+	completions::completions(core_settings const& core, hooks const& varying, limits& account_limits,
+		cancellations& pending_cancels, call_counter& call_ids, counters& sums)
+		: settings(&core)
+		, behaviour(&varying)
+		, accounts(&account_limits)
+		, cancels(&pending_cancels)
+		, calls(&call_ids)
+		, totals(&sums)
+	{
+	}
+
+	void completions::start(completion_requested const& asked, std::shared_ptr<active_policy const> const& policy,
+		account_id const& account, turn& now)
+	{
+		stream next;
+		next.request = asked.request;
+		next.policy = policy;
+		next.service = policy->find_service(asked.service);
+		next.account = account;
+		next.prompt = asked.prompt;
+		next.prompt_tokens = this->behaviour->count_tokens(*asked.prompt);
+		next.output_tokens =
+			asked.output_tokens.count() == 0 ? token_count(next.service->max_output_tokens()) : asked.output_tokens;
+		next.hashes = prefix_hashes(*asked.prompt, next.prompt_tokens.count());
+		next.arrived = now.now();
+		next.deadline = now.now() + milliseconds(next.service->deadline_ms());
+		next.waiting_since = now.now();
+		next.last_progress = now.now();
+		++this->totals->completions;
+		now.record("request_accepted", asked.request, fmt::format("{} prompt tokens", next.prompt_tokens.count()));
+		this->streams.emplace(asked.request, std::move(next));
+	}
+
+	void completions::update(std::vector<cell> const& derived, membership const& members, turn& now)
+	{
+		this->cells = derived;
+		for (auto& [request, running] : this->streams)
+		{
+			auto const* const target = this->find_cell(running.cell);
+			auto const owner = target == nullptr ? std::nullopt : owner_of(*target, members, now.now());
+			if (target != nullptr && owner && *owner == running.owner)
+			{
+				continue;
+			}
+			if (running.at == phase::waiting)
+			{
+				this->ask(running, members, now);
+			}
+			else if (owner)
+			{
+				// The new owner learns of the lease at once.
+				running.owner = *owner;
+				auto const reached = running.at == phase::prefilling      ? wire::LeaseUpdate::PREFILLING
+									 : running.at == phase::awaiting_slot ? wire::LeaseUpdate::TRANSFERRING
+																		  : wire::LeaseUpdate::DECODING;
+				this->send_update(running, reached, members, now);
+			}
+		}
+	}
+
+	void completions::ask(stream& asking, membership const& members, turn& now)
+	{
+		asking.asked_at = now.now();
+		auto const* const target = this->choose_cell(asking);
+		auto const owner = target == nullptr ? std::nullopt : owner_of(*target, members, now.now());
+		if (!owner)
+		{
+			return;
+		}
+		asking.cell = target->id;
+		asking.owner = *owner;
+		wire::PeerMessage message;
+		auto& request = *message.mutable_lease_request();
+		request.set_request(asking.request.str());
+		request.set_service(asking.service->name());
+		request.set_account(asking.account.str());
+		request.set_prompt_tokens(asking.prompt_tokens.count() + asking.delivered);
+		request.set_output_tokens(asking.output_tokens.count() - asking.delivered);
+		request.mutable_prefix_hashes()->Add(asking.hashes.begin(), asking.hashes.end());
+		request.set_remaining(to_wire(asking.deadline - now.now()));
+		request.set_waited(to_wire(now.now() - asking.waiting_since));
+		request.set_attempt(asking.attempt);
+		request.set_asked(to_wire(now.now().time_since_epoch()));
+		request.set_cell(asking.cell.str());
+		std::ranges::for_each(asking.excluded, [&](server_id const& server) { request.add_excluded(server.str()); });
+		now.send(*owner, members.address_of(*owner), std::move(message));
+	}
+
+	cell const* completions::choose_cell(stream const& wanted) const
+	{
+		auto const own_region = wanted.policy->region_of(this->settings->data_centre);
+		cell const* best = nullptr;
+		auto best_rank = std::pair(false, std::uint64_t{0});
+		for (auto const& candidate : this->cells)
+		{
+			if (candidate.prefill_pool != wanted.service->prefill_pool() ||
+				candidate.decode_pool != wanted.service->decode_pool())
+			{
+				continue;
+			}
+			// Equal prefixes go to the same cell, whose engines then have them in their caches.
+			auto const key = wanted.hashes.empty() ? wanted.request.str() : std::to_string(wanted.hashes.front());
+			auto const candidate_rank = std::pair(candidate.region == own_region, rank(key, candidate.id.str()));
+			if (best == nullptr || candidate_rank > best_rank)
+			{
+				best = &candidate;
+				best_rank = candidate_rank;
+			}
+		}
+		return best;
+	}
+
+	cell const* completions::find_cell(cell_id const& id) const
+	{
+		auto const found = std::ranges::find(this->cells, id, &cell::id);
+		return found == this->cells.end() ? nullptr : &*found;
+	}
+
+	void completions::handle(
+		wire::LeaseGrant const& grant, wire::PeerMessage const& message, membership const& members, turn& now)
+	{
+		auto const found = this->streams.find(request_id(grant.request()));
+		auto const is_current = found != this->streams.end() && found->second.attempt == grant.attempt();
+		if (!is_current)
+		{
+			// The caller is gone, or a later attempt runs: the lease must not stay held.
+			wire::PeerMessage reply;
+			auto& update = *reply.mutable_lease_update();
+			update.set_request(grant.request());
+			update.set_attempt(grant.attempt());
+			update.set_phase(wire::LeaseUpdate::RELEASED);
+			update.set_cell(grant.cell());
+			now.send(instance_id(message.from()), members.address_of(instance_id(message.from())), std::move(reply));
+			return;
+		}
+		auto& granted = found->second;
+		if (granted.at == phase::awaiting_slot && !grant.decode_server().empty())
+		{
+			granted.decode_server = server_id(grant.decode_server());
+			this->begin_decode(granted, members, now);
+			return;
+		}
+		if (granted.at != phase::waiting)
+		{
+			return;
+		}
+		auto const asked = time_point(duration(static_cast<duration::rep>(grant.asked())));
+		auto const expires = asked + duration(static_cast<duration::rep>(grant.valid_for()));
+		if (now.now() >= expires && this->behaviour->mechanisms.lease_expiry_check)
+		{
+			now.record("lease_expired", granted.request);
+			this->ask(granted, members, now);
+			return;
+		}
+		granted.prefill_server = server_id(grant.prefill_server());
+		granted.decode_server = server_id(grant.decode_server());
+		this->totals->queue_time_us += to_wire(now.now() - granted.waiting_since);
+		this->begin_prefill(granted, members, now);
+	}
+
+	void completions::begin_prefill(stream& granted, membership const& members, turn& now)
+	{
+		auto const* const server = members.find_server(granted.prefill_server);
+		if (server == nullptr || !members.accepts_work(granted.prefill_server))
+		{
+			this->abandon_attempt(granted, true, false, members, now);
+			this->retry(granted, members, now);
+			return;
+		}
+		granted.at = phase::prefilling;
+		granted.call = this->calls->next();
+		granted.call_started = now.now();
+		granted.last_progress = now.now();
+		granted.is_prefilled = false;
+		granted.is_prefill_used = false;
+		this->requests_by_call.emplace(*granted.call, granted.request);
+		now.record("prefill_started", granted.request, granted.prefill_server.str());
+		auto const* const pool = granted.policy->find_pool(granted.service->prefill_pool());
+		now.emit(start_prefill{*granted.call, granted.prefill_server, server->address, this->attempt_of(granted),
+			pool->model(), granted.prompt, granted.prompt_tokens, granted.delivered, granted.service->priority(),
+			granted.deadline - now.now(), granted.hashes});
+	}
+
+	void completions::handle(prefill_finished const& finished, membership const& members, turn& now)
+	{
+		auto* const ready = this->find(finished.call);
+		if (ready == nullptr || ready->at != phase::prefilling)
+		{
+			return;
+		}
+		this->requests_by_call.erase(finished.call);
+		ready->call.reset();
+		ready->transfer = finished.transfer;
+		ready->cached = finished.cached_tokens;
+		ready->transfer_ready = now.now();
+		ready->is_prefilled = true;
+		++ready->prefill_attempts;
+		auto const computed = ready->prompt_tokens.count() + ready->delivered - ready->cached.count();
+		this->totals->prefilled_tokens += computed;
+		if (ready->first_token)
+		{
+			// An earlier attempt computed the same and gave tokens from it.
+			this->totals->wasted_tokens += computed;
+		}
+		now.record("prefill_finished", ready->request, fmt::format("{} tokens from cache", ready->cached.count()));
+		ready->at = phase::awaiting_slot;
+		this->send_update(*ready, wire::LeaseUpdate::TRANSFERRING, members, now);
+		if (!ready->decode_server.empty())
+		{
+			this->begin_decode(*ready, members, now);
+		}
+	}
+
+	void completions::begin_decode(stream& ready, membership const& members, turn& now)
+	{
+		auto const* const server = members.find_server(ready.decode_server);
+		if (server == nullptr || !members.accepts_work(ready.decode_server))
+		{
+			this->abandon_attempt(ready, false, true, members, now);
+			this->retry(ready, members, now);
+			return;
+		}
+		ready.at = phase::decoding;
+		ready.call = this->calls->next();
+		ready.call_started = now.now();
+		ready.last_progress = now.now();
+		this->requests_by_call.emplace(*ready.call, ready.request);
+		now.record("decode_started", ready.request, ready.decode_server.str());
+		now.emit(start_decode{*ready.call, ready.decode_server, server->address, this->attempt_of(ready),
+			ready.transfer, ready.prompt, ready.delivered, ready.output_tokens, ready.service->priority(),
+			ready.deadline - now.now()});
+	}
+
+	void completions::handle(token_received const& token, membership const& members, turn& now)
+	{
+		auto* const receiving = this->find(token.call);
+		if (receiving == nullptr)
+		{
+			return;
+		}
+		receiving->last_progress = now.now();
+		if (!receiving->is_prefill_used)
+		{
+			receiving->is_prefill_used = true;
+			this->send_update(*receiving, wire::LeaseUpdate::DECODING, members, now);
+		}
+		if (token.index < receiving->delivered && this->behaviour->mechanisms.token_deduplication)
+		{
+			++this->totals->dropped_duplicates;
+			return;
+		}
+		if (token.index > receiving->delivered)
+		{
+			receiving->early.emplace(token.index, token.text);
+			if (receiving->early.size() > max_early_tokens)
+			{
+				this->abandon_attempt(*receiving, false, true, members, now);
+				this->retry(*receiving, members, now);
+			}
+			return;
+		}
+		this->deliver(*receiving, token.index, token.text, now);
+	}
+
+	void completions::deliver(stream& receiving, std::uint32_t index, std::string const& text, turn& now)
+	{
+		if (!receiving.first_token)
+		{
+			receiving.first_token = now.now();
+			now.record("first_token", receiving.request);
+		}
+		++this->totals->delivered_tokens;
+		now.emit(answer_token{receiving.request, index, text});
+		receiving.delivered = std::max(receiving.delivered, index + 1);
+		receiving.early.erase(index);
+		if (auto const next = receiving.early.find(receiving.delivered); next != receiving.early.end())
+		{
+			auto const early_text = next->second;
+			this->deliver(receiving, receiving.delivered, early_text, now);
+		}
+	}
+
+	void completions::handle(decode_finished const& finished, membership const& members, turn& now)
+	{
+		auto* const done = this->find(finished.call);
+		if (done == nullptr)
+		{
+			return;
+		}
+		if (done->delivered != finished.total)
+		{
+			// The end came without all tokens: the rest is fetched by resuming.
+			now.record("answer_incomplete", done->request, fmt::format("{} of {}", done->delivered, finished.total));
+			this->abandon_attempt(*done, false, true, members, now);
+			this->retry(*done, members, now);
+			return;
+		}
+		this->finish(*done, members, now);
+	}
+
+	void completions::finish(stream& done, membership const& members, turn& now)
+	{
+		this->send_update(done, wire::LeaseUpdate::RELEASED, members, now);
+		auto const first = done.first_token.value_or(now.now());
+		auto const gaps = std::max<std::uint32_t>(done.delivered, 2) - 1;
+		auto const is_first_in_time = first - done.arrived <= milliseconds(done.service->first_token_target_ms());
+		auto const are_gaps_in_time =
+			(now.now() - first) / gaps <= duration(milliseconds(done.service->token_gap_target_ms()));
+		++this->totals->answers;
+		this->totals->answers_in_time += is_first_in_time && are_gaps_in_time ? 1 : 0;
+		now.record("answer_whole", done.request, fmt::format("{} tokens", done.delivered));
+		now.emit(answer_end{done.request, done.delivered, is_first_in_time, are_gaps_in_time});
+		this->close(done, now);
+	}
+
+	bool completions::handle(call_failed const& failed, membership& members, turn& now)
+	{
+		auto* const running = this->find(failed.call);
+		if (running == nullptr)
+		{
+			return false;
+		}
+		auto const is_prefill = running->at == phase::prefilling;
+		auto const& server = is_prefill ? running->prefill_server : running->decode_server;
+		now.record(is_prefill ? "prefill_failed" : "decode_failed", running->request, server.str());
+		if (failed.kind == call_failure::leaving)
+		{
+			members.mark_leaving(server, now);
+		}
+		auto const is_fault = failed.kind != call_failure::rejected;
+		running->excluded.push_back(server);
+		this->abandon_attempt(*running, is_prefill && is_fault, !is_prefill && is_fault, members, now);
+		this->retry(*running, members, now);
+		return true;
+	}
+
+	void completions::handle(caller_gone const& gone, membership const& members, turn& now)
+	{
+		auto const found = this->streams.find(gone.request);
+		if (found == this->streams.end())
+		{
+			return;
+		}
+		now.record("caller_gone", gone.request);
+		this->abandon_attempt(found->second, false, false, members, now);
+		this->close(found->second, now);
+	}
+
+	void completions::handle(
+		wire::DisownQuery const& query, wire::PeerMessage const& message, membership const& members, turn& now)
+	{
+		wire::PeerMessage reply;
+		auto& disowned = *reply.mutable_disown_reply();
+		for (auto const& attempt : query.requests())
+		{
+			auto const found = this->streams.find(request_of(attempt));
+			auto const is_run = found != this->streams.end() && found->second.at != phase::waiting &&
+								this->attempt_of(found->second) == attempt;
+			if (!is_run)
+			{
+				disowned.add_disowned(attempt);
+			}
+		}
+		if (!disowned.disowned().empty())
+		{
+			instance_id const asker(message.from());
+			now.send(asker, members.address_of(asker), std::move(reply));
+		}
+	}
+
+	void completions::handle(wire::LeaseRefusal const& refusal, membership const& members, turn& now)
+	{
+		auto const found = this->streams.find(request_id(refusal.request()));
+		if (found == this->streams.end() || found->second.attempt != refusal.attempt() ||
+			found->second.at != phase::waiting)
+		{
+			return;
+		}
+		auto& refused = found->second;
+		duration const retry_after(static_cast<duration::rep>(refusal.retry_after()));
+		if (refusal.reason() == wire::LeaseRefusal::NOT_OWNER)
+		{
+			// Asked again after a moment, when both sides have seen the same membership.
+			refused.asked_at = now.now() - ask_interval + retry_after;
+			return;
+		}
+		auto const is_late = refusal.reason() == wire::LeaseRefusal::TOO_LATE;
+		this->fail(refused, is_late ? refusal_kind::too_late : refusal_kind::deadline,
+			is_late ? "the first token would come later than the service allows"
+					: "the answer would not be whole by its deadline",
+			"come back after the time in Retry-After", retry_after, members, now);
+	}
+
+	void completions::handle_tick(membership const& members, turn& now)
+	{
+		if (now.now() - this->renewed >= renew_interval)
+		{
+			this->renewed = now.now();
+			this->renew(members, now);
+		}
+		std::vector<request_id> running;
+		running.reserve(this->streams.size());
+		std::ranges::transform(this->streams, std::back_inserter(running), [](auto const& each) { return each.first; });
+		for (auto const& request : running)
+		{
+			this->check_progress(this->streams.at(request), members, now);
+		}
+	}
+
+	void completions::check_progress(stream& running, membership const& members, turn& now)
+	{
+		if (now.now() >= running.deadline)
+		{
+			this->abandon_attempt(running, false, false, members, now);
+			this->fail(running, refusal_kind::deadline, "the answer was not whole by its deadline",
+				"come back after the time in Retry-After", usual_retry_after, members, now);
+			return;
+		}
+		if (running.at == phase::waiting)
+		{
+			auto const patience = milliseconds(running.service->patience_ms()) + owner_slack;
+			if (now.now() - running.waiting_since > patience)
+			{
+				this->fail(running, refusal_kind::no_server, "no daemon that could grant a lease answered in time",
+					"come back after the time in Retry-After", usual_retry_after, members, now);
+			}
+			else if (now.now() - running.asked_at >= ask_interval)
+			{
+				this->ask(running, members, now);
+			}
+			return;
+		}
+		if (!this->behaviour->mechanisms.stall_detection)
+		{
+			return;
+		}
+		auto const* const pool = running.policy->find_pool(running.service->prefill_pool());
+		auto const tokens = running.prompt_tokens.count() + running.delivered;
+		duration allowed = stall_timeout;
+		if (running.at == phase::prefilling)
+		{
+			allowed += prefill_slack * duration(std::uint64_t{tokens} * 1'000'000 / pool->prefill_tokens_per_second());
+		}
+		else if (running.at == phase::awaiting_slot)
+		{
+			allowed = milliseconds(pool->prefill_retention_ms());
+		}
+		else if (!running.is_prefill_used)
+		{
+			auto const bytes = std::uint64_t{tokens} * pool->kv_bytes_per_token();
+			allowed += transfer_slack * duration(bytes / pool->link_megabytes_per_second());
+		}
+		if (now.now() - running.last_progress > allowed)
+		{
+			auto const is_prefill = running.at == phase::prefilling;
+			auto const is_decode = running.at == phase::decoding;
+			now.record(
+				"stalled", running.request, is_prefill ? running.prefill_server.str() : running.decode_server.str());
+			if (!running.decode_server.empty() && is_decode)
+			{
+				running.excluded.push_back(running.decode_server);
+			}
+			this->abandon_attempt(running, is_prefill, is_decode, members, now);
+			this->retry(running, members, now);
+		}
+	}
+
+	void completions::retry(stream& failed, membership const& members, turn& now)
+	{
+		auto const prefills_left = failed.prefill_attempts < max_prefills;
+		if (failed.attempt + 1 >= max_attempts || !prefills_left || now.now() >= failed.deadline)
+		{
+			this->fail(failed, refusal_kind::backend_failed, "the engines failed this request more than once",
+				"come back after the time in Retry-After", usual_retry_after, members, now);
+			return;
+		}
+		if (failed.delivered >= failed.output_tokens.count())
+		{
+			// Only the end was lost.
+			this->finish(failed, members, now);
+			return;
+		}
+		++this->totals->resumed;
+		++failed.attempt;
+		failed.at = phase::waiting;
+		failed.waiting_since = now.now();
+		now.record("attempt_started", failed.request,
+			fmt::format("attempt {} from token {}", failed.attempt, failed.delivered));
+		this->ask(failed, members, now);
+	}
+
+	void completions::abandon_attempt(
+		stream& failed, bool prefill_failed, bool decode_failed, membership const& members, turn& now)
+	{
+		if (failed.call)
+		{
+			now.emit(abort_call{*failed.call});
+			this->requests_by_call.erase(*failed.call);
+			failed.call.reset();
+		}
+		this->note_waste(failed, now);
+		auto const attempt = this->attempt_of(failed);
+		if (failed.at != phase::waiting)
+		{
+			this->cancels->start(failed.prefill_server, attempt, members, now);
+		}
+		if (failed.at == phase::decoding)
+		{
+			this->cancels->start(failed.decode_server, attempt, members, now);
+		}
+		if (!failed.owner.empty())
+		{
+			wire::PeerMessage message;
+			*message.mutable_lease_update() = this->make_update(failed, wire::LeaseUpdate::RELEASED);
+			message.mutable_lease_update()->set_prefill_failed(prefill_failed);
+			message.mutable_lease_update()->set_decode_failed(decode_failed);
+			now.send(failed.owner, members.address_of(failed.owner), std::move(message));
+		}
+		failed.early.clear();
+		failed.prefill_server = {};
+		failed.decode_server = {};
+		failed.is_prefilled = false;
+	}
+
+	void completions::note_waste(stream const& lost, turn& now)
+	{
+		auto const is_cut_short = lost.at == phase::prefilling;
+		auto const is_unused = lost.is_prefilled && !lost.is_prefill_used;
+		if (is_unused)
+		{
+			this->totals->wasted_tokens += lost.prompt_tokens.count() + lost.delivered - lost.cached.count();
+			this->totals->wasted_prefill_us += to_wire(lost.transfer_ready - lost.call_started);
+			now.record("prefill_wasted", lost.request);
+		}
+		else if (is_cut_short)
+		{
+			this->totals->wasted_prefill_us += to_wire(now.now() - lost.call_started);
+		}
+	}
+
+	void completions::fail(stream& failed, refusal_kind kind, std::string message, std::string remedy,
+		duration retry_after, membership const& members, turn& now)
+	{
+		if (failed.at == phase::waiting && !failed.owner.empty())
+		{
+			this->send_update(failed, wire::LeaseUpdate::RELEASED, members, now);
+		}
+		++this->totals->refusals[kind];
+		now.record("request_refused", failed.request, std::string(to_string(kind)));
+		now.emit(answer_failure{failed.request, kind, std::move(message), std::move(remedy), retry_after, false});
+		this->close(failed, now);
+	}
+
+	void completions::close(stream const& done, turn& /*now*/)
+	{
+		if (done.call)
+		{
+			this->requests_by_call.erase(*done.call);
+		}
+		this->accounts->finish(done.account);
+		this->streams.erase(done.request);
+	}
+
+	wire::LeaseUpdate completions::make_update(stream const& reporting, wire::LeaseUpdate::Phase reached) const
+	{
+		wire::LeaseUpdate update;
+		update.set_request(reporting.request.str());
+		update.set_attempt(reporting.attempt);
+		update.set_phase(reached);
+		update.set_service(reporting.service->name());
+		update.set_account(reporting.account.str());
+		update.set_prefill_server(reporting.prefill_server.str());
+		update.set_decode_server(reporting.decode_server.str());
+		update.set_prompt_tokens(reporting.prompt_tokens.count() + reporting.delivered);
+		update.set_cached_tokens(reporting.cached.count());
+		update.set_output_tokens(reporting.output_tokens.count());
+		update.set_produced_tokens(reporting.delivered);
+		update.set_cell(reporting.cell.str());
+		return update;
+	}
+
+	void completions::send_update(
+		stream& reporting, wire::LeaseUpdate::Phase reached, membership const& members, turn& now)
+	{
+		if (reached == wire::LeaseUpdate::DECODING)
+		{
+			reporting.renewed_at = now.now();
+			reporting.renewed_at_token = reporting.delivered;
+		}
+		wire::PeerMessage message;
+		*message.mutable_lease_update() = this->make_update(reporting, reached);
+		now.send(reporting.owner, members.address_of(reporting.owner), std::move(message));
+	}
+
+	void completions::renew(membership const& members, turn& now)
+	{
+		std::map<instance_id, wire::PeerMessage> renewals;
+		for (auto& [request, running] : this->streams)
+		{
+			if (running.at == phase::waiting)
+			{
+				continue;
+			}
+			auto const reached = running.at == phase::prefilling      ? wire::LeaseUpdate::PREFILLING
+								 : running.at == phase::awaiting_slot ? wire::LeaseUpdate::TRANSFERRING
+																	  : wire::LeaseUpdate::DECODING;
+			auto update = this->make_update(running, reached);
+			auto const produced = running.delivered - std::min(running.delivered, running.renewed_at_token);
+			if (reached == wire::LeaseUpdate::DECODING && running.is_prefill_used && produced > 0)
+			{
+				update.set_token_gap(to_wire(now.now() - running.renewed_at) / produced);
+				running.renewed_at = now.now();
+				running.renewed_at_token = running.delivered;
+			}
+			*renewals[running.owner].mutable_lease_renewal()->add_leases() = std::move(update);
+		}
+		for (auto& [owner, message] : renewals)
+		{
+			now.send(owner, members.address_of(owner), std::move(message));
+		}
+	}
+
+	completions::stream* completions::find(call_id call)
+	{
+		auto const request = this->requests_by_call.find(call);
+		if (request == this->requests_by_call.end())
+		{
+			return nullptr;
+		}
+		auto const found = this->streams.find(request->second);
+		return found == this->streams.end() ? nullptr : &found->second;
+	}
+
+	std::string completions::attempt_of(stream const& running) const
+	{
+		return attempt_id(running.request, running.attempt);
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/core.cpp
@@ -0,0 +1,582 @@
+#include <godwittrestle/decide/core.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		constexpr duration tick_interval = milliseconds(10);
+		// A new instance serves once all listed daemons have answered, or after this time.
+		constexpr duration boot_grace = seconds(2);
+		// A daemon that comes out of a pause and hears nobody serves on after this time.
+		constexpr duration check_grace = seconds(2);
+		// A leaving daemon stays at least this long, so that callers' calls on their way still find it.
+		constexpr duration least_leaving_time = seconds(1);
+		constexpr duration usual_retry_after = seconds(1);
+		// Daemons of each data centre that watch the configuration service once the fleet is large.
+		constexpr std::size_t watchers_per_data_centre = 3;
+	}
+
+	core::core(core_settings settings, hooks varying)
+		: own(std::move(settings))
+		, behaviour(std::move(varying))
+		, members(this->own, this->behaviour.mechanisms)
+		, policies(this->behaviour.mechanisms)
+		, cancels(this->behaviour.mechanisms, this->totals)
+		, servers(this->own.data_centre)
+		, owner(this->own, this->behaviour, this->cancels, this->totals)
+		, streams(this->own, this->behaviour, this->accounts, this->cancels, this->calls, this->totals)
+		, lookups(this->accounts, this->servers, this->calls, this->totals)
+		, keyed(this->own, this->behaviour.mechanisms, this->accounts, this->servers, this->calls, this->totals)
+	{
+	}
+
+	std::vector<action> core::handle(event const& happened, time_point present)
+	{
+		std::vector<action> actions;
+		turn now(this->own, this->clock, present, actions);
+		this->check_pause(now);
+		std::visit([&](auto const& each) { this->handle(each, now); }, happened);
+		this->deliver_local(now);
+		this->refresh_cells(now);
+		this->deliver_local(now);
+		this->last_turn = present;
+		return actions;
+	}
+
+	time_point core::next_wakeup(time_point now) const noexcept
+	{
+		return now + tick_interval;
+	}
+
+	void core::handle(tick const& /*happened*/, turn& now)
+	{
+		this->regain_trust(now);
+		this->members.handle_tick(this->facts(), now);
+		this->cancels.handle_tick(this->members, now);
+		this->owner.handle_tick(this->members, !this->suspect_since, now);
+		this->streams.handle_tick(this->members, now);
+		this->lookups.handle_tick(now);
+		this->keyed.handle_tick(this->members, now);
+		this->update_readiness(now);
+		this->choose_watchers(now);
+		this->continue_leaving(now);
+	}
+
+	void core::handle(completion_requested const& happened, turn& now)
+	{
+		auto const* const account = this->admit(happened.request, happened.service, happened.bearer_token, now);
+		if (account == nullptr)
+		{
+			return;
+		}
+		account_id const id(account->name());
+		auto const& policy = this->policies.active();
+		auto const* const service = policy->find_service(happened.service);
+		auto const tokens = this->behaviour.count_tokens(*happened.prompt);
+		auto reject = [&](refusal_kind kind, std::string message, std::string remedy)
+		{
+			this->accounts.finish(id);
+			this->refuse(happened.request, kind, std::move(message), std::move(remedy), duration{}, now);
+		};
+		if (service->prefill_pool().empty())
+		{
+			reject(refusal_kind::unknown_service, fmt::format("'{}' is not a model service", service->name()),
+				"call it under /services/" + service->name());
+		}
+		else if (tokens.count() > service->max_prompt_tokens())
+		{
+			reject(refusal_kind::too_large, fmt::format("the prompt has about {} tokens", tokens.count()),
+				fmt::format("send at most {} tokens", service->max_prompt_tokens()));
+		}
+		else if (happened.output_tokens.count() > service->max_output_tokens())
+		{
+			reject(refusal_kind::invalid_request, fmt::format("max_tokens is {}", happened.output_tokens.count()),
+				fmt::format("ask for at most {} tokens", service->max_output_tokens()));
+		}
+		else if (happened.prompt->empty())
+		{
+			reject(refusal_kind::invalid_request, "the prompt is empty", "send a prompt");
+		}
+		else
+		{
+			this->streams.start(happened, policy, id, now);
+			this->streams.update(this->cells, this->members, now);
+		}
+	}
+
+	void core::handle(plain_requested const& happened, turn& now)
+	{
+		auto const* const account = this->admit(happened.request, happened.service, happened.bearer_token, now);
+		if (account == nullptr)
+		{
+			return;
+		}
+		account_id const id(account->name());
+		auto const& policy = this->policies.active();
+		auto const* const route = find_route(*policy->find_service(happened.service), happened.method, happened.target);
+		auto const key = parse_key(happened.idempotency_key);
+		if (route != nullptr && route->repeatable())
+		{
+			this->lookups.start(happened, policy, id, this->members, now);
+		}
+		else if (route != nullptr && key)
+		{
+			this->keyed.start(happened, *key, policy, id, this->members, now);
+		}
+		else
+		{
+			this->accounts.finish(id);
+			auto const kind = route == nullptr                   ? refusal_kind::unknown_service
+							  : happened.idempotency_key.empty() ? refusal_kind::key_required
+																 : refusal_kind::key_invalid;
+			this->refuse(happened.request, kind,
+				route == nullptr ? "no route of the service takes this method and path"
+								 : "this call must not be repeated and needs an idempotency key",
+				route == nullptr ? "see the service's routes in the policy"
+								 : "get a key from POST /v1/idempotency-keys and send it as Idempotency-Key",
+				duration{}, now);
+		}
+	}
+
+	void core::handle(keys_requested const& happened, turn& now)
+	{
+		auto const* const account = this->admit(happened.request, {}, happened.bearer_token, now);
+		if (account != nullptr)
+		{
+			this->accounts.finish(account_id(account->name()));
+			this->keyed.issue(happened, account_id(account->name()), now);
+		}
+	}
+
+	void core::handle(caller_gone const& happened, turn& now)
+	{
+		this->streams.handle(happened, this->members, now);
+		this->lookups.handle(happened, now);
+		this->keyed.handle(happened);
+	}
+
+	void core::handle(peer_received const& happened, turn& now)
+	{
+		this->receive(happened.message, now);
+	}
+
+	void core::handle(peer_unreachable const& /*happened*/, turn& /*now*/)
+	{
+		// Every message is repeated by whoever needs its effect; liveness is judged by heartbeats alone.
+	}
+
+	void core::handle(peer_probed const& happened, turn& now)
+	{
+		this->members.handle(happened, now);
+	}
+
+	void core::handle(prefill_finished const& happened, turn& now)
+	{
+		this->streams.handle(happened, this->members, now);
+	}
+
+	void core::handle(token_received const& happened, turn& now)
+	{
+		this->streams.handle(happened, this->members, now);
+	}
+
+	void core::handle(decode_finished const& happened, turn& now)
+	{
+		this->streams.handle(happened, this->members, now);
+	}
+
+	void core::handle(plain_answered const& happened, turn& now)
+	{
+		if (!this->lookups.handle(happened, this->members, now))
+		{
+			this->keyed.handle(happened, this->members, now);
+		}
+	}
+
+	void core::handle(call_failed const& happened, turn& now)
+	{
+		if (!this->streams.handle(happened, this->members, now) && !this->lookups.handle(happened, this->members, now))
+		{
+			this->keyed.handle(happened, this->members, now);
+		}
+	}
+
+	void core::handle(cancel_acknowledged const& happened, turn& /*now*/)
+	{
+		this->cancels.handle(happened);
+	}
+
+	void core::handle(load_reported const& happened, turn& now)
+	{
+		this->owner.handle(happened, this->members, now);
+	}
+
+	void core::handle(policy_read const& happened, turn& now)
+	{
+		if (!happened.fault.empty())
+		{
+			this->policies.note_unreadable(happened.version, happened.fault, now);
+		}
+		else if (this->policies.offer(happened.version, happened.document, now))
+		{
+			this->note_config_change(now);
+		}
+	}
+
+	void core::handle(instances_read const& happened, turn& now)
+	{
+		this->first_list_at = this->first_list_at.value_or(now.now());
+		this->members.apply(happened.list, now);
+	}
+
+	void core::handle(drain_requested const& /*happened*/, turn& now)
+	{
+		if (this->leaving_since)
+		{
+			return;
+		}
+		this->leaving_since = now.now();
+		this->state = readiness::leaving;
+		this->members.start_leaving();
+		this->keyed.start_leaving();
+		now.record("leaving", {});
+		this->members.send_heartbeats(this->facts(), false, now);
+	}
+
+	void core::receive(wire::PeerMessage const& message, turn& now)
+	{
+		this->clock.observe(message.timestamp(),
+			this->own.wall_offset + static_cast<std::uint64_t>(now.now().time_since_epoch().count()));
+		if (message.has_heartbeat())
+		{
+			this->handle_heartbeat(message, now);
+		}
+		else if (this->members.heard(instance_id(message.from()), incarnation(message.incarnation()), now))
+		{
+			this->dispatch(message, now);
+		}
+	}
+
+	void core::handle_heartbeat(wire::PeerMessage const& message, turn& now)
+	{
+		if (!this->members.handle(message, this->facts(), now))
+		{
+			return;
+		}
+		this->keyed.note_successions(message.heartbeat());
+		auto const is_ahead = platform_version(message.heartbeat().config_version()) > this->policies.version();
+		if (is_ahead && this->behaviour.mechanisms.peer_config_exchange)
+		{
+			wire::PeerMessage pull;
+			pull.mutable_config_pull()->set_have_digest(this->policies.digest());
+			instance_id const peer(message.from());
+			now.send(peer, this->members.address_of(peer), std::move(pull));
+		}
+		this->regain_trust(now);
+	}
+
+	void core::dispatch(wire::PeerMessage const& message, turn& now)
+	{
+		instance_id const from(message.from());
+		switch (message.body_case())
+		{
+			case wire::PeerMessage::kConfigPull:
+			{
+				wire::PeerMessage reply;
+				*reply.mutable_config_push() = this->policies.answer(message.config_pull());
+				now.send(from, this->members.address_of(from), std::move(reply));
+				break;
+			}
+			case wire::PeerMessage::kConfigPush:
+				if (this->policies.handle(message.config_push(), now))
+				{
+					this->note_config_change(now);
+				}
+				break;
+			case wire::PeerMessage::kLeaseRequest:
+				this->owner.handle(message, message.lease_request(), this->members, now);
+				break;
+			case wire::PeerMessage::kLeaseGrant:
+				this->streams.handle(message.lease_grant(), message, this->members, now);
+				break;
+			case wire::PeerMessage::kLeaseRefusal:
+				this->streams.handle(message.lease_refusal(), this->members, now);
+				break;
+			case wire::PeerMessage::kLeaseUpdate:
+				this->owner.handle(message, message.lease_update(), this->members, now);
+				break;
+			case wire::PeerMessage::kLeaseRenewal:
+				std::ranges::for_each(message.lease_renewal().leases(),
+					[&](wire::LeaseUpdate const& update) { this->owner.handle(message, update, this->members, now); });
+				break;
+			case wire::PeerMessage::kDisownQuery:
+				this->streams.handle(message.disown_query(), message, this->members, now);
+				break;
+			case wire::PeerMessage::kDisownReply:
+				this->owner.handle(message, message.disown_reply(), this->members, now);
+				break;
+			case wire::PeerMessage::kKeyedCall:
+				this->keyed.handle(message.keyed_call(), message, this->members, now);
+				break;
+			case wire::PeerMessage::kKeyedOutcome:
+				this->keyed.handle(message.keyed_outcome(), message, now);
+				break;
+			case wire::PeerMessage::kKeyTableMove:
+				this->keyed.handle(message.key_table_move(), message, this->members, now);
+				this->members.send_heartbeats(this->facts(), false, now);
+				break;
+			case wire::PeerMessage::kKeyTableTaken:
+				this->keyed.handle(message.key_table_taken(), now);
+				break;
+			default:
+				break;
+		}
+	}
+
+	void core::deliver_local(turn& now)
+	{
+		wire::PeerMessage message;
+		while (now.take_local(message))
+		{
+			this->dispatch(message, now);
+		}
+	}
+
+	void core::check_pause(turn& now)
+	{
+		auto const was_paused = this->last_turn && now.now() - *this->last_turn > this->own.peer_timeout;
+		if (!was_paused || !this->behaviour.mechanisms.wake_up_check)
+		{
+			return;
+		}
+		// Others may have taken over meanwhile: nothing is granted or ordered until a peer has been heard anew.
+		this->suspect_since = now.now();
+		this->owner.reset();
+		this->seen_generation = 0;
+		now.record("woke_up", {}, fmt::format("after {} ms", to_milliseconds(now.now() - *this->last_turn)));
+		this->members.send_heartbeats(this->facts(), true, now);
+	}
+
+	void core::regain_trust(turn& now)
+	{
+		if (!this->suspect_since)
+		{
+			return;
+		}
+		auto const is_alone = !this->members.has_peers();
+		auto const is_checked = this->members.answered_since(*this->suspect_since);
+		if (is_alone || is_checked || now.now() - *this->suspect_since > check_grace)
+		{
+			this->suspect_since.reset();
+			now.record("beliefs_checked", {});
+		}
+	}
+
+	void core::refresh_cells(turn& now)
+	{
+		auto const is_unchanged =
+			this->seen_generation == this->members.generation() && this->seen_version == this->policies.version();
+		if (!this->policies.active() || is_unchanged)
+		{
+			return;
+		}
+		this->seen_generation = this->members.generation();
+		this->seen_version = this->policies.version();
+		this->cells = derive_cells(*this->policies.active(), this->members.list(), this->own.cell_size);
+		this->keyed.update(this->policies.active());
+		this->owner.update(this->cells, this->policies.active(), this->members, now);
+		this->streams.update(this->cells, this->members, now);
+	}
+
+	void core::note_config_change(turn& now)
+	{
+		if (this->behaviour.mechanisms.peer_config_exchange)
+		{
+			this->members.send_heartbeats(this->facts(), false, now);
+		}
+	}
+
+	void core::update_readiness(turn& now)
+	{
+		if (this->state != readiness::starting || !this->policies.active() || !this->first_list_at)
+		{
+			return;
+		}
+		if (this->members.heard_from_all() || now.now() - *this->first_list_at > boot_grace)
+		{
+			this->state = readiness::ready;
+			now.record("ready", {});
+		}
+	}
+
+	void core::choose_watchers(turn& now)
+	{
+		auto const& daemons = this->members.list().daemons;
+		auto should_watch = true;
+		if (daemons.size() > this->own.full_mesh_limit)
+		{
+			auto const own_rank = rank("watch", this->own.instance.str());
+			auto const ahead = std::ranges::count_if(daemons,
+				[&](listed_daemon const& daemon)
+				{
+					return daemon.data_centre == this->own.data_centre && rank("watch", daemon.id.str()) > own_rank &&
+						   this->members.is_eligible(daemon.id, now.now());
+				});
+			should_watch = static_cast<std::size_t>(ahead) < watchers_per_data_centre;
+		}
+		if (this->watching != should_watch)
+		{
+			this->watching = should_watch;
+			now.emit(set_watch{should_watch});
+		}
+	}
+
+	void core::continue_leaving(turn& now)
+	{
+		if (!this->leaving_since || this->has_left)
+		{
+			return;
+		}
+		auto const is_idle = this->streams.running() == 0 && this->lookups.running() == 0 && this->keyed.running() == 0;
+		auto const has_stayed = now.now() - *this->leaving_since >= least_leaving_time;
+		if (is_idle && has_stayed && this->cancels.empty() && this->keyed.leave(this->members, now))
+		{
+			this->has_left = true;
+			now.record("left", {});
+			now.emit(leave{});
+		}
+	}
+
+	heartbeat_facts core::facts() const
+	{
+		return {this->policies.version(), this->policies.digest(), this->keyed.successions()};
+	}
+
+	policy::Account const* core::admit(
+		request_id const& request, service_id const& service, std::string const& bearer_token, turn& now)
+	{
+		if (this->state != readiness::ready)
+		{
+			auto const is_leaving = this->state == readiness::leaving;
+			this->refuse(request, is_leaving ? refusal_kind::draining : refusal_kind::not_ready,
+				is_leaving ? "this daemon is leaving" : "this daemon is starting",
+				"ask again; another daemon will answer", usual_retry_after, now);
+			return nullptr;
+		}
+		auto const& policy = this->policies.active();
+		auto const* const account = policy->find_account_by_token(bearer_token);
+		if (account == nullptr)
+		{
+			this->refuse(request, refusal_kind::unauthorised, "no account has this bearer token",
+				"send the account's token as 'Authorization: Bearer ...'", duration{}, now);
+			return nullptr;
+		}
+		if (!service.empty() && policy->find_service(service) == nullptr)
+		{
+			this->refuse(request, refusal_kind::unknown_service, fmt::format("there is no service '{}'", service.str()),
+				"name a service of the policy in force", duration{}, now);
+			return nullptr;
+		}
+		auto const daemons = this->members.eligible(now.now()).size();
+		if (auto const wait = this->accounts.admit(*account, daemons, now.now()))
+		{
+			this->refuse(request, refusal_kind::rate_limited,
+				fmt::format("the account '{}' is at its limit", account->name()),
+				"come back after the time in Retry-After", *wait, now);
+			return nullptr;
+		}
+		return account;
+	}
+
+	void core::refuse(request_id const& request, refusal_kind kind, std::string message, std::string remedy,
+		duration retry_after, turn& now)
+	{
+		++this->totals.refusals[kind];
+		now.record("request_refused", request, std::string(to_string(kind)));
+		now.emit(answer_failure{request, kind, std::move(message), std::move(remedy), retry_after, false});
+	}
+
+	core_status core::status(time_point now) const
+	{
+		core_status shown;
+		shown.state = this->state;
+		shown.trusted = !this->suspect_since;
+		shown.config_version = this->policies.version();
+		shown.digest = this->policies.digest();
+		if (this->policies.active())
+		{
+			shown.revision = this->policies.active()->document().revision();
+			shown.config_age = now - this->policies.taken_at();
+		}
+		shown.list_version = this->members.list().version;
+		shown.live_daemons = this->members.eligible(now);
+		for (auto const& [id, ledger] : this->owner.cells())
+		{
+			shown.owned_cells.push_back(ledger.status(now));
+		}
+		std::ranges::transform(this->policies.refused(), std::back_inserter(shown.refused),
+			[](refused_document const& refused)
+			{ return refusal_status{platform_version(refused.published.platform_version()), refused.reason}; });
+		shown.completions = this->streams.running();
+		shown.plain_calls = this->lookups.running();
+		shown.keyed_calls = this->keyed.running();
+		shown.totals = this->totals;
+		return shown;
+	}
+
+	explanation core::explain(service_id const& service_name, time_point now) const
+	{
+		explanation answer;
+		auto const* const service =
+			this->policies.active() ? this->policies.active()->find_service(service_name) : nullptr;
+		if (service == nullptr)
+		{
+			answer.note = "the policy in force has no such service";
+			return answer;
+		}
+		answer.known_service = true;
+		answer.priority = service->priority();
+		answer.patience = milliseconds(service->patience_ms());
+		if (!service->plain_pool().empty())
+		{
+			answer.kind = "plain";
+			for (auto const& server : this->members.list().servers)
+			{
+				if (server.pool.str() == service->plain_pool() && this->members.accepts_work(server.id))
+				{
+					answer.candidates.push_back(server.id);
+				}
+			}
+			answer.note = "repeatable calls go to the least busy server, near ones first; others to the key's issuer";
+			return answer;
+		}
+		answer.kind = "model";
+		answer.objective = policy::Objective_Name(service->objective());
+		auto const target = std::ranges::find_if(this->cells, [&](cell const& each)
+			{ return each.prefill_pool == service->prefill_pool() && each.decode_pool == service->decode_pool(); });
+		if (target == this->cells.end())
+		{
+			answer.note = "no region has servers of both pools";
+			return answer;
+		}
+		answer.cell = target->id;
+		auto const holder = owner_of(*target, this->members, now);
+		answer.owner = holder ? holder->str() : "";
+		for (auto const* const pool_servers : {&target->prefill, &target->decode})
+		{
+			std::ranges::copy_if(*pool_servers, std::back_inserter(answer.candidates),
+				[&](server_id const& server) { return this->members.accepts_work(server); });
+		}
+		answer.note = service->objective() == policy::WASTE
+						  ? "a prefill starts only with its decode slot free and held"
+						  : "a prefill starts when a decode slot is free or expected to be by its end";
+		return answer;
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/engine.cpp
@@ -0,0 +1,145 @@
+#include <godwittrestle/decide/engine.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		// Pieces remembered for each prefill engine.
+		constexpr std::size_t max_hints = 4096;
+		// Shorter prefills say more about the network than about the engine.
+		constexpr std::uint32_t least_tokens_to_learn_from = 256;
+		constexpr double speed_smoothing = 0.2;
+		constexpr double gap_smoothing = 0.2;
+		constexpr duration limit_step_interval = seconds(1);
+		// The limit rises again once tokens come this much earlier than the target.
+		constexpr double raise_below = 0.9;
+	}
+
+	std::size_t prefix_hints::leading(std::vector<std::uint64_t> const& chain) const
+	{
+		auto const missing =
+			std::ranges::find_if(chain, [&](std::uint64_t piece) { return !this->positions.contains(piece); });
+		return static_cast<std::size_t>(missing - chain.begin());
+	}
+
+	void prefix_hints::add(std::uint64_t piece)
+	{
+		this->remove(piece);
+		this->recency.push_back(piece);
+		this->positions.emplace(piece, std::prev(this->recency.end()));
+		if (this->recency.size() > this->limit)
+		{
+			this->remove(this->recency.front());
+		}
+	}
+
+	void prefix_hints::remove(std::uint64_t piece)
+	{
+		if (auto const found = this->positions.find(piece); found != this->positions.end())
+		{
+			this->recency.erase(found->second);
+			this->positions.erase(found);
+		}
+	}
+
+	void prefix_hints::clear() noexcept
+	{
+		this->recency.clear();
+		this->positions.clear();
+	}
+
+	bool engine_base::is_usable(time_point now, duration report_timeout) const noexcept
+	{
+		auto const is_heard = this->reported_at && now - *this->reported_at < report_timeout;
+		return this->accepts_work && this->is_as_wanted && is_heard && now >= this->avoid_until;
+	}
+
+	prefill_engine::prefill_engine(double tokens_per_second)
+		: tokens_per_us(tokens_per_second / 1e6)
+		, hints(max_hints)
+	{
+	}
+
+	duration prefill_engine::time_for(token_count tokens) const noexcept
+	{
+		return duration(static_cast<duration::rep>(tokens.count() / this->tokens_per_us));
+	}
+
+	void prefill_engine::start(std::string const& attempt, duration expected, time_point now)
+	{
+		if (this->running.emplace(attempt, expected).second)
+		{
+			this->busy_until = std::max(now, this->busy_until) + expected;
+		}
+	}
+
+	void prefill_engine::finish(std::string const& attempt, std::optional<token_count> computed_tokens, time_point now)
+	{
+		auto const found = this->running.find(attempt);
+		if (found == this->running.end())
+		{
+			return;
+		}
+		auto const expected = found->second;
+		this->running.erase(found);
+		if (computed_tokens && computed_tokens->count() >= least_tokens_to_learn_from)
+		{
+			auto const began = std::max(this->last_finish, this->busy_until - expected);
+			auto const took = std::max<double>(1.0, static_cast<double>((now - std::min(began, now)).count()));
+			auto const seen = computed_tokens->count() / took;
+			// One reading can't move the estimate by more than a factor of two.
+			auto const bounded = std::clamp(seen, this->tokens_per_us / 2, this->tokens_per_us * 2);
+			this->tokens_per_us += speed_smoothing * (bounded - this->tokens_per_us);
+		}
+		this->last_finish = now;
+		auto const left = this->running | std::views::values;
+		this->busy_until = std::accumulate(left.begin(), left.end(), now);
+	}
+
+	void prefill_engine::apply_cache_events(load_report const& report)
+	{
+		if (report.cache_gap)
+		{
+			this->hints.clear();
+		}
+		std::ranges::for_each(report.cache_removed, [this](std::uint64_t piece) { this->hints.remove(piece); });
+		std::ranges::for_each(report.cache_added, [this](std::uint64_t piece) { this->hints.add(piece); });
+		this->cache_sequence = report.cache_sequence;
+	}
+
+	int decode_engine::free_slots() const noexcept
+	{
+		return static_cast<int>(this->limit) - static_cast<int>(this->active.size()) - static_cast<int>(this->foreign);
+	}
+
+	void decode_engine::note_token_gap(duration gap) noexcept
+	{
+		auto const reading = static_cast<double>(gap.count());
+		this->token_gap_us =
+			this->token_gap_us == 0 ? reading : this->token_gap_us + gap_smoothing * (reading - this->token_gap_us);
+	}
+
+	void decode_engine::adapt_limit(duration target, time_point now) noexcept
+	{
+		if (this->token_gap_us == 0 || now - this->limit_changed_at < limit_step_interval)
+		{
+			return;
+		}
+		auto const wanted = static_cast<double>(target.count());
+		if (this->token_gap_us > wanted && this->limit > 1)
+		{
+			auto const held = static_cast<std::uint32_t>(this->active.size()) + this->foreign;
+			this->limit = std::clamp(std::min(this->limit, held), 2U, this->slots) - 1;
+			this->limit_changed_at = now;
+		}
+		else if (this->token_gap_us < raise_below * wanted && this->limit < this->slots)
+		{
+			++this->limit;
+			this->limit_changed_at = now;
+		}
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/keyed_calls.cpp
@@ -0,0 +1,470 @@
+#include <godwittrestle/decide/keyed_calls.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/decide/limits.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/rendezvous.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		constexpr duration resend_interval = milliseconds(300);
+		constexpr duration usual_retry_after = seconds(1);
+		constexpr std::uint32_t max_keys_at_once = 100;
+
+		std::uint64_t fingerprint_of(wire::KeyedCall const& call)
+		{
+			return hash_bytes(call.body(), hash_bytes(call.method() + " " + call.service() + call.target()));
+		}
+
+		wire::KeyedOutcome make_outcome(wire::KeyedOutcome::Outcome outcome, std::string reason)
+		{
+			wire::KeyedOutcome result;
+			result.set_outcome(outcome);
+			result.set_reason(std::move(reason));
+			return result;
+		}
+
+		std::uint64_t to_clock(time_point point) noexcept
+		{
+			return static_cast<std::uint64_t>(point.time_since_epoch().count());
+		}
+	}
+
+	keyed_calls::keyed_calls(core_settings const& core, mechanism_set const& enabled, limits& account_limits,
+		plain_server_choice& choice, call_counter& call_ids, counters& sums)
+		: settings(&core)
+		, mechanisms(&enabled)
+		, accounts(&account_limits)
+		, servers(&choice)
+		, calls(&call_ids)
+		, totals(&sums)
+	{
+		this->tables.emplace(table_key(core.instance, core.started),
+			key_table(core.instance, core.started, core.key_secret, core.key_answer_budget));
+	}
+
+	void keyed_calls::issue(keys_requested const& asked, account_id const& account, turn& now)
+	{
+		if (this->is_leaving)
+		{
+			now.emit(answer_failure{asked.request, refusal_kind::draining, "this daemon is leaving",
+				"ask again; another daemon will answer", usual_retry_after, false});
+			return;
+		}
+		auto& own = this->tables.at(table_key(this->settings->instance, this->settings->started));
+		std::vector<std::string> keys;
+		std::generate_n(std::back_inserter(keys), std::clamp(asked.count, 1U, max_keys_at_once),
+			[&] { return own.issue(account, now.now() + this->settings->key_lifetime); });
+		now.record("keys_issued", asked.request, std::to_string(keys.size()));
+		now.emit(answer_keys{asked.request, std::move(keys), this->settings->key_lifetime});
+	}
+
+	void keyed_calls::start(plain_requested const& asked, key_parts const& key,
+		std::shared_ptr<active_policy const> const& active, account_id const& account, membership const& members,
+		turn& now)
+	{
+		entry_call next;
+		next.key = key;
+		next.account = account;
+		next.deadline = now.now() + milliseconds(active->find_service(asked.service)->deadline_ms());
+		next.call.set_request(asked.request.str());
+		next.call.set_key(asked.idempotency_key);
+		next.call.set_service(asked.service.str());
+		next.call.set_method(asked.method);
+		next.call.set_target(asked.target);
+		next.call.set_content_type(asked.content_type);
+		next.call.set_body(asked.body);
+		next.call.set_account(account.str());
+		now.record("request_accepted", asked.request, asked.method + " " + asked.target);
+		auto const [entry, is_new] = this->entries.emplace(asked.request.str(), std::move(next));
+		this->pass_on(entry->second, members, now);
+	}
+
+	instance_id keyed_calls::holder_of(key_parts const& key) const
+	{
+		table_key const wanted(key.issuer, key.started);
+		if (this->tables.contains(wanted))
+		{
+			return this->settings->instance;
+		}
+		auto const successor = this->successors.find(wanted);
+		return successor == this->successors.end() ? key.issuer : successor->second;
+	}
+
+	void keyed_calls::pass_on(entry_call& entry, membership const& members, turn& now)
+	{
+		entry.sent_at = now.now();
+		auto const holder = this->holder_of(entry.key);
+		auto const holder_clock = members.remote_clock(holder, now.now());
+		if (!holder_clock)
+		{
+			// Without the holder's clock it could not tell a late start; the next tick tries again.
+			return;
+		}
+		entry.call.set_start_before(*holder_clock + static_cast<std::uint64_t>((entry.deadline - now.now()).count()));
+		entry.passed_on = true;
+		wire::PeerMessage message;
+		*message.mutable_keyed_call() = entry.call;
+		now.send(holder, members.address_of(holder), std::move(message));
+	}
+
+	void keyed_calls::handle(
+		wire::KeyedCall const& call, wire::PeerMessage const& message, membership const& members, turn& now)
+	{
+		waiting_caller const caller{instance_id(message.from()), call.request()};
+		auto const key = parse_key(call.key());
+		auto const table = key ? this->tables.find(table_key(key->issuer, key->started)) : this->tables.end();
+		if (table == this->tables.end())
+		{
+			// Another daemon holds the key; the entry daemon asks again once it knows which.
+			return;
+		}
+		auto& keys = table->second;
+		if (!keys.is_genuine(*key, account_id(call.account())))
+		{
+			this->reply(caller, make_outcome(wire::KeyedOutcome::MISMATCH, "the key was not issued for this account"),
+				members, now);
+			return;
+		}
+		auto const state = keys.state_of(key->sequence);
+		if (state != key_table::state::unused)
+		{
+			auto const running = std::ranges::find_if(this->running_calls, [&](auto const& each)
+				{ return each.second.table == table->first && each.second.sequence == key->sequence; });
+			if (keys.is_mismatch(key->sequence, fingerprint_of(call)))
+			{
+				this->reply(caller, make_outcome(wire::KeyedOutcome::MISMATCH, "the key was used for another call"),
+					members, now);
+			}
+			else if (running != this->running_calls.end())
+			{
+				running->second.waiting.push_back(caller);
+			}
+			else
+			{
+				auto result = keys.result_of(key->sequence);
+				result.set_replay(true);
+				this->reply(caller, std::move(result), members, now);
+			}
+			return;
+		}
+		auto const* const service = this->policy ? this->policy->find_service(service_id(call.service())) : nullptr;
+		running_call next{table->first, key->sequence, call, service == nullptr ? policy::Service{} : *service,
+			this->policy, {}, {}, {caller}};
+		keys.begin(key->sequence, fingerprint_of(call));
+		if (service == nullptr || to_clock(now.now()) > key->expires || this->is_too_late(call, now.now()))
+		{
+			this->conclude(
+				next, make_outcome(wire::KeyedOutcome::NOT_RUN, "the call came too late to be started"), members, now);
+			return;
+		}
+		this->attempt(std::move(next), members, now);
+	}
+
+	bool keyed_calls::is_too_late(wire::KeyedCall const& call, time_point now) const
+	{
+		return this->mechanisms->issuer_checks_start_time && to_clock(now) > call.start_before();
+	}
+
+	void keyed_calls::attempt(running_call next, membership const& members, turn& now)
+	{
+		auto const* const server =
+			this->servers->choose(pool_id(next.service.plain_pool()), next.excluded, members, now.now());
+		if (server == nullptr || this->is_too_late(next.call, now.now()))
+		{
+			this->conclude(next,
+				make_outcome(wire::KeyedOutcome::NOT_RUN,
+					server == nullptr ? "no server of the service takes calls" : "the deadline has passed"),
+				members, now);
+			return;
+		}
+		next.server = server->id;
+		this->servers->note_start(server->id);
+		if (!this->mechanisms->key_recorded_before_send)
+		{
+			this->tables.at(next.table).forget(next.sequence);
+		}
+		auto const call = this->calls->next();
+		now.record("keyed_call_started", request_id(next.call.request()), server->id.str());
+		now.emit(start_plain{call, server->id, server->address, next.call.method(), next.call.target(),
+			next.call.content_type(), next.call.body(), true, milliseconds(next.service.deadline_ms())});
+		this->running_calls.emplace(call, std::move(next));
+	}
+
+	bool keyed_calls::handle(plain_answered const& answered, membership const& members, turn& now)
+	{
+		auto const found = this->running_calls.find(answered.call);
+		if (found == this->running_calls.end())
+		{
+			return false;
+		}
+		auto const done = std::move(found->second);
+		this->running_calls.erase(found);
+		this->servers->note_end(done.server, false, now.now());
+		auto result = make_outcome(wire::KeyedOutcome::RAN, {});
+		result.set_status(answered.status);
+		result.set_content_type(answered.content_type);
+		result.set_body(answered.body);
+		this->conclude(done, std::move(result), members, now);
+		return true;
+	}
+
+	bool keyed_calls::handle(call_failed const& failed, membership& members, turn& now)
+	{
+		auto const found = this->running_calls.find(failed.call);
+		if (found == this->running_calls.end())
+		{
+			return false;
+		}
+		auto broken = std::move(found->second);
+		this->running_calls.erase(found);
+		this->servers->note_end(broken.server, true, now.now());
+		now.record("call_failed", request_id(broken.call.request()), broken.server.str());
+		if (failed.kind == call_failure::leaving)
+		{
+			members.mark_leaving(broken.server, now);
+		}
+		if (failed.kind == call_failure::lost)
+		{
+			this->conclude(broken,
+				make_outcome(wire::KeyedOutcome::UNKNOWN, "the connection broke after the call was sent"), members,
+				now);
+			return true;
+		}
+		// The call provably did not start there.
+		broken.excluded.push_back(broken.server);
+		this->attempt(std::move(broken), members, now);
+		return true;
+	}
+
+	void keyed_calls::conclude(
+		running_call const& done, wire::KeyedOutcome result, membership const& members, turn& now)
+	{
+		this->tables.at(done.table).finish(done.sequence, result);
+		now.record("keyed_call_concluded", request_id(done.call.request()),
+			wire::KeyedOutcome::Outcome_Name(result.outcome()));
+		auto is_replay = false;
+		for (auto const& caller : done.waiting)
+		{
+			result.set_replay(is_replay);
+			this->reply(caller, result, members, now);
+			is_replay = true;
+		}
+	}
+
+	void keyed_calls::reply(
+		waiting_caller const& caller, wire::KeyedOutcome result, membership const& members, turn& now)
+	{
+		result.set_request(caller.request);
+		wire::PeerMessage message;
+		*message.mutable_keyed_outcome() = std::move(result);
+		now.send(caller.entry, members.address_of(caller.entry), std::move(message));
+	}
+
+	void keyed_calls::handle(wire::KeyedOutcome const& outcome, wire::PeerMessage const& /*message*/, turn& now)
+	{
+		auto const found = this->entries.find(outcome.request());
+		if (found == this->entries.end())
+		{
+			return;
+		}
+		auto const answered = std::move(found->second);
+		this->entries.erase(found);
+		this->accounts->finish(answered.account);
+		request_id const request(outcome.request());
+		this->totals->keyed_replays += outcome.replay() ? 1 : 0;
+		now.record("keyed_call_answered", request, wire::KeyedOutcome::Outcome_Name(outcome.outcome()));
+		switch (outcome.outcome())
+		{
+			case wire::KeyedOutcome::RAN:
+				++this->totals->keyed_ran;
+				now.emit(answer_reply{request, outcome.answer_dropped() ? 200 : outcome.status(),
+					outcome.content_type(), outcome.body(), call_outcome::ran, outcome.replay()});
+				break;
+			case wire::KeyedOutcome::NOT_RUN:
+				++this->totals->keyed_not_run;
+				now.emit(answer_failure{request, refusal_kind::not_run, "the call did not run: " + outcome.reason(),
+					"send it again with a new idempotency key", usual_retry_after, true});
+				break;
+			case wire::KeyedOutcome::MISMATCH:
+				now.emit(answer_failure{request, refusal_kind::key_mismatch, outcome.reason(),
+					"use a new key for each call", duration{}, false});
+				break;
+			default:
+				++this->totals->keyed_unknown;
+				now.emit(answer_failure{request, refusal_kind::outcome_unknown, outcome.reason(),
+					"ask the service whether the call took effect before sending it with a new key", duration{}, true});
+				break;
+		}
+	}
+
+	void keyed_calls::answer_unknown(entry_call const& call, std::string const& request, std::string reason, turn& now)
+	{
+		++this->totals->keyed_unknown;
+		this->accounts->finish(call.account);
+		now.record("keyed_call_answered", request_id(request), "UNKNOWN");
+		now.emit(answer_failure{request_id(request), refusal_kind::outcome_unknown, std::move(reason),
+			"ask the service whether the call took effect before sending it with a new key", duration{},
+			call.passed_on});
+	}
+
+	void keyed_calls::handle(caller_gone const& gone)
+	{
+		// The call goes on: whether it ran is recorded under its key.
+		auto const found = this->entries.find(gone.request.str());
+		if (found != this->entries.end())
+		{
+			this->accounts->finish(found->second.account);
+			this->entries.erase(found);
+		}
+	}
+
+	void keyed_calls::handle_tick(membership const& members, turn& now)
+	{
+		std::vector<std::string> unanswered;
+		for (auto& [request, entry] : this->entries)
+		{
+			auto const is_gone = this->holder_of(entry.key) == entry.key.issuer &&
+								 members.is_proved_gone(entry.key.issuer, entry.key.started, now.now());
+			if (is_gone || now.now() >= entry.deadline)
+			{
+				unanswered.push_back(request);
+			}
+			else if (now.now() - entry.sent_at >= resend_interval)
+			{
+				this->pass_on(entry, members, now);
+			}
+		}
+		for (auto const& request : unanswered)
+		{
+			auto const entry = std::move(this->entries.at(request));
+			this->entries.erase(request);
+			this->answer_unknown(entry, request,
+				now.now() >= entry.deadline ? "the daemon that issued the key did not answer in time"
+											: "the daemon that issued the key is gone",
+				now);
+		}
+	}
+
+	void keyed_calls::update(std::shared_ptr<active_policy const> const& active)
+	{
+		this->policy = active;
+	}
+
+	void keyed_calls::note_successions(wire::Heartbeat const& heartbeat)
+	{
+		for (auto const& succession : heartbeat.successions())
+		{
+			this->successors[table_key(instance_id(succession.issuer()), incarnation(succession.incarnation()))] =
+				instance_id(succession.successor());
+		}
+	}
+
+	std::vector<wire::KeySuccession> keyed_calls::successions() const
+	{
+		std::vector<wire::KeySuccession> taken;
+		for (auto const& [key, table] : this->tables)
+		{
+			if (key.first != this->settings->instance || key.second != this->settings->started)
+			{
+				auto& entry = taken.emplace_back();
+				entry.set_issuer(key.first.str());
+				entry.set_incarnation(key.second.count());
+				entry.set_successor(this->settings->instance.str());
+			}
+		}
+		return taken;
+	}
+
+	void keyed_calls::start_leaving() noexcept
+	{
+		this->is_leaving = true;
+	}
+
+	bool keyed_calls::leave(membership const& members, turn& now)
+	{
+		if (!this->running_calls.empty() || !this->mechanisms->key_table_move)
+		{
+			return this->running_calls.empty();
+		}
+		std::erase_if(this->tables, [](auto const& table) { return table.second.issued() == 0; });
+		if (!this->moving && !this->tables.empty())
+		{
+			auto const successor = members.highest(this->settings->instance.str(), {}, now.now());
+			if (!successor)
+			{
+				return true;
+			}
+			std::vector<wire::KeyTableMove> moves;
+			std::ranges::transform(
+				this->tables, std::back_inserter(moves), [](auto const& table) { return table.second.export_table(); });
+			// From here on this daemon decides on none of these keys.
+			this->tables.clear();
+			this->moving.emplace(*successor, std::move(moves));
+			this->moved_at = {};
+		}
+		if (this->moving && now.now() - this->moved_at >= resend_interval)
+		{
+			this->moved_at = now.now();
+			for (auto const& table : this->moving->second)
+			{
+				wire::PeerMessage message;
+				*message.mutable_key_table_move() = table;
+				now.send(this->moving->first, members.address_of(this->moving->first), std::move(message));
+			}
+		}
+		return !this->moving || !members.is_reachable(this->moving->first, now.now());
+	}
+
+	void keyed_calls::handle(
+		wire::KeyTableMove const& moved, wire::PeerMessage const& message, membership const& members, turn& now)
+	{
+		table_key const key(instance_id(moved.issuer()), incarnation(moved.incarnation()));
+		auto const declines = this->is_leaving && !this->tables.contains(key);
+		if (!declines &&
+			this->tables.try_emplace(key, key_table::import_table(moved, this->settings->key_answer_budget)).second)
+		{
+			now.record("keys_taken_over", {}, moved.issuer());
+		}
+		wire::PeerMessage reply;
+		reply.mutable_key_table_taken()->set_declined(declines);
+		reply.mutable_key_table_taken()->set_issuer(moved.issuer());
+		reply.mutable_key_table_taken()->set_incarnation(moved.incarnation());
+		instance_id const sender(message.from());
+		now.send(sender, members.address_of(sender), std::move(reply));
+	}
+
+	void keyed_calls::handle(wire::KeyTableTaken const& taken, turn& now)
+	{
+		if (!this->moving)
+		{
+			return;
+		}
+		if (taken.declined())
+		{
+			// What it declined it will never decide on, so the table may go to another daemon.
+			for (auto const& move : this->moving->second)
+			{
+				this->tables.emplace(table_key(instance_id(move.issuer()), incarnation(move.incarnation())),
+					key_table::import_table(move, this->settings->key_answer_budget));
+			}
+			this->moving.reset();
+			return;
+		}
+		std::erase_if(this->moving->second, [&](wire::KeyTableMove const& move)
+			{ return move.issuer() == taken.issuer() && move.incarnation() == taken.incarnation(); });
+		if (this->moving->second.empty())
+		{
+			this->moving.reset();
+			now.record("keys_handed_over", {});
+		}
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/membership.cpp
@@ -0,0 +1,448 @@
+#include <godwittrestle/decide/membership.hpp>
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		// Time for which a silence that others reported counts, unless reported again.
+		constexpr duration silence_lifetime = seconds(5);
+
+		std::uint64_t to_clock(time_point point) noexcept
+		{
+			return static_cast<std::uint64_t>(point.time_since_epoch().count());
+		}
+
+		time_point from_clock(std::uint64_t reading) noexcept
+		{
+			return time_point(duration(static_cast<duration::rep>(reading)));
+		}
+	}
+
+	membership::membership(core_settings const& core, mechanism_set const& enabled)
+		: settings(&core)
+		, mechanisms(&enabled)
+	{
+		auto& self = this->peers[core.instance];
+		self.data_centre = core.data_centre;
+		self.started = core.started;
+		self.listed = true;
+	}
+
+	void membership::apply(instance_list const& list, turn& now)
+	{
+		if (list.version <= this->listed.version)
+		{
+			return;
+		}
+		this->listed = list;
+		this->server_index.clear();
+		for (std::size_t index = 0; index < list.servers.size(); ++index)
+		{
+			this->server_index.emplace(list.servers[index].id, index);
+		}
+		std::ranges::for_each(this->peers, [](auto& peer) { peer.second.listed = false; });
+		for (auto const& daemon : list.daemons)
+		{
+			auto& peer = this->peers[daemon.id];
+			peer.data_centre = daemon.data_centre;
+			peer.address = daemon.peer_address;
+			peer.listed = true;
+			peer.leaving = peer.leaving || daemon.leaving;
+		}
+		this->rebuild_ring();
+		++this->changes;
+		now.record("list_applied", {}, std::to_string(list.version.count()));
+	}
+
+	bool membership::heard(instance_id const& id, incarnation started, turn& now)
+	{
+		auto& peer = this->peers[id];
+		if (started < peer.started)
+		{
+			return false;
+		}
+		if (started > peer.started)
+		{
+			peer.started = started;
+			peer.leaving = false;
+			peer.clock = 0;
+			++this->changes;
+		}
+		peer.refused = false;
+		peer.silent_since.reset();
+		peer.last_heard = now.now();
+		this->note_liveness(id, peer, now);
+		return true;
+	}
+
+	bool membership::handle(wire::PeerMessage const& message, heartbeat_facts const& facts, turn& now)
+	{
+		instance_id const id(message.from());
+		if (!this->heard(id, incarnation(message.incarnation()), now))
+		{
+			return false;
+		}
+		auto const& heartbeat = message.heartbeat();
+		auto& peer = this->peers[id];
+		if (!heartbeat.address().empty() && !peer.listed)
+		{
+			auto const is_new = peer.address.empty();
+			peer.address = heartbeat.address();
+			peer.data_centre = data_centre_id(heartbeat.data_centre());
+			if (is_new)
+			{
+				this->rebuild_ring();
+			}
+		}
+		if (peer.leaving != heartbeat.leaving())
+		{
+			peer.leaving = heartbeat.leaving();
+			++this->changes;
+		}
+		peer.clock = heartbeat.clock();
+		peer.clock_read_at = now.now();
+		for (auto const& server : heartbeat.leaving_servers())
+		{
+			auto& known = this->leaving_servers[server_id(server.server())];
+			known = std::max(known, incarnation(server.incarnation()));
+		}
+		this->adopt_silences(heartbeat, now.now());
+		if (heartbeat.echo() != 0)
+		{
+			auto const echo = from_clock(heartbeat.echo());
+			this->newest_echo = std::max(this->newest_echo.value_or(echo), echo);
+		}
+		if (heartbeat.wants_reply())
+		{
+			auto reply = this->make_heartbeat(facts, false, now.now());
+			reply.mutable_heartbeat()->set_echo(heartbeat.clock());
+			now.send(id, peer.address, std::move(reply));
+		}
+		return true;
+	}
+
+	void membership::handle(peer_probed const& probe, turn& now)
+	{
+		auto const found = this->peers.find(probe.peer);
+		if (found == this->peers.end() || probe.outcome != probe_outcome::refused ||
+			found->second.started != probe.believed)
+		{
+			return;
+		}
+		found->second.refused = true;
+		this->note_liveness(found->first, found->second, now);
+		++this->changes;
+		now.record("daemon_proved_gone", {}, probe.peer.str());
+	}
+
+	void membership::handle_tick(heartbeat_facts const& facts, turn& now)
+	{
+		for (auto& [id, peer] : this->peers)
+		{
+			if (id != this->settings->instance)
+			{
+				this->note_liveness(id, peer, now);
+			}
+		}
+		if (!this->last_sent || now.now() - *this->last_sent >= this->settings->heartbeat_interval)
+		{
+			this->send_heartbeats(facts, false, now);
+		}
+	}
+
+	void membership::send_heartbeats(heartbeat_facts const& facts, bool wants_reply, turn& now)
+	{
+		this->last_sent = now.now();
+		for (auto const& id : this->targets())
+		{
+			auto const& peer = this->peers.at(id);
+			// A daemon that has not been heard from yet is asked for a reply, so that both learn of each other.
+			auto const asks = wants_reply || !peer.last_heard;
+			now.send(id, peer.address, this->make_heartbeat(facts, asks, now.now()));
+		}
+	}
+
+	void membership::start_leaving() noexcept
+	{
+		this->leaving = true;
+		++this->changes;
+	}
+
+	bool membership::is_reachable(peer_record const& peer, time_point now) const
+	{
+		if (peer.refused)
+		{
+			return false;
+		}
+		auto const is_fresh = peer.last_heard && now - *peer.last_heard < this->settings->peer_timeout;
+		if (is_fresh || peer.expected)
+		{
+			return is_fresh;
+		}
+		auto const is_silent = peer.silent_since && now - *peer.silent_since < silence_lifetime;
+		return peer.listed && !is_silent;
+	}
+
+	bool membership::is_reachable(instance_id const& id, time_point now) const
+	{
+		if (id == this->settings->instance)
+		{
+			return true;
+		}
+		auto const found = this->peers.find(id);
+		return found != this->peers.end() && this->is_reachable(found->second, now);
+	}
+
+	bool membership::is_eligible(instance_id const& id, time_point now) const
+	{
+		if (id == this->settings->instance)
+		{
+			return !this->leaving;
+		}
+		auto const found = this->peers.find(id);
+		return found != this->peers.end() && !found->second.leaving && this->is_reachable(found->second, now);
+	}
+
+	std::vector<instance_id> membership::eligible(time_point now) const
+	{
+		std::vector<instance_id> ids;
+		std::ranges::copy_if(this->peers | std::views::keys, std::back_inserter(ids),
+			[&](instance_id const& id) { return this->is_eligible(id, now); });
+		return ids;
+	}
+
+	std::optional<instance_id> membership::highest(
+		std::string_view key, std::set<data_centre_id> const& preferred, time_point now) const
+	{
+		std::optional<instance_id> best;
+		std::pair<bool, std::uint64_t> best_rank;
+		for (auto const& [id, peer] : this->peers)
+		{
+			std::pair const candidate(preferred.contains(peer.data_centre), rank(key, id.str()));
+			if ((!best || candidate > best_rank) && this->is_eligible(id, now))
+			{
+				best = id;
+				best_rank = candidate;
+			}
+		}
+		return best;
+	}
+
+	bool membership::is_proved_gone(instance_id const& id, incarnation started, time_point now) const
+	{
+		auto const found = this->peers.find(id);
+		if (found == this->peers.end())
+		{
+			return false;
+		}
+		auto const& peer = found->second;
+		auto const is_replaced = peer.started > started;
+		auto const is_unlisted = peer.last_heard && !peer.listed && peer.address.empty();
+		return is_replaced || peer.refused || (is_unlisted && !this->is_reachable(peer, now));
+	}
+
+	void membership::probe(instance_id const& id, turn& now)
+	{
+		auto const found = this->peers.find(id);
+		if (found == this->peers.end() || found->second.address.empty())
+		{
+			return;
+		}
+		auto& peer = found->second;
+		if (!peer.last_probe || now.now() - *peer.last_probe >= this->settings->heartbeat_interval)
+		{
+			peer.last_probe = now.now();
+			now.emit(probe_peer{id, peer.address, peer.started});
+		}
+	}
+
+	void membership::mark_leaving(server_id const& server, turn& now)
+	{
+		auto const* const known = this->find_server(server);
+		auto const started = known == nullptr ? incarnation{} : known->started;
+		auto const [entry, is_new] = this->leaving_servers.try_emplace(server, started);
+		if (is_new || entry->second < started)
+		{
+			entry->second = started;
+			++this->changes;
+			now.record("server_leaving", {}, server.str());
+		}
+	}
+
+	bool membership::accepts_work(server_id const& server) const
+	{
+		auto const* const known = this->find_server(server);
+		if (known == nullptr)
+		{
+			return false;
+		}
+		if (!this->mechanisms->leaving_exclusion)
+		{
+			return true;
+		}
+		auto const said = this->leaving_servers.find(server);
+		return !known->leaving && (said == this->leaving_servers.end() || said->second < known->started);
+	}
+
+	listed_server const* membership::find_server(server_id const& server) const
+	{
+		auto const found = this->server_index.find(server);
+		return found == this->server_index.end() ? nullptr : &this->listed.servers[found->second];
+	}
+
+	std::string membership::address_of(instance_id const& id) const
+	{
+		auto const found = this->peers.find(id);
+		return found == this->peers.end() ? std::string{} : found->second.address;
+	}
+
+	std::optional<std::uint64_t> membership::remote_clock(instance_id const& id, time_point now) const
+	{
+		if (id == this->settings->instance)
+		{
+			return to_clock(now);
+		}
+		auto const found = this->peers.find(id);
+		if (found == this->peers.end() || found->second.clock == 0)
+		{
+			return std::nullopt;
+		}
+		return found->second.clock + static_cast<std::uint64_t>((now - found->second.clock_read_at).count());
+	}
+
+	bool membership::answered_since(time_point since) const
+	{
+		return this->newest_echo && *this->newest_echo >= since;
+	}
+
+	bool membership::heard_from_all() const
+	{
+		return std::ranges::all_of(this->peers, [&](auto const& each)
+			{ return each.first == this->settings->instance || !each.second.listed || each.second.last_heard; });
+	}
+
+	std::vector<instance_id> membership::targets() const
+	{
+		std::vector<instance_id> chosen;
+		if (this->ring.size() <= this->settings->full_mesh_limit)
+		{
+			std::ranges::copy_if(this->ring, std::back_inserter(chosen),
+				[&](instance_id const& id) { return id != this->settings->instance; });
+			return chosen;
+		}
+		auto const self =
+			static_cast<std::size_t>(std::ranges::find(this->ring, this->settings->instance) - this->ring.begin());
+		for (std::size_t distance = 1; distance < this->ring.size(); distance *= 2)
+		{
+			chosen.push_back(this->ring[(self + distance) % this->ring.size()]);
+		}
+		return chosen;
+	}
+
+	void membership::rebuild_ring()
+	{
+		this->ring.clear();
+		for (auto& [id, peer] : this->peers)
+		{
+			peer.expected = false;
+			if (id == this->settings->instance || !peer.address.empty())
+			{
+				this->ring.push_back(id);
+			}
+		}
+		std::ranges::sort(
+			this->ring, std::less{}, [](instance_id const& id) { return std::pair(hash_bytes(id.str()), id.str()); });
+		auto const expect = [&](instance_id const& id)
+		{
+			this->peers.at(id).expected = true;
+		};
+		if (this->ring.size() <= this->settings->full_mesh_limit)
+		{
+			std::ranges::for_each(this->ring, expect);
+			return;
+		}
+		auto const self =
+			static_cast<std::size_t>(std::ranges::find(this->ring, this->settings->instance) - this->ring.begin());
+		for (std::size_t distance = 1; distance < this->ring.size(); distance *= 2)
+		{
+			expect(this->ring[(self + this->ring.size() - distance) % this->ring.size()]);
+		}
+	}
+
+	void membership::note_liveness(instance_id const& id, peer_record& peer, turn& now)
+	{
+		auto const is_live = this->is_reachable(peer, now.now());
+		if (peer.was_live == is_live)
+		{
+			return;
+		}
+		peer.was_live = is_live;
+		++this->changes;
+		if (!is_live && peer.expected)
+		{
+			peer.silent_since = now.now();
+		}
+		now.record(is_live ? "daemon_live" : "daemon_silent", {}, id.str());
+	}
+
+	void membership::adopt_silences(wire::Heartbeat const& heartbeat, time_point now)
+	{
+		for (auto const& silent : heartbeat.silent())
+		{
+			auto const found = this->peers.find(instance_id(silent.instance()));
+			if (found == this->peers.end() || found->second.expected)
+			{
+				continue;
+			}
+			auto const since = now - duration(static_cast<duration::rep>(silent.age()));
+			auto& known = found->second.silent_since;
+			known = std::max(known.value_or(since), since);
+		}
+	}
+
+	wire::PeerMessage membership::make_heartbeat(heartbeat_facts const& facts, bool wants_reply, time_point now) const
+	{
+		wire::PeerMessage message;
+		auto& heartbeat = *message.mutable_heartbeat();
+		heartbeat.set_config_version(facts.config_version.count());
+		heartbeat.set_config_digest(facts.config_digest);
+		heartbeat.set_list_version(this->listed.version.count());
+		heartbeat.set_leaving(this->leaving);
+		heartbeat.set_clock(to_clock(now));
+		heartbeat.set_wants_reply(wants_reply);
+		if (wants_reply)
+		{
+			heartbeat.set_address(this->peers.at(this->settings->instance).address);
+			heartbeat.set_data_centre(this->settings->data_centre.str());
+		}
+		for (auto const& [server, started] : this->leaving_servers)
+		{
+			auto& entry = *heartbeat.add_leaving_servers();
+			entry.set_server(server.str());
+			entry.set_incarnation(started.count());
+		}
+		for (auto const& succession : facts.successions)
+		{
+			*heartbeat.add_successions() = succession;
+		}
+		for (auto const& [id, peer] : this->peers)
+		{
+			auto const is_own_finding = peer.expected && !this->is_reachable(peer, now) && peer.listed;
+			auto const since = is_own_finding ? std::optional(now) : peer.silent_since;
+			if (this->ring.size() > this->settings->full_mesh_limit && since && now - *since < silence_lifetime)
+			{
+				auto& entry = *heartbeat.add_silent();
+				entry.set_instance(id.str());
+				entry.set_age(static_cast<std::uint64_t>((now - *since).count()));
+			}
+		}
+		return message;
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/plain_calls.cpp
@@ -0,0 +1,177 @@
+#include <godwittrestle/decide/plain_calls.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <godwittrestle/base/algorithm.hpp>
+#include <godwittrestle/decide/limits.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		constexpr duration usual_retry_after = seconds(1);
+		constexpr unsigned first_server_error = 500;
+
+		// Whether a repeatable call may be tried elsewhere after this answer.
+		bool is_server_error(unsigned status) noexcept
+		{
+			return status >= first_server_error;
+		}
+	}
+
+	policy::Route const* find_route(policy::Service const& service, std::string_view method, std::string_view target)
+	{
+		policy::Route const* best = nullptr;
+		for (auto const& route : service.routes())
+		{
+			auto const takes_method = route.methods().empty() || contains(route.methods(), method);
+			if (takes_method && target.starts_with(route.path_prefix()) &&
+				(best == nullptr || route.path_prefix().size() > best->path_prefix().size()))
+			{
+				best = &route;
+			}
+		}
+		return best;
+	}
+
+	plain_calls::plain_calls(
+		limits& account_limits, plain_server_choice& choice, call_counter& call_ids, counters& sums)
+		: accounts(&account_limits)
+		, servers(&choice)
+		, calls(&call_ids)
+		, totals(&sums)
+	{
+	}
+
+	void plain_calls::start(plain_requested asked, std::shared_ptr<active_policy const> const& policy,
+		account_id const& account, membership const& members, turn& now)
+	{
+		plain_call next;
+		next.policy = policy;
+		next.service = policy->find_service(asked.service);
+		next.account = account;
+		next.deadline = now.now() + milliseconds(next.service->deadline_ms());
+		next.asked = std::move(asked);
+		++this->totals->plain_calls;
+		this->accounts->note_call();
+		now.record("request_accepted", next.asked.request, next.asked.method + " " + next.asked.target);
+		this->attempt(std::move(next), members, now);
+	}
+
+	void plain_calls::attempt(plain_call next, membership const& members, turn& now)
+	{
+		auto const* const server =
+			this->servers->choose(pool_id(next.service->plain_pool()), next.excluded, members, now.now());
+		if (server == nullptr)
+		{
+			this->fail(next, refusal_kind::no_server, "no server of the service takes this call", now);
+			return;
+		}
+		next.server = server->id;
+		this->servers->note_start(server->id);
+		auto const call = this->calls->next();
+		now.record("call_started", next.asked.request, server->id.str());
+		now.emit(start_plain{call, server->id, server->address, next.asked.method, next.asked.target,
+			next.asked.content_type, next.asked.body, false, next.deadline - now.now()});
+		this->by_call.emplace(call, std::move(next));
+	}
+
+	bool plain_calls::handle(plain_answered const& answered, membership const& members, turn& now)
+	{
+		auto const found = this->by_call.find(answered.call);
+		if (found == this->by_call.end())
+		{
+			return false;
+		}
+		auto done = std::move(found->second);
+		this->by_call.erase(found);
+		auto const is_error = is_server_error(answered.status);
+		this->servers->note_end(done.server, is_error, now.now());
+		if (is_error && now.now() < done.deadline && this->accounts->take_retry())
+		{
+			++this->totals->plain_retries;
+			done.excluded.push_back(done.server);
+			this->attempt(std::move(done), members, now);
+			return true;
+		}
+		now.record("answer_whole", done.asked.request);
+		now.emit(answer_reply{done.asked.request, answered.status, answered.content_type, answered.body});
+		this->accounts->finish(done.account);
+		return true;
+	}
+
+	bool plain_calls::handle(call_failed const& failed, membership& members, turn& now)
+	{
+		auto const found = this->by_call.find(failed.call);
+		if (found == this->by_call.end())
+		{
+			return false;
+		}
+		auto again = std::move(found->second);
+		this->by_call.erase(found);
+		this->servers->note_end(again.server, true, now.now());
+		now.record("call_failed", again.asked.request, again.server.str());
+		if (failed.kind == call_failure::leaving)
+		{
+			members.mark_leaving(again.server, now);
+		}
+		again.excluded.push_back(again.server);
+		// A call that provably did not start costs nobody anything and needs no budget.
+		auto const is_free = failed.kind == call_failure::leaving || failed.kind == call_failure::not_connected;
+		if (now.now() >= again.deadline || !(is_free || this->accounts->take_retry()))
+		{
+			this->fail(again, refusal_kind::backend_failed, "the service's servers failed this call", now);
+			return true;
+		}
+		++this->totals->plain_retries;
+		this->attempt(std::move(again), members, now);
+		return true;
+	}
+
+	void plain_calls::handle(caller_gone const& gone, turn& now)
+	{
+		auto const found = std::ranges::find_if(
+			this->by_call, [&](auto const& each) { return each.second.asked.request == gone.request; });
+		if (found == this->by_call.end())
+		{
+			return;
+		}
+		now.record("caller_gone", gone.request);
+		now.emit(abort_call{found->first});
+		this->servers->note_end(found->second.server, false, now.now());
+		this->accounts->finish(found->second.account);
+		this->by_call.erase(found);
+	}
+
+	void plain_calls::handle_tick(turn& now)
+	{
+		std::vector<call_id> late;
+		for (auto const& [call, running] : this->by_call)
+		{
+			if (now.now() >= running.deadline)
+			{
+				late.push_back(call);
+			}
+		}
+		for (auto const call : late)
+		{
+			now.emit(abort_call{call});
+			auto const& expired = this->by_call.at(call);
+			this->servers->note_end(expired.server, true, now.now());
+			this->fail(expired, refusal_kind::deadline, "the service did not answer by the deadline", now);
+			this->by_call.erase(call);
+		}
+	}
+
+	void plain_calls::fail(plain_call const& failed, refusal_kind kind, std::string message, turn& now)
+	{
+		++this->totals->refusals[kind];
+		now.record("request_refused", failed.asked.request, std::string(to_string(kind)));
+		now.emit(answer_failure{failed.asked.request, kind, std::move(message),
+			"come back after the time in Retry-After", usual_retry_after, false});
+		this->accounts->finish(failed.account);
+	}
+}
--- a/packages/decide/impl/turn.cpp
+++ b/packages/decide/impl/turn.cpp
@@ -15,7 +15,9 @@
 		constexpr std::size_t bytes_per_token = 4;
 		hooks usual;
 		usual.count_tokens = [](std::string_view text)
-		{ return token_count(static_cast<std::uint32_t>((text.size() + bytes_per_token - 1) / bytes_per_token)); };
+		{
+			return token_count(static_cast<std::uint32_t>((text.size() + bytes_per_token - 1) / bytes_per_token));
+		};
 		return usual;
 	}
 
@@ -49,8 +51,7 @@
 
 	void turn::record(std::string_view name, request_id const& request, std::string detail)
 	{
-		this->emit(
-			record_event{this->clock->next(this->wall_time()), std::string(name), request, std::move(detail)});
+		this->emit(record_event{this->clock->next(this->wall_time()), std::string(name), request, std::move(detail)});
 	}
 
 	void turn::send(instance_id const& to, std::string const& address, wire::PeerMessage message)
--- a/packages/decide/include/godwittrestle/decide/action.hpp
+++ b/packages/decide/include/godwittrestle/decide/action.hpp
@@ -207,7 +207,7 @@
 	{
 	};
 
-	using action = std::variant<answer_token, answer_end, answer_failure, answer_reply, answer_keys, send_peer, probe_peer,
-		start_prefill, start_decode, start_plain, abort_call, cancel_attempt, poll_load, send_order, set_watch,
-		record_event, leave>;
+	using action = std::variant<answer_token, answer_end, answer_failure, answer_reply, answer_keys, send_peer,
+		probe_peer, start_prefill, start_decode, start_plain, abort_call, cancel_attempt, poll_load, send_order,
+		set_watch, record_event, leave>;
 }
--- /dev/null
+++ b/packages/decide/include/godwittrestle/decide/cancellations.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/decide/counters.hpp>
+#include <godwittrestle/decide/event.hpp>
+#include <godwittrestle/decide/fwd.hpp>
+#include <godwittrestle/decide/settings.hpp>
+
+namespace godwittrestle::decide
+{
+	// Cancels that engines have not confirmed yet. Each is repeated until it is confirmed, the engine is no longer
+	// listed, or the engine must have dropped the request by its own hard deadline.
+	class cancellations
+	{
+	  public:
+		cancellations(mechanism_set const& mechanisms, counters& totals);
+
+		// Orders an engine to drop an attempt.
+		void start(server_id const& server, std::string const& attempt, membership const& members, turn& now);
+
+		void handle(cancel_acknowledged const& acknowledged);
+
+		// Repeats the cancels that are due.
+		void handle_tick(membership const& members, turn& now);
+
+		[[nodiscard]] bool empty() const noexcept
+		{
+			return this->pending.empty();
+		}
+
+	  private:
+		struct pending_cancel
+		{
+			time_point started;
+			time_point sent;
+		};
+
+		void send(server_id const& server, std::string const& attempt, membership const& members, turn& now);
+
+		mechanism_set const* mechanisms;
+		counters* totals;
+		std::map<std::pair<server_id, std::string>, pending_cancel> pending;
+	};
+}
--- /dev/null
+++ b/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/decide/cell.hpp>
+#include <godwittrestle/decide/engine.hpp>
+#include <godwittrestle/decide/fwd.hpp>
+#include <godwittrestle/decide/lease_queue.hpp>
+#include <godwittrestle/decide/settings.hpp>
+#include <godwittrestle/decide/status.hpp>
+#include <godwittrestle/wire.hpp>
+
+namespace godwittrestle::decide
+{
+	// A prefill turn and a decode slot that the cell owner has handed out.
+	struct lease
+	{
+		std::string attempt;
+		request_id request;
+		std::uint32_t attempt_number = 0;
+		instance_id entry;
+		service_id service;
+		account_id account;
+		server_id prefill_server;
+		// Empty while a promised slot is not bound to an engine yet.
+		server_id decode_server;
+		wire::LeaseUpdate::Phase phase = wire::LeaseUpdate::PREFILLING;
+		token_count prompt_tokens;
+		token_count output_tokens;
+		std::uint32_t produced = 0;
+		time_point granted_at;
+		time_point renewed_at;
+		// Clock of the entry daemon when it last asked, for it to count the lease's life from.
+		std::uint64_t asked_clock = 0;
+	};
+
+	// A waiting request that is given up on.
+	struct lease_refusal
+	{
+		waiting_request request;
+		wire::LeaseRefusal::Reason reason = wire::LeaseRefusal::TOO_LATE;
+		duration retry_after{};
+	};
+
+	// What a ledger decided in one pass.
+	struct ledger_decisions
+	{
+		// Granted now, or bound to a decode engine now.
+		std::vector<lease> granted;
+		std::vector<lease_refusal> refused;
+	};
+
+	// The exact account of one cell at its owner: who waits, who holds a prefill turn, a decode slot or link room.
+	// Waiting happens here, before the prefill, so that a refused request has cost no engine anything.
+	class cell_ledger
+	{
+	  public:
+		cell_ledger(cell described, std::shared_ptr<active_policy const> policy, core_settings const& settings,
+			hooks const& behaviour, time_point now);
+
+		// Takes over a changed list or policy; leases stay.
+		void update(cell described, std::shared_ptr<active_policy const> policy, membership const& members);
+
+		void enqueue(waiting_request request);
+
+		// Returns the lease of an attempt, or nothing.
+		[[nodiscard]] lease const* find(std::string const& attempt) const;
+
+		// Takes note of a lease's progress, or takes a lease over that an earlier owner granted.
+		void apply(wire::LeaseUpdate const& update, instance_id const& entry, time_point now);
+
+		void apply(server_id const& server, load_report const& report, bool is_as_wanted, time_point now);
+
+		// Drops leases that were not renewed or whose entry daemon is gone, and requests no longer asked for.
+		// Returns the number of lapsed leases.
+		std::size_t drop_lapsed(membership const& members, time_point now);
+
+		// Grants and refuses as far as can be decided now.
+		[[nodiscard]] ledger_decisions decide(time_point now);
+
+		[[nodiscard]] cell const& described() const noexcept
+		{
+			return this->self;
+		}
+
+		// Newest cache event known of an engine.
+		[[nodiscard]] std::uint64_t cache_sequence(server_id const& server) const;
+
+		// Hands all waiting requests out, as when the ownership moves.
+		[[nodiscard]] std::vector<waiting_request> take_waiting();
+
+		[[nodiscard]] cell_status status(time_point now) const;
+
+	  private:
+		// Where and when a request could run.
+		struct placement
+		{
+			prefill_engine* prefill = nullptr;
+			decode_engine* decode = nullptr;
+			token_count computed_tokens;
+			duration prefill_time{};
+			time_point transfer_start;
+			time_point transfer_end;
+		};
+
+		// Capacity that requests ahead in the queue leave, summed up in one pass.
+		struct forecast
+		{
+			duration prefill_backlog{};
+			std::size_t usable_prefill = 0;
+			int slots_left = 0;
+			double releases_per_us = 0;
+		};
+
+		void bind_promised(ledger_decisions& decisions, time_point now);
+		[[nodiscard]] forecast make_forecast(time_point now) const;
+		[[nodiscard]] duration predict_first_token(
+			waiting_request const& request, forecast const& ahead, time_point now) const;
+		[[nodiscard]] std::optional<placement> place(waiting_request const& request, time_point now);
+		[[nodiscard]] std::optional<placement> place_on(
+			prefill_engine& engine, waiting_request const& request, time_point now) const;
+		[[nodiscard]] bool has_promised_slot(placement const& where, time_point now) const;
+		[[nodiscard]] decode_engine* choose_decode(
+			data_centre_id const& near, std::vector<server_id> const& excluded, bool must_be_free, time_point now);
+		[[nodiscard]] slot_rule rule_for(waiting_request const& request) const noexcept;
+		[[nodiscard]] duration transfer_time(token_count prompt_tokens) const noexcept;
+		[[nodiscard]] duration usual_token_gap() const noexcept;
+		lease grant(waiting_request const& request, placement const& where, time_point now);
+		void release(std::string const& attempt, bool has_ended, time_point now);
+		void insert_missing(wire::LeaseUpdate const& update, instance_id const& entry, time_point now);
+		void note_phase(lease& held, wire::LeaseUpdate const& update, time_point now);
+		void note_failures(wire::LeaseUpdate const& update, time_point now);
+		void note_release_rate(time_point now);
+
+		cell self;
+		std::shared_ptr<active_policy const> policy;
+		core_settings const* settings;
+		hooks const* behaviour;
+		time_point created;
+		lease_queue queue;
+		std::map<std::string, lease> leases;
+		// Attempts released lately, which reports may still name.
+		std::map<std::string, time_point> released;
+		std::map<server_id, prefill_engine> prefill;
+		std::map<server_id, decode_engine> decode;
+		duration token_gap_target{};
+		// Smoothed share of the active leases that ends in a microsecond.
+		double release_hazard = 0;
+		time_point hazard_read_at;
+		std::uint32_t releases_since = 0;
+	};
+}
--- /dev/null
+++ b/packages/decide/include/godwittrestle/decide/cell_owner.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/decide/cell_ledger.hpp>
+#include <godwittrestle/decide/counters.hpp>
+#include <godwittrestle/decide/event.hpp>
+#include <godwittrestle/decide/fwd.hpp>
+#include <godwittrestle/decide/settings.hpp>
+
+namespace godwittrestle::decide
+{
+	// Returns the daemon that owns a cell: the eligible one with the highest rank, those of the cell's data centres
+	// first. Daemons that see each other come to the same answer.
+	[[nodiscard]] std::optional<instance_id> owner_of(cell const& target, membership const& members, time_point now);
+
+	// The part of a daemon that owns cells: it grants leases, watches the engines' reports, cancels what nobody runs
+	// any more and orders engines to load what the policy wants.
+	class cell_owner
+	{
+	  public:
+		cell_owner(core_settings const& settings, hooks const& behaviour, cancellations& cancels, counters& totals);
+
+		// Takes over changed cells, policy or membership.
+		void update(std::vector<cell> const& cells, std::shared_ptr<active_policy const> const& policy,
+			membership const& members, turn& now);
+
+		void handle(
+			wire::PeerMessage const& message, wire::LeaseRequest const& asked, membership const& members, turn& now);
+		void handle(
+			wire::PeerMessage const& message, wire::LeaseUpdate const& update, membership const& members, turn& now);
+		void handle(
+			wire::PeerMessage const& message, wire::DisownReply const& reply, membership const& members, turn& now);
+		void handle(load_reported const& reported, membership& members, turn& now);
+
+		// Polls engines and grants, refuses and lapses what is due. Nothing is granted or ordered while the daemon
+		// has not checked its beliefs after a pause.
+		void handle_tick(membership& members, bool is_trusted, turn& now);
+
+		// Forgets all cells, as after a pause in which others have taken over.
+		void reset() noexcept;
+
+		[[nodiscard]] std::map<cell_id, cell_ledger> const& cells() const noexcept
+		{
+			return this->ledgers;
+		}
+
+	  private:
+		// When an unclaimed attempt was first seen on an engine, and last asked about.
+		struct unclaimed_attempt
+		{
+			time_point first_seen;
+			time_point last_asked;
+			server_id server;
+		};
+
+		// An order that an engine has not confirmed yet.
+		struct pending_order
+		{
+			platform_version fence;
+			time_point sent;
+		};
+
+		[[nodiscard]] cell_ledger* ledger_for(cell_id const& target);
+		[[nodiscard]] cell_ledger* ledger_with(server_id const& server);
+		void decide(cell_ledger& ledger, membership const& members, turn& now);
+		void poll_engines(cell_ledger const& ledger, membership const& members, turn& now);
+		void find_orphans(cell_ledger const& ledger, load_reported const& reported, membership& members, turn& now);
+		void settle_orphan(std::string const& attempt, server_id const& server, membership& members, turn& now);
+		void cancel_orphan(std::string const& attempt, server_id const& server, membership const& members, turn& now);
+		[[nodiscard]] bool check_order(
+			cell_ledger const& ledger, load_reported const& reported, membership const& members, turn& now);
+
+		core_settings const* settings;
+		hooks const* behaviour;
+		cancellations* cancels;
+		counters* totals;
+		std::shared_ptr<active_policy const> policy;
+		std::map<cell_id, cell_ledger> ledgers;
+		std::map<server_id, time_point> polled;
+		std::map<std::string, unclaimed_attempt> unclaimed;
+		std::map<server_id, pending_order> orders;
+		bool is_trusted = true;
+	};
+}
--- /dev/null
+++ b/packages/decide/include/godwittrestle/decide/core.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/decide/action.hpp>
+#include <godwittrestle/decide/cancellations.hpp>
+#include <godwittrestle/decide/cell.hpp>
+#include <godwittrestle/decide/cell_owner.hpp>
+#include <godwittrestle/decide/completions.hpp>
+#include <godwittrestle/decide/configuration.hpp>
+#include <godwittrestle/decide/counters.hpp>
+#include <godwittrestle/decide/event.hpp>
+#include <godwittrestle/decide/keyed_calls.hpp>
+#include <godwittrestle/decide/limits.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/plain_calls.hpp>
+#include <godwittrestle/decide/settings.hpp>
+#include <godwittrestle/decide/status.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+namespace godwittrestle::decide
+{
+	// All decisions of one daemon. Deterministic: no clock, socket, thread or unseeded randomness. The same events at
+	// the same times give the same actions.
+	//
+	//     decide::core core(settings, decide::default_hooks());
+	//     for (auto const& action : core.handle(decide::tick{}, now))
+	//     {
+	//         std::visit(carry_out, action);
+	//     }
+	class core
+	{
+	  public:
+		core(core_settings settings, hooks behaviour);
+
+		core(core const&) = delete;
+		core& operator=(core const&) = delete;
+		core(core&&) = delete;
+		core& operator=(core&&) = delete;
+		~core() = default;
+
+		// Decides on an event. now must not be earlier than in the call before. Returns what is to be carried out, in
+		// order.
+		[[nodiscard]] std::vector<action> handle(event const& happened, time_point now);
+
+		// The latest time at which a tick must be handed in.
+		[[nodiscard]] time_point next_wakeup(time_point now) const noexcept;
+
+		[[nodiscard]] core_status status(time_point now) const;
+
+		// Tells where a request for a service would go now.
+		[[nodiscard]] explanation explain(service_id const& service, time_point now) const;
+
+		// The policy in force, for sealing a successor; nothing before the first.
+		[[nodiscard]] configuration const& config() const noexcept
+		{
+			return this->policies;
+		}
+
+		[[nodiscard]] core_settings const& settings() const noexcept
+		{
+			return this->own;
+		}
+
+	  private:
+		void handle(tick const& event, turn& now);
+		void handle(completion_requested const& event, turn& now);
+		void handle(plain_requested const& event, turn& now);
+		void handle(keys_requested const& event, turn& now);
+		void handle(caller_gone const& event, turn& now);
+		void handle(peer_received const& event, turn& now);
+		void handle(peer_unreachable const& event, turn& now);
+		void handle(peer_probed const& event, turn& now);
+		void handle(prefill_finished const& event, turn& now);
+		void handle(token_received const& event, turn& now);
+		void handle(decode_finished const& event, turn& now);
+		void handle(plain_answered const& event, turn& now);
+		void handle(call_failed const& event, turn& now);
+		void handle(cancel_acknowledged const& event, turn& now);
+		void handle(load_reported const& event, turn& now);
+		void handle(policy_read const& event, turn& now);
+		void handle(instances_read const& event, turn& now);
+		void handle(drain_requested const& event, turn& now);
+
+		void receive(wire::PeerMessage const& message, turn& now);
+		void dispatch(wire::PeerMessage const& message, turn& now);
+		void handle_heartbeat(wire::PeerMessage const& message, turn& now);
+		void deliver_local(turn& now);
+		void check_pause(turn& now);
+		void regain_trust(turn& now);
+		void refresh_cells(turn& now);
+		void note_config_change(turn& now);
+		void update_readiness(turn& now);
+		void choose_watchers(turn& now);
+		void continue_leaving(turn& now);
+		[[nodiscard]] heartbeat_facts facts() const;
+
+		// Returns the account to serve a request under, or refuses the request and returns nothing.
+		[[nodiscard]] policy::Account const* admit(
+			request_id const& request, service_id const& service, std::string const& bearer_token, turn& now);
+		void refuse(request_id const& request, refusal_kind kind, std::string message, std::string remedy,
+			duration retry_after, turn& now);
+
+		core_settings own;
+		hooks behaviour;
+		counters totals;
+		hybrid_clock clock;
+		membership members;
+		configuration policies;
+		limits accounts;
+		call_counter calls;
+		cancellations cancels;
+		plain_server_choice servers;
+		cell_owner owner;
+		completions streams;
+		plain_calls lookups;
+		keyed_calls keyed;
+		std::vector<cell> cells;
+		readiness state = readiness::starting;
+		std::optional<time_point> last_turn;
+		// Set after a pause, until the daemon has checked what it believes.
+		std::optional<time_point> suspect_since;
+		std::optional<time_point> first_list_at;
+		std::optional<time_point> leaving_since;
+		std::optional<bool> watching;
+		std::uint64_t seen_generation = 0;
+		platform_version seen_version;
+		bool has_left = false;
+	};
+}
--- /dev/null
+++ b/packages/decide/include/godwittrestle/decide/keyed_calls.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/decide/completions.hpp>
+#include <godwittrestle/decide/key_table.hpp>
+#include <godwittrestle/decide/plain_server.hpp>
+
+namespace godwittrestle::decide
+{
+	// The part of a daemon that handles calls which must not be repeated. As entry it passes a call to the daemon that
+	// issued the call's key; as issuer it alone runs the call, at most once, and alone says that it did not run.
+	class keyed_calls
+	{
+	  public:
+		keyed_calls(core_settings const& settings, mechanism_set const& mechanisms, limits& accounts,
+			plain_server_choice& servers, call_counter& calls, counters& totals);
+
+		// Issues keys for an account.
+		void issue(keys_requested const& asked, account_id const& account, turn& now);
+
+		// Begins a call that has been admitted for an account and carries a key.
+		void start(plain_requested const& asked, key_parts const& key,
+			std::shared_ptr<active_policy const> const& policy, account_id const& account, membership const& members,
+			turn& now);
+
+		void handle(
+			wire::KeyedCall const& call, wire::PeerMessage const& message, membership const& members, turn& now);
+		void handle(wire::KeyedOutcome const& outcome, wire::PeerMessage const& message, turn& now);
+		void handle(
+			wire::KeyTableMove const& moved, wire::PeerMessage const& message, membership const& members, turn& now);
+		void handle(wire::KeyTableTaken const& taken, turn& now);
+		void note_successions(wire::Heartbeat const& heartbeat);
+
+		// Each returns false when the call belongs to no keyed call.
+		bool handle(plain_answered const& answered, membership const& members, turn& now);
+		bool handle(call_failed const& failed, membership& members, turn& now);
+
+		void handle(caller_gone const& gone);
+		void handle_tick(membership const& members, turn& now);
+
+		// Takes the policy over that calls are run under.
+		void update(std::shared_ptr<active_policy const> const& policy);
+
+		// Stops issuing keys.
+		void start_leaving() noexcept;
+
+		// Hands the tables to a successor once nothing runs any more. Returns true when there is nothing left to do.
+		[[nodiscard]] bool leave(membership const& members, turn& now);
+
+		[[nodiscard]] std::size_t running() const noexcept
+		{
+			return this->running_calls.size() + this->entries.size();
+		}
+
+		// Tables that this daemon took over, for heartbeats.
+		[[nodiscard]] std::vector<wire::KeySuccession> successions() const;
+
+	  private:
+		using table_key = std::pair<instance_id, incarnation>;
+
+		// A caller's call at the daemon that accepted it.
+		struct entry_call
+		{
+			wire::KeyedCall call;
+			key_parts key;
+			account_id account;
+			time_point deadline;
+			time_point sent_at;
+			bool passed_on = false;
+		};
+
+		// Someone who waits for a running call's outcome.
+		struct waiting_caller
+		{
+			instance_id entry;
+			std::string request;
+		};
+
+		// A call that the issuer runs.
+		struct running_call
+		{
+			table_key table;
+			std::uint64_t sequence = 0;
+			wire::KeyedCall call;
+			policy::Service service;
+			std::shared_ptr<active_policy const> policy;
+			server_id server;
+			std::vector<server_id> excluded;
+			std::vector<waiting_caller> waiting;
+		};
+
+		[[nodiscard]] instance_id holder_of(key_parts const& key) const;
+		void pass_on(entry_call& call, membership const& members, turn& now);
+		void attempt(running_call next, membership const& members, turn& now);
+		void conclude(running_call const& done, wire::KeyedOutcome result, membership const& members, turn& now);
+		void reply(waiting_caller const& caller, wire::KeyedOutcome result, membership const& members, turn& now);
+		void answer_unknown(entry_call const& call, std::string const& request, std::string reason, turn& now);
+		[[nodiscard]] bool is_too_late(wire::KeyedCall const& call, time_point now) const;
+
+		core_settings const* settings;
+		mechanism_set const* mechanisms;
+		limits* accounts;
+		plain_server_choice* servers;
+		call_counter* calls;
+		counters* totals;
+		std::shared_ptr<active_policy const> policy;
+		std::map<table_key, key_table> tables;
+		std::map<std::string, entry_call> entries;
+		std::map<call_id, running_call> running_calls;
+		// Who holds the tables of departed issuers, as their heartbeats say.
+		std::map<table_key, instance_id> successors;
+		// The table on its way to a successor, kept only to send it again to the same one.
+		std::optional<std::pair<instance_id, std::vector<wire::KeyTableMove>>> moving;
+		time_point moved_at;
+		bool is_leaving = false;
+	};
+}
--- a/packages/decide/include/godwittrestle/decide/turn.hpp
+++ b/packages/decide/include/godwittrestle/decide/turn.hpp
@@ -17,21 +17,21 @@
 	// before its effects on other daemons.
 	class hybrid_clock
 	{
-	public:
+	  public:
 		// Returns the next reading. physical: wall-clock time in microseconds.
 		[[nodiscard]] std::uint64_t next(std::uint64_t physical) noexcept;
 
 		// Takes note of a received timestamp. One that is too far ahead is ignored, as its sender's clock is wrong.
 		void observe(std::uint64_t received, std::uint64_t physical) noexcept;
 
-	private:
+	  private:
 		std::uint64_t last = 0;
 	};
 
 	// One call of core::handle: the present time, and where the actions go.
 	class turn
 	{
-	public:
+	  public:
 		turn(core_settings const& core, hybrid_clock& clock, time_point present, std::vector<action>& actions) noexcept;
 
 		[[nodiscard]] time_point now() const noexcept
@@ -50,7 +50,7 @@
 		// Returns the oldest message to this daemon itself, if any is left.
 		[[nodiscard]] bool take_local(wire::PeerMessage& message);
 
-	private:
+	  private:
 		[[nodiscard]] std::uint64_t wall_time() const noexcept;
 
 		core_settings const* core;
--- /dev/null
+++ b/packages/http/impl/message.cpp
@@ -0,0 +1,78 @@
+#include <godwittrestle/http/message.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <fmt/format.h>
+
+#include <godwittrestle/base/digest.hpp>
+
+namespace godwittrestle::http
+{
+	namespace
+	{
+		constexpr std::uint64_t max_port = 65535;
+
+		std::string find_in(std::vector<header> const& headers, std::string_view name)
+		{
+			auto const found = std::ranges::find_if(
+				headers, [&](header const& each) { return boost::algorithm::iequals(each.name, name); });
+			return found == headers.end() ? std::string{} : found->value;
+		}
+	}
+
+	std::string request::find_header(std::string_view name) const
+	{
+		return find_in(this->headers, name);
+	}
+
+	std::string_view request::path() const noexcept
+	{
+		return std::string_view(this->target).substr(0, this->target.find('?'));
+	}
+
+	std::string request::query(std::string_view name) const
+	{
+		auto const start = this->target.find('?');
+		auto rest = start == std::string::npos ? std::string_view{} : std::string_view(this->target).substr(start + 1);
+		while (!rest.empty())
+		{
+			auto const pair = rest.substr(0, rest.find('&'));
+			rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+			auto const equals = pair.find('=');
+			if (pair.substr(0, equals) == name && equals != std::string_view::npos)
+			{
+				return std::string(pair.substr(equals + 1));
+			}
+		}
+		return {};
+	}
+
+	std::string response::find_header(std::string_view name) const
+	{
+		return find_in(this->headers, name);
+	}
+
+	result<endpoint> parse_endpoint(std::string_view text, std::string path)
+	{
+		auto const colon = text.rfind(':');
+		auto const digits = colon == std::string_view::npos ? std::string_view{} : text.substr(colon + 1);
+		auto const port = parse_number(digits).value_or(max_port + 1);
+		std::string address(text.substr(0, std::min(colon, text.size())));
+		boost::system::error_code error;
+		boost::asio::ip::make_address(address, error);
+		if (port > max_port || error)
+		{
+			return fail(error_kind::invalid_setting, std::move(path), fmt::format("'{}' is not an address", text),
+				"give an IP number and a port, such as 127.0.0.1:7000");
+		}
+		return endpoint{std::move(address), static_cast<unsigned short>(port)};
+	}
+
+	std::string to_string(endpoint const& where)
+	{
+		return fmt::format("{}:{}", where.address, where.port);
+	}
+}
--- /dev/null
+++ b/packages/http/impl/server.cpp
@@ -0,0 +1,375 @@
+#include <godwittrestle/http/server.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <list>
+#include <optional>
+#include <utility>
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace godwittrestle::http
+{
+	namespace
+	{
+		namespace beast = boost::beast;
+		using asio::ip::tcp;
+		using boost::system::error_code;
+
+		constexpr auto token = asio::as_tuple(asio::use_awaitable);
+		constexpr int http_1_1 = 11;
+
+		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+		using keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+		using keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+		// Makes the kernel notice a peer that is gone without a word.
+		void detect_silence(tcp::socket& socket, duration timeout)
+		{
+			error_code ignored;
+			auto const milliseconds_allowed = std::chrono::duration_cast<milliseconds>(timeout).count();
+			auto const seconds_allowed = std::max<int>(1, static_cast<int>(milliseconds_allowed / 1000));
+			socket.set_option(tcp::no_delay(true), ignored);
+			socket.set_option(asio::socket_base::keep_alive(true), ignored);
+			socket.set_option(keep_idle(std::max(1, seconds_allowed - 1)), ignored);
+			socket.set_option(keep_interval(1), ignored);
+			socket.set_option(keep_count(1), ignored);
+			socket.set_option(tcp_user_timeout(static_cast<int>(milliseconds_allowed)), ignored);
+		}
+
+		request to_request(beast::http::request<beast::http::string_body>&& message)
+		{
+			request converted;
+			converted.method = std::string(message.method_string());
+			converted.target = std::string(message.target());
+			std::ranges::transform(message, std::back_inserter(converted.headers),
+				[](auto const& field) { return header{std::string(field.name_string()), std::string(field.value())}; });
+			converted.body = std::move(message.body());
+			return converted;
+		}
+
+		template <typename Body>
+		void copy_head(response const& from, beast::http::response<Body>& to)
+		{
+			to.version(http_1_1);
+			to.result(from.status);
+			std::ranges::for_each(from.headers, [&](header const& each) { to.set(each.name, each.value); });
+		}
+
+		response error_for(error_code const& error)
+		{
+			if (error == beast::http::error::body_limit)
+			{
+				return make_error(413, "too_large", "the body is too large", "send a smaller body");
+			}
+			if (error == beast::http::error::header_limit)
+			{
+				return make_error(431, "too_large", "the header is too large", "send fewer or shorter headers");
+			}
+			if (error == beast::error::timeout)
+			{
+				return make_error(408, "timeout", "the request did not arrive in time", "send it in one go");
+			}
+			return make_error(400, "invalid_request", "the request is not HTTP/1.1: " + error.message(),
+				"send a well-formed request");
+		}
+
+		// One connection, shared between the handler and the watch for its close.
+		class connection_exchange final : public exchange
+		{
+		  public:
+			connection_exchange(beast::tcp_stream& connection, server_limits const& allowed, bool keeps_alive)
+				: stream(connection)
+				, limits(allowed)
+				, keep_alive(keeps_alive)
+			{
+			}
+
+			asio::awaitable<bool> reply(response answer) override
+			{
+				beast::http::response<beast::http::string_body> message;
+				copy_head(answer, message);
+				message.body() = std::move(answer.body);
+				message.keep_alive(this->keep_alive);
+				message.prepare_payload();
+				this->stream.expires_after(this->limits.write_timeout);
+				auto const [error, size] = co_await beast::http::async_write(this->stream, message, token);
+				this->is_answered = !error;
+				co_return !error;
+			}
+
+			asio::awaitable<bool> begin_stream(response head) override
+			{
+				beast::http::response<beast::http::empty_body> message;
+				copy_head(head, message);
+				message.chunked(true);
+				message.keep_alive(this->keep_alive);
+				beast::http::response_serializer<beast::http::empty_body> serializer(message);
+				this->stream.expires_after(this->limits.write_timeout);
+				auto const [error, size] = co_await beast::http::async_write_header(this->stream, serializer, token);
+				co_return !error;
+			}
+
+			asio::awaitable<bool> write(std::string piece) override
+			{
+				this->stream.expires_after(this->limits.write_timeout);
+				auto const [error, size] =
+					co_await asio::async_write(this->stream, beast::http::make_chunk(asio::buffer(piece)), token);
+				co_return !error;
+			}
+
+			asio::awaitable<bool> end_stream() override
+			{
+				this->stream.expires_after(this->limits.write_timeout);
+				auto const [error, size] =
+					co_await asio::async_write(this->stream, beast::http::make_chunk_last(), token);
+				this->is_answered = !error;
+				co_return !error;
+			}
+
+			void on_close(std::function<void()> callback) override
+			{
+				this->close_callback = std::move(callback);
+			}
+
+			void notify_close()
+			{
+				if (auto const callback = std::exchange(this->close_callback, nullptr))
+				{
+					callback();
+				}
+			}
+
+			[[nodiscard]] bool answered() const noexcept
+			{
+				return this->is_answered;
+			}
+
+		  private:
+			beast::tcp_stream& stream;
+			server_limits const& limits;
+			bool keep_alive;
+			bool is_answered = false;
+			std::function<void()> close_callback;
+		};
+	}
+
+	class server::implementation : public std::enable_shared_from_this<implementation>
+	{
+	  public:
+		implementation(asio::any_io_executor on, endpoint const& where, server_limits const& allowed, handler respond)
+			: executor(std::move(on))
+			, acceptor(this->executor, tcp::endpoint(asio::ip::make_address(where.address), where.port))
+			, limits(allowed)
+			, handle(std::move(respond))
+		{
+		}
+
+		void start()
+		{
+			asio::co_spawn(
+				this->executor, [self = this->shared_from_this()] { return self->accept(); }, asio::detached);
+		}
+
+		void stop()
+		{
+			this->is_stopping = true;
+			error_code ignored;
+			this->acceptor.close(ignored);
+			for (auto* const idle : this->idle_streams)
+			{
+				idle->close();
+			}
+		}
+
+		[[nodiscard]] unsigned short port() const
+		{
+			return this->acceptor.local_endpoint().port();
+		}
+
+		[[nodiscard]] std::size_t connections() const noexcept
+		{
+			return this->open;
+		}
+
+	  private:
+		asio::awaitable<void> accept()
+		{
+			while (!this->is_stopping)
+			{
+				auto [error, socket] = co_await this->acceptor.async_accept(token);
+				if (error)
+				{
+					continue;
+				}
+				if (this->open >= this->limits.connections)
+				{
+					// Closed at once: the caller's balancer tries another instance.
+					continue;
+				}
+				asio::co_spawn(
+					this->executor, [self = this->shared_from_this(), accepted = std::move(socket)]() mutable
+					{ return self->serve(std::move(accepted)); }, asio::detached);
+			}
+		}
+
+		asio::awaitable<void> serve(tcp::socket socket)
+		{
+			detect_silence(socket, this->limits.silence_timeout);
+			beast::tcp_stream stream(std::move(socket));
+			beast::flat_buffer buffer;
+			++this->open;
+			while (!this->is_stopping && co_await this->serve_one(stream, buffer))
+			{
+			}
+			--this->open;
+		}
+
+		// Waits for the first byte of a request; false when the connection closed or stayed idle too long.
+		asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer const& buffer)
+		{
+			if (buffer.size() > 0)
+			{
+				co_return true;
+			}
+			auto const position = this->idle_streams.insert(this->idle_streams.end(), &stream);
+			asio::steady_timer timer(this->executor, this->limits.idle_timeout);
+			timer.async_wait(
+				[&stream](error_code const& error)
+				{
+					if (!error)
+					{
+						stream.close();
+					}
+				});
+			auto const [error] = co_await stream.socket().async_wait(tcp::socket::wait_read, token);
+			this->idle_streams.erase(position);
+			auto const is_in_time = timer.cancel() > 0;
+			co_return !error && is_in_time;
+		}
+
+		// Serves one request; false when the connection must be closed.
+		asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+		{
+			if (!co_await this->wait_for_request(stream, buffer))
+			{
+				co_return false;
+			}
+			beast::http::request_parser<beast::http::string_body> parser;
+			parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
+			parser.body_limit(this->limits.body_bytes);
+			stream.expires_after(this->limits.read_timeout);
+			auto const [error, size] = co_await beast::http::async_read(stream, buffer, parser, token);
+			if (error)
+			{
+				if (error != beast::http::error::end_of_stream && parser.got_some())
+				{
+					connection_exchange refused(stream, this->limits, false);
+					co_await refused.reply(error_for(error));
+				}
+				co_return false;
+			}
+			auto const keep_alive = parser.get().keep_alive() && !this->is_stopping;
+			connection_exchange talk(stream, this->limits, keep_alive);
+			stream.expires_never();
+			auto const is_done = std::make_shared<bool>(false);
+			asio::co_spawn(this->executor, this->watch(stream, talk, is_done, buffer.size() > 0), asio::detached);
+			co_await this->handle(to_request(parser.release()), talk);
+			*is_done = true;
+			error_code ignored;
+			stream.socket().cancel(ignored);
+			// The watch ends before the exchange does.
+			co_await asio::post(this->executor, token);
+			co_return keep_alive&& talk.answered();
+		}
+
+		// Tells the handler when the peer closes its side while the handler runs.
+		asio::awaitable<void> watch(
+			beast::tcp_stream& stream, connection_exchange& talk, std::shared_ptr<bool> is_done, bool is_pipelining)
+		{
+			if (is_pipelining)
+			{
+				co_return;
+			}
+			auto const [error] = co_await stream.socket().async_wait(tcp::socket::wait_read, token);
+			if (*is_done || error == asio::error::operation_aborted)
+			{
+				co_return;
+			}
+			char byte = 0;
+			error_code peeked;
+			stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
+			if (error || (peeked && peeked != asio::error::would_block))
+			{
+				talk.notify_close();
+			}
+		}
+
+		asio::any_io_executor executor;
+		tcp::acceptor acceptor;
+		server_limits limits;
+		handler handle;
+		std::list<beast::tcp_stream*> idle_streams;
+		std::size_t open = 0;
+		bool is_stopping = false;
+	};
+
+	server::server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle)
+		: impl(std::make_shared<implementation>(std::move(executor), where, limits, std::move(handle)))
+	{
+	}
+
+	server::~server() = default;
+
+	void server::start()
+	{
+		this->impl->start();
+	}
+
+	void server::stop()
+	{
+		this->impl->stop();
+	}
+
+	unsigned short server::port() const
+	{
+		return this->impl->port();
+	}
+
+	std::size_t server::connections() const noexcept
+	{
+		return this->impl->connections();
+	}
+
+	response make_error(
+		unsigned status, std::string_view type, std::string_view message, std::string_view remedy, duration retry_after)
+	{
+		boost::json::object body;
+		body["error"] = boost::json::object{{"type", type}, {"message", message}, {"remedy", remedy}};
+		response answer;
+		answer.status = status;
+		answer.headers.push_back({"Content-Type", "application/json"});
+		if (retry_after > duration{})
+		{
+			// Whole seconds for every client, milliseconds for those that know them.
+			auto const whole = std::chrono::ceil<seconds>(retry_after).count();
+			auto const exact = std::chrono::ceil<milliseconds>(retry_after).count();
+			answer.headers.push_back({"Retry-After", std::to_string(whole)});
+			answer.headers.push_back({"Retry-After-Ms", std::to_string(exact)});
+		}
+		answer.body = boost::json::serialize(body);
+		return answer;
+	}
+}
--- /dev/null
+++ b/packages/http/include/godwittrestle/http.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+#include <godwittrestle/http/client.hpp>
+#include <godwittrestle/http/message.hpp>
+#include <godwittrestle/http/server.hpp>
+#include <godwittrestle/http/sse.hpp>
--- a/packages/policy/src/document.cpp
+++ b/packages/policy/src/document.cpp
@@ -47,7 +47,10 @@
 		// Brings the lists into one order, so that equal content has equal digests and sections need no positions.
 		void sort_by_name(RoutingPolicy& policy)
 		{
-			auto const name = [](auto const& element) -> std::string const& { return element.name(); };
+			auto const name = [](auto const& element) -> std::string const&
+			{
+				return element.name();
+			};
 			std::ranges::sort(*policy.mutable_regions(), std::less{}, name);
 			std::ranges::sort(*policy.mutable_pools(), std::less{}, name);
 			std::ranges::sort(*policy.mutable_services(), std::less{}, name);
@@ -123,8 +126,7 @@
 		if (!base.skipped.empty())
 		{
 			sealed.set_base_version(base.skipped.back().platform_version());
-			std::ranges::copy(
-				base.skipped, google::protobuf::RepeatedFieldBackInserter(sealed.mutable_skipped()));
+			std::ranges::copy(base.skipped, google::protobuf::RepeatedFieldBackInserter(sealed.mutable_skipped()));
 		}
 		sealed.set_digest(compute_digest(sealed));
 		return sealed;
--- a/packages/policy/src/sections.cpp
+++ b/packages/policy/src/sections.cpp
@@ -15,8 +15,7 @@
 		template <typename Elements>
 		void add_sections(std::string_view list, Elements const& elements, section_map& sections)
 		{
-			std::ranges::for_each(elements,
-				[&](auto const& element)
+			std::ranges::for_each(elements, [&](auto const& element)
 				{ sections.emplace(fmt::format("{}/{}", list, element.name()), element.SerializeAsString()); });
 		}
 
--- a/packages/policy/src/validate.cpp
+++ b/packages/policy/src/validate.cpp
@@ -19,7 +19,7 @@
 		// Collects faults under a path.
 		class fault_list
 		{
-		public:
+		  public:
 			void require(bool holds, std::string path, std::string message, std::string remedy)
 			{
 				if (!holds)
@@ -30,14 +30,16 @@
 
 			void require_range(std::string path, std::uint32_t value, std::uint32_t least, std::uint32_t most)
 			{
-				this->require(value >= least && value <= most, std::move(path), fmt::format("{} is out of range", value),
-					fmt::format("give {} to {}", least, most));
+				this->require(value >= least && value <= most, std::move(path),
+					fmt::format("{} is out of range", value), fmt::format("give {} to {}", least, most));
 			}
 
 			void require_name(std::string const& path, std::string_view name, std::set<std::string>& seen)
 			{
 				auto const allowed = [](char letter)
-				{ return std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '-' || letter == '_'; };
+				{
+					return std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '-' || letter == '_';
+				};
 				this->require(!name.empty() && std::ranges::all_of(name, allowed), path,
 					fmt::format("'{}' is not a name", name), "use letters, digits, '-' and '_'");
 				this->require(seen.emplace(name).second, path, fmt::format("'{}' stands twice", name),
@@ -49,7 +51,7 @@
 				return std::move(this->faults);
 			}
 
-		private:
+		  private:
 			std::vector<fault> faults;
 		};
 
@@ -72,7 +74,8 @@
 				faults.require_range(
 					path + ".prefill_tokens_per_second", pool.prefill_tokens_per_second(), 1, 10'000'000);
 				faults.require_range(path + ".kv_bytes_per_token", pool.kv_bytes_per_token(), 1, 100'000'000);
-				faults.require_range(path + ".link_megabytes_per_second", pool.link_megabytes_per_second(), 1, 1'000'000);
+				faults.require_range(
+					path + ".link_megabytes_per_second", pool.link_megabytes_per_second(), 1, 1'000'000);
 				faults.require_range(path + ".prefill_retention_ms", pool.prefill_retention_ms(), 1, 600'000);
 			}
 		}
@@ -143,9 +146,11 @@
 		void check_account(std::string const& path, Account const& account, fault_list& faults)
 		{
 			auto const& digest = account.token_sha256();
-			auto const is_hex = [](char letter) { return std::isxdigit(static_cast<unsigned char>(letter)) != 0; };
-			faults.require(
-				digest.empty() || (digest.size() == sha256_hex_size && std::ranges::all_of(digest, is_hex)),
+			auto const is_hex = [](char letter)
+			{
+				return std::isxdigit(static_cast<unsigned char>(letter)) != 0;
+			};
+			faults.require(digest.empty() || (digest.size() == sha256_hex_size && std::ranges::all_of(digest, is_hex)),
 				path + ".token_sha256", "not a SHA-256", "give 64 hexadecimal digits, or leave it out");
 			faults.require_range(path + ".requests_per_second", account.requests_per_second(), 1, 1'000'000);
 			faults.require_range(path + ".concurrent_requests", account.concurrent_requests(), 1, 1'000'000);
