--- a/packages/decide/impl/core.cpp
+++ b/packages/decide/impl/core.cpp
@@ -62,7 +62,7 @@
 		this->cancels.handle_tick(this->members, now);
 		this->owner.handle_tick(this->members, !this->suspect_since, now);
 		this->streams.handle_tick(this->members, now);
-		this->lookups.handle_tick(now);
+		this->lookups.handle_tick(this->members, now);
 		this->keyed.handle_tick(this->members, now);
 		this->update_readiness(now);
 		this->choose_watchers(now);
--- a/packages/decide/impl/membership.cpp
+++ b/packages/decide/impl/membership.cpp
@@ -45,7 +45,14 @@
 		this->server_index.clear();
 		for (std::size_t index = 0; index < list.servers.size(); ++index)
 		{
-			this->server_index.emplace(list.servers[index].id, index);
+			auto const& server = list.servers[index];
+			this->server_index.emplace(server.id, index);
+			if (server.leaving)
+			{
+				// Kept, so that heartbeats carry it to daemons which the platform does not answer.
+				auto& known = this->leaving_servers[server.id];
+				known = std::max(known, server.started);
+			}
 		}
 		std::ranges::for_each(this->peers, [](auto& peer) { peer.second.listed = false; });
 		for (auto const& daemon : list.daemons)
--- a/packages/decide/impl/plain_calls.cpp
+++ b/packages/decide/impl/plain_calls.cpp
@@ -13,6 +13,8 @@
 	namespace
 	{
 		constexpr duration usual_retry_after = seconds(1);
+		// A server that has not answered for this long is given up on while there is another and the budget allows.
+		constexpr duration attempt_timeout = milliseconds(1500);
 		constexpr unsigned first_server_error = 500;
 
 		// Whether a repeatable call may be tried elsewhere after this answer.
@@ -71,6 +73,7 @@
 			return;
 		}
 		next.server = server->id;
+		next.attempted_at = now.now();
 		this->servers->note_start(server->id);
 		auto const call = this->calls->next();
 		now.record("call_started", next.asked.request, server->id.str());
@@ -146,8 +149,9 @@
 		this->by_call.erase(found);
 	}
 
-	void plain_calls::handle_tick(turn& now)
+	void plain_calls::handle_tick(membership const& members, turn& now)
 	{
+		this->replace_silent(members, now);
 		std::vector<call_id> late;
 		for (auto const& [call, running] : this->by_call)
 		{
@@ -166,6 +170,37 @@
 		}
 	}
 
+	void plain_calls::replace_silent(membership const& members, turn& now)
+	{
+		std::vector<call_id> silent;
+		for (auto const& [call, running] : this->by_call)
+		{
+			auto excluded = running.excluded;
+			excluded.push_back(running.server);
+			auto const has_other = this->servers->choose(
+				pool_id(running.service->plain_pool()), excluded, members, now.now()) != nullptr;
+			if (now.now() - running.attempted_at >= attempt_timeout && has_other && now.now() < running.deadline)
+			{
+				silent.push_back(call);
+			}
+		}
+		for (auto const call : silent)
+		{
+			if (!this->accounts->take_retry())
+			{
+				return;
+			}
+			now.emit(abort_call{call});
+			auto again = std::move(this->by_call.at(call));
+			this->by_call.erase(call);
+			this->servers->note_end(again.server, true, now.now());
+			now.record("call_silent", again.asked.request, again.server.str());
+			again.excluded.push_back(again.server);
+			++this->totals->plain_retries;
+			this->attempt(std::move(again), members, now);
+		}
+	}
+
 	void plain_calls::fail(plain_call const& failed, refusal_kind kind, std::string message, turn& now)
 	{
 		++this->totals->refusals[kind];
--- a/packages/decide/include/godwittrestle/decide/plain_calls.hpp
+++ b/packages/decide/include/godwittrestle/decide/plain_calls.hpp
@@ -31,7 +31,8 @@
 		bool handle(call_failed const& failed, membership& members, turn& now);
 
 		void handle(caller_gone const& gone, turn& now);
-		void handle_tick(turn& now);
+		// Repeats calls elsewhere whose servers are silent, and ends those past their deadline.
+		void handle_tick(membership const& members, turn& now);
 
 		[[nodiscard]] std::size_t running() const noexcept
 		{
@@ -46,10 +47,12 @@
 			policy::Service const* service = nullptr;
 			account_id account;
 			time_point deadline;
+			time_point attempted_at;
 			server_id server;
 			std::vector<server_id> excluded;
 		};
 
+		void replace_silent(membership const& members, turn& now);
 		void attempt(plain_call next, membership const& members, turn& now);
 		void fail(plain_call const& failed, refusal_kind kind, std::string message, turn& now);
 
--- /dev/null
+++ b/tests/scenarios/run_scenario.cpp
@@ -0,0 +1,101 @@
+#include <exception>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <fmt/format.h>
+
+#include "interpreter.hpp"
+
+namespace
+{
+	using namespace godwittrestle;
+	using namespace godwittrestle::testing;
+
+	struct table_result
+	{
+		int rows = 0;
+		int failed = 0;
+		std::map<std::string, int> outcomes;
+	};
+
+	std::string describe(table_row const& row)
+	{
+		std::string text;
+		for (auto const& [name, value] : row)
+		{
+			text += fmt::format(" {}=[{}]", name, value);
+		}
+		return text;
+	}
+
+	// Runs every row with every seed. shows_failures: print what did not hold.
+	table_result run_table(script const& scenario, decide::mechanism_set mechanisms, bool shows_failures)
+	{
+		table_result result;
+		for (auto const& row : scenario.rows())
+		{
+			for (auto seed = 1; seed <= scenario.seeds; ++seed)
+			{
+				interpreter run(mechanisms, static_cast<std::uint64_t>(seed));
+				auto const failures = run.run(scenario.commands_for(row));
+				++result.rows;
+				result.failed += failures.empty() ? 0 : 1;
+				for (auto const& [outcome, count] : run.outcomes())
+				{
+					result.outcomes[outcome] += count;
+				}
+				for (auto const& failure : failures)
+				{
+					if (shows_failures)
+					{
+						std::cout << fmt::format("  FAILED seed {}{}: {}\n", seed, describe(row), failure);
+					}
+				}
+			}
+		}
+		return result;
+	}
+
+	int run(std::string const& path)
+	{
+		auto const scenario = read_script(path);
+		auto verdict = 0;
+		for (auto const& name : scenario.mechanisms)
+		{
+			decide::mechanism_set without;
+			switch_off(without, name);
+			auto const result = run_table(scenario, without, false);
+			auto const shows_need = result.failed > 0;
+			std::cout << fmt::format("{} without {}: {} of {} rows fail{}\n", scenario.name, name, result.failed,
+				result.rows, shows_need ? "" : "; the scenario does not show that the mechanism is needed");
+			verdict = shows_need ? verdict : 1;
+		}
+		auto const result = run_table(scenario, {}, true);
+		std::cout << fmt::format("{}: {} of {} rows hold; outcomes:", scenario.name, result.rows - result.failed, result.rows);
+		for (auto const& [outcome, count] : result.outcomes)
+		{
+			std::cout << fmt::format(" {}={}", outcome, count);
+		}
+		std::cout << '\n';
+		return result.failed > 0 ? 1 : verdict;
+	}
+}
+
+int main(int count, char const* const* arguments)
+{
+	if (count != 2)
+	{
+		std::cerr << "usage: run_scenario FILE\n";
+		return 2;
+	}
+	try
+	{
+		return run(arguments[1]);
+	}
+	catch (std::exception const& error)
+	{
+		std::cerr << error.what() << '\n';
+		return 2;
+	}
+}
--- /dev/null
+++ b/tests/world/backends.cpp
@@ -0,0 +1,45 @@
+#include "backends.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+
+namespace godwittrestle::testing
+{
+	std::string reference_token(std::string const& prompt, std::uint32_t index)
+	{
+		return fmt::format("{:x}-{} ", decide::hash_bytes(prompt) & 0xffffU, index);
+	}
+
+	void fake_engine::drop_expired(time_point now)
+	{
+		std::erase_if(this->held, [&](auto const& each) { return each.second.drop_at <= now; });
+	}
+
+	decide::load_report fake_engine::report(time_point now)
+	{
+		this->drop_expired(now);
+		decide::load_report shown;
+		std::ranges::transform(this->held, std::back_inserter(shown.held),
+			[](auto const& each) { return decide::held_request{each.first}; });
+		shown.model = this->model;
+		shown.role = this->role;
+		shown.fence = this->fence;
+		shown.leaving = this->says_leaving;
+		return shown;
+	}
+
+	bool fake_engine::obey(decide::send_order const& order)
+	{
+		if (this->checks_fence && order.fence < this->fence)
+		{
+			return false;
+		}
+		this->fence = order.fence;
+		this->model = order.model;
+		this->role = order.role;
+		return true;
+	}
+}
--- /dev/null
+++ b/tests/world/interpreter.cpp
@@ -0,0 +1,512 @@
+#include "interpreter.hpp"
+
+#include <algorithm>
+#include <ranges>
+#include <stdexcept>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/base/algorithm.hpp>
+#include <godwittrestle/policy.hpp>
+
+namespace godwittrestle::testing
+{
+	namespace
+	{
+		constexpr duration ready_time = seconds(10);
+		// After the last command everything may settle for this long before the final checks.
+		constexpr duration settle_time = seconds(8);
+
+		// Returns the value of NAME=VALUE among some words.
+		std::string option(std::vector<std::string> const& given, std::string const& name, std::string const& missing)
+		{
+			auto const found =
+				std::ranges::find_if(given, [&](std::string const& word) { return word.starts_with(name + "="); });
+			return found == given.end() ? missing : found->substr(name.size() + 1);
+		}
+
+		int number(std::vector<std::string> const& given, std::string const& name, int missing)
+		{
+			return std::stoi(option(given, name, std::to_string(missing)));
+		}
+
+		std::string_view outcome_of(caller_view const& view)
+		{
+			if (view.reply)
+			{
+				return view.reply->outcome == decide::call_outcome::ran ? "ran" : "reply";
+			}
+			if (view.failure)
+			{
+				return decide::to_string(view.failure->kind);
+			}
+			if (view.is_whole)
+			{
+				return "whole";
+			}
+			return view.is_gone ? "gone" : view.is_connection_lost ? "connection_lost" : "unanswered";
+		}
+
+		std::string reference_text(std::string const& prompt, std::uint32_t tokens)
+		{
+			std::string text;
+			for (std::uint32_t index = 0; index < tokens; ++index)
+			{
+				text += reference_token(prompt, index);
+			}
+			return text;
+		}
+	}
+
+	void switch_off(decide::mechanism_set& mechanisms, std::string const& name)
+	{
+		using member = bool decide::mechanism_set::*;
+		static std::map<std::string, member> const members{
+			{"key_recorded_before_send", &decide::mechanism_set::key_recorded_before_send},
+			{"issuer_checks_start_time", &decide::mechanism_set::issuer_checks_start_time},
+			{"orphan_cleanup", &decide::mechanism_set::orphan_cleanup},
+			{"disown_proof", &decide::mechanism_set::disown_proof},
+			{"cancel_retry", &decide::mechanism_set::cancel_retry},
+			{"token_deduplication", &decide::mechanism_set::token_deduplication},
+			{"leaving_exclusion", &decide::mechanism_set::leaving_exclusion},
+			{"lease_expiry_check", &decide::mechanism_set::lease_expiry_check},
+			{"version_order", &decide::mechanism_set::version_order},
+			{"out_of_turn_refusal", &decide::mechanism_set::out_of_turn_refusal},
+			{"order_repetition", &decide::mechanism_set::order_repetition},
+			{"wake_up_check", &decide::mechanism_set::wake_up_check},
+			{"immediate_refusal", &decide::mechanism_set::immediate_refusal},
+			{"key_table_move", &decide::mechanism_set::key_table_move},
+			{"peer_config_exchange", &decide::mechanism_set::peer_config_exchange},
+			{"stall_detection", &decide::mechanism_set::stall_detection},
+		};
+		auto const found = members.find(name);
+		if (found == members.end())
+		{
+			throw std::runtime_error("no mechanism " + name);
+		}
+		mechanisms.*(found->second) = false;
+	}
+
+	interpreter::interpreter(decide::mechanism_set enabled, std::uint64_t chosen)
+		: mechanisms(enabled)
+		, seed(chosen)
+	{
+	}
+
+	std::vector<std::string> interpreter::run(std::vector<command> const& commands)
+	{
+		for (auto const& each : commands)
+		{
+			this->execute(each);
+		}
+		this->scene->run_for(settle_time);
+		this->check_always();
+		return this->failures;
+	}
+
+	std::map<std::string, int> interpreter::outcomes() const
+	{
+		std::map<std::string, int> counts;
+		for (auto const& [caller, view] : this->scene->callers)
+		{
+			if (!this->scene->keys.contains(caller))
+			{
+				++counts[std::string(outcome_of(view))];
+			}
+		}
+		return counts;
+	}
+
+	void interpreter::fail(command const& each, std::string const& what)
+	{
+		this->failures.push_back(fmt::format("line {}: {}: {}", each.line, each.text(), what));
+	}
+
+	void interpreter::note_event(std::string const& event)
+	{
+		++this->event_counts[event];
+		auto const found = std::ranges::find(this->reactions, event, &reaction::event);
+		if (found != this->reactions.end())
+		{
+			auto const then = found->then;
+			this->reactions.erase(found);
+			this->execute(then);
+		}
+	}
+
+	std::vector<std::string> interpreter::resolve(words const& given) const
+	{
+		auto resolved = given;
+		if (contains(given, "OWNER"))
+		{
+			auto const names = this->scene->running_daemons();
+			auto const& core = this->scene->core_of(names.front());
+			auto const owner = core.explain(service_id("report"), this->scene->present()).owner;
+			std::ranges::replace(resolved, "OWNER", owner);
+		}
+		return resolved;
+	}
+
+	void interpreter::execute(command const& each)
+	{
+		auto const given = this->scene ? this->resolve(each.words) : each.words;
+		auto const& verb = given.front();
+		if (verb == "fleet")
+		{
+			this->begin(given);
+		}
+		else if (verb == "run")
+		{
+			this->scene->run_for(milliseconds(std::stoi(given.at(1))));
+		}
+		else if (verb == "await")
+		{
+			auto const before = this->event_counts[given.at(1)];
+			auto const has_come = [&] { return this->event_counts[given.at(1)] > before; };
+			if (!this->scene->run_until(has_come, milliseconds(std::stoi(given.at(3)))))
+			{
+				this->fail(each, "did not happen");
+			}
+		}
+		else if (verb == "when")
+		{
+			this->reactions.push_back({given.at(1), {words(given.begin() + 3, given.end()), each.line}});
+		}
+		else if (verb == "expect")
+		{
+			this->execute_expect(each);
+		}
+		else
+		{
+			this->execute_simple(given);
+		}
+	}
+
+	void interpreter::begin(words const& given)
+	{
+		fleet_shape const shape{number(given, "daemons", 3), number(given, "prefill", 2), number(given, "decode", 2),
+			number(given, "plain", 2)};
+		this->scene = std::make_unique<world>(shape, this->mechanisms, this->seed);
+		this->scene->on_event = [this](std::string const& event, std::string const&) { this->note_event(event); };
+		auto const is_ready = [&]
+		{
+			return std::ranges::all_of(this->scene->running_daemons(),
+				[&](std::string const& name)
+				{ return this->scene->core_of(name).status(time_point{}).state == decide::readiness::ready; });
+		};
+		if (!this->scene->run_until(is_ready, ready_time))
+		{
+			this->failures.emplace_back("the fleet did not become ready");
+		}
+		// The engines' first reports.
+		this->scene->run_for(seconds(1));
+	}
+
+	void interpreter::execute_simple(words const& given)
+	{
+		auto& target = *this->scene;
+		std::map<std::string, std::function<void(std::string const&)>> const with_name{
+			{"kill", [&](auto const& name) { target.kill(name); }},
+			{"start", [&](auto const& name) { target.start(name); }},
+			{"pause", [&](auto const& name) { target.pause(name); }},
+			{"resume", [&](auto const& name) { target.resume(name); }},
+			{"drain", [&](auto const& name) { target.drain(name); }},
+			{"hang-up", [&](auto const& name) { target.hang_up(name); }},
+			{"list-leaving", [&](auto const& name) { target.list_as_leaving(name); }},
+			{"stale", [&](auto const& documents) { target.set_stale(std::stoul(documents)); }},
+			{"lag", [&](auto const& span) { target.set_list_lag(milliseconds(std::stoi(span))); }},
+			{"ignore-fence", [&](auto const& name) { target.engines.at(name).checks_fence = false; }},
+			{"stall-transfers", [&](auto const& name) { target.engines.at(name).stalls_transfers = true; }},
+			{"drop-answers", [&](auto const& name) { target.plain_servers.at(name).drops_answers = true; }},
+			{"mark",
+				[&](auto const& name)
+				{
+					auto const engine = target.engines.find(name);
+					this->marks[name] = engine == target.engines.end() ? target.plain_servers.at(name).work_started
+																	   : engine->second.work_started;
+				}},
+		};
+		std::map<std::string, std::function<void()>> const alone{
+			{"outage", [&] { target.set_outage(true); }},
+			{"recover", [&] { target.set_outage(false); }},
+			{"fresh", [&] { target.set_stale(0); }},
+		};
+		auto const& verb = given.front();
+		if (auto const found = with_name.find(verb); found != with_name.end())
+		{
+			found->second(given.at(1));
+		}
+		else if (auto const lone = alone.find(verb); lone != alone.end())
+		{
+			lone->second();
+		}
+		else
+		{
+			this->execute_link(given);
+		}
+	}
+
+	void interpreter::execute_link(words const& given)
+	{
+		auto& target = *this->scene;
+		auto const& verb = given.front();
+		auto const set_flags = [&](bool leaving, bool silent)
+		{
+			if (auto const engine = target.engines.find(given.at(1)); engine != target.engines.end())
+			{
+				engine->second.says_leaving = engine->second.says_leaving || leaving;
+				engine->second.is_silent = silent;
+				return;
+			}
+			auto& server = target.plain_servers.at(given.at(1));
+			server.says_leaving = server.says_leaving || leaving;
+			server.is_silent = silent;
+		};
+		if (verb == "cut")
+		{
+			target.cut(given.at(1), given.at(2));
+		}
+		else if (verb == "hold")
+		{
+			target.hold(given.at(1), given.at(2));
+		}
+		else if (verb == "heal" && given.at(1) == "all")
+		{
+			target.heal_all();
+		}
+		else if (verb == "heal")
+		{
+			target.heal(given.at(1), given.at(2));
+		}
+		else if (verb == "noise")
+		{
+			target.set_noise(std::stod(given.at(1)), std::stod(given.at(2)));
+		}
+		else if (verb == "says-leaving" || verb == "silence" || verb == "unsilence")
+		{
+			set_flags(verb == "says-leaving", verb == "silence");
+		}
+		else
+		{
+			this->execute_call(given);
+		}
+	}
+
+	void interpreter::execute_call(words const& given)
+	{
+		auto& target = *this->scene;
+		auto const& verb = given.front();
+		if (verb == "key")
+		{
+			target.ask_key(given.at(1), given.at(3));
+		}
+		else if (verb == "complete")
+		{
+			auto prompt = given.at(1) + std::string(static_cast<std::size_t>(number(given, "prompt", 4000)), '.');
+			target.ask_completion(
+				given.at(1), given.at(3), std::move(prompt), static_cast<std::uint32_t>(number(given, "tokens", 50)));
+		}
+		else if (verb == "book")
+		{
+			auto const body = option(given, "body", given.at(1));
+			this->keyed_bodies[given.at(1)] = body;
+			target.call_service(
+				given.at(1), given.at(3), "POST", "/signoffs", body, target.keys[option(given, "key", "k")]);
+		}
+		else if (verb == "lookup")
+		{
+			target.call_service(given.at(1), given.at(3), "GET", "/rosters/today", given.at(1), "");
+		}
+		else
+		{
+			this->execute_policy(given);
+		}
+	}
+
+	void interpreter::execute_policy(words const& given)
+	{
+		auto& target = *this->scene;
+		auto const& verb = given.front();
+		if (verb == "seal")
+		{
+			auto const& config = target.core_of(given.at(3)).config();
+			policy::seal_base base{&config.active()->document(), config.version(), {}};
+			std::ranges::transform(config.refused(), std::back_inserter(base.skipped),
+				[](decide::refused_document const& refused) { return refused.published; });
+			auto document = target.make_policy();
+			document.mutable_accounts(0)->set_requests_per_second(
+				10'000 + static_cast<std::uint32_t>(this->documents.size()) + 1);
+			if (auto const model = option(given, "model", ""); !model.empty())
+			{
+				document.mutable_pools(0)->set_model(model);
+				document.mutable_pools(1)->set_model(model);
+			}
+			this->documents[given.at(1)] = policy::seal(std::move(document), base);
+		}
+		else if (verb == "publish")
+		{
+			target.publish(this->documents.at(given.at(1)));
+		}
+		else if (verb == "order")
+		{
+			// An order by somebody who acts on an old belief.
+			decide::send_order order;
+			order.model = given.at(2);
+			order.role = target.engines.at(given.at(1)).role;
+			order.fence = platform_version(static_cast<std::uint64_t>(number(given, "fence", 0)));
+			target.engines.at(given.at(1)).obey(order);
+		}
+		else
+		{
+			throw std::runtime_error("no command " + verb);
+		}
+	}
+
+	void interpreter::execute_expect(command const& each)
+	{
+		words given(each.words.begin() + 1, each.words.end());
+		auto within = duration{};
+		if (given.size() > 2 && given[given.size() - 2] == "within")
+		{
+			within = milliseconds(std::stoi(given.back()));
+			given.resize(given.size() - 2);
+		}
+		if (!this->scene->run_until([&] { return this->holds(given); }, within))
+		{
+			auto const view = this->scene->callers.find(given.front());
+			this->fail(each, view == this->scene->callers.end() ? "does not hold" : std::string(outcome_of(view->second)));
+		}
+	}
+
+	// Expectations: "C outcome KIND", "C whole", "C answered", "C answered-in MS", "C retry-after", "C replay",
+	// "all answered", "runs B = N", "held = 0", "config NAME on all|D", "never config NAME", "no new work on S",
+	// "left D", "engine E model M", "event E", "no event E", "live N on D".
+	bool interpreter::holds(words const& given)
+	{
+		auto& target = *this->scene;
+		auto const& subject = given.front();
+		if (target.callers.contains(subject))
+		{
+			return this->holds_for_caller(subject, given);
+		}
+		if (subject == "all")
+		{
+			return std::ranges::all_of(target.callers, [&](auto const& each)
+				{ return each.second.is_answered() || each.second.is_connection_lost || each.second.is_gone ||
+					  target.keys.contains(each.first); });
+		}
+		if (subject == "runs")
+		{
+			return target.runs[given.at(1)] == std::stoi(given.at(3));
+		}
+		if (subject == "held")
+		{
+			return std::ranges::all_of(target.engines | std::views::values,
+				[](fake_engine const& engine) { return engine.is_dead || engine.held.empty(); });
+		}
+		if (subject == "config" || subject == "never")
+		{
+			return this->holds_for_config(given);
+		}
+		if (subject == "no" && given.at(1) == "event")
+		{
+			return this->event_counts[given.at(2)] == 0;
+		}
+		if (subject == "no")
+		{
+			auto const& server = given.at(4);
+			auto const engine = target.engines.find(server);
+			auto const begun = engine == target.engines.end() ? target.plain_servers.at(server).work_started
+															  : engine->second.work_started;
+			return begun == this->marks.at(server);
+		}
+		if (subject == "event")
+		{
+			return this->event_counts[given.at(1)] > 0;
+		}
+		if (subject == "left")
+		{
+			return target.has_left(given.at(1));
+		}
+		if (subject == "engine")
+		{
+			return target.engines.at(given.at(1)).model == given.at(3);
+		}
+		throw std::runtime_error("no expectation " + subject);
+	}
+
+	bool interpreter::holds_for_caller(std::string const& caller, words const& given)
+	{
+		auto const& view = this->scene->callers.at(caller);
+		auto const& what = given.at(1);
+		if (what == "whole")
+		{
+			return view.is_whole && view.text == reference_text(view.prompt, view.expected_tokens);
+		}
+		if (what == "outcome")
+		{
+			return outcome_of(view) == given.at(2);
+		}
+		if (what == "answered")
+		{
+			return view.is_answered();
+		}
+		if (what == "answered-in")
+		{
+			return view.answered_at && *view.answered_at - view.asked_at <= milliseconds(std::stoi(given.at(2)));
+		}
+		if (what == "retry-after")
+		{
+			return view.failure && view.failure->retry_after > duration{};
+		}
+		if (what == "replay")
+		{
+			return view.reply && view.reply->replay;
+		}
+		throw std::runtime_error("no expectation " + what);
+	}
+
+	bool interpreter::holds_for_config(words const& given)
+	{
+		auto& target = *this->scene;
+		auto const& digest = this->documents.at(given.front() == "never" ? given.at(2) : given.at(1)).digest();
+		if (given.front() == "never")
+		{
+			return !target.digests_in_force.contains(digest);
+		}
+		auto const has_it = [&](std::string const& name) { return target.core_of(name).config().digest() == digest; };
+		return given.at(3) == "all" ? std::ranges::all_of(target.running_daemons(), has_it) : has_it(given.at(3));
+	}
+
+	void interpreter::check_always()
+	{
+		auto& target = *this->scene;
+		std::ranges::copy(target.violations, std::back_inserter(this->failures));
+		for (auto const& [caller, view] : target.callers)
+		{
+			auto const is_right = !view.is_out_of_order && view.text == reference_text(view.prompt, view.next_index);
+			if (!is_right || (view.is_whole && view.next_index != view.expected_tokens))
+			{
+				this->failures.push_back(fmt::format("{} got a wrong answer: '{}'", caller, view.text.substr(0, 120)));
+			}
+			auto const body = this->keyed_bodies.find(caller);
+			if (body == this->keyed_bodies.end())
+			{
+				continue;
+			}
+			auto const runs = target.runs[body->second];
+			if (runs > 1)
+			{
+				this->failures.push_back(fmt::format("{} ran {} times", body->second, runs));
+			}
+			if (outcome_of(view) == "not_run" && runs != 0)
+			{
+				this->failures.push_back(fmt::format("{} was answered 'not run' but ran", body->second));
+			}
+			if (outcome_of(view) == "ran" && runs == 0)
+			{
+				this->failures.push_back(fmt::format("{} was answered 'ran' but did not run", body->second));
+			}
+		}
+	}
+}
--- /dev/null
+++ b/tests/world/world.cpp
@@ -0,0 +1,860 @@
+#include "world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/policy.hpp>
+
+namespace godwittrestle::testing
+{
+	namespace
+	{
+		constexpr duration platform_poll = milliseconds(100);
+		constexpr duration call_timeout = seconds(30);
+		constexpr std::array<char const*, 3> data_centres{"manila-north", "manila-south", "pampanga"};
+
+		std::string data_centre_of(int index)
+		{
+			return data_centres.at(static_cast<std::size_t>(index) % data_centres.size());
+		}
+
+		policy::Pool make_pool(std::string const& name, policy::PoolRole role, std::string const& model)
+		{
+			policy::Pool pool;
+			pool.set_name(name);
+			pool.set_role(role);
+			pool.set_model(model);
+			if (role == policy::DECODE)
+			{
+				pool.set_slots_per_server(20);
+			}
+			if (role == policy::PREFILL)
+			{
+				pool.set_prefill_tokens_per_second(20'000);
+				pool.set_kv_bytes_per_token(131'072);
+				pool.set_link_megabytes_per_second(10'000);
+				pool.set_prefill_retention_ms(900);
+			}
+			return pool;
+		}
+	}
+
+	world::world(fleet_shape shape, decide::mechanism_set enabled, std::uint64_t seed)
+		: mechanisms(enabled)
+		, random(seed)
+	{
+		auto const add_server = [&](std::string const& id, std::string const& pool, int index)
+		{
+			decide::listed_server server;
+			server.id = server_id(id);
+			server.pool = pool_id(pool);
+			server.data_centre = data_centre_id(data_centre_of(index));
+			server.address = id;
+			server.started = incarnation(1);
+			this->list.servers.push_back(std::move(server));
+		};
+		for (int index = 1; index <= shape.prefill; ++index)
+		{
+			auto const id = fmt::format("prefill-{}", index);
+			this->engines[id].id = id;
+			this->engines[id].role = "prefill";
+			this->engines[id].model = "m1";
+			add_server(id, "prefill", index);
+		}
+		for (int index = 1; index <= shape.decode; ++index)
+		{
+			auto const id = fmt::format("decode-{}", index);
+			this->engines[id].id = id;
+			this->engines[id].role = "decode";
+			this->engines[id].model = "m1";
+			add_server(id, "decode", index);
+		}
+		for (int index = 1; index <= shape.plain; ++index)
+		{
+			auto const id = fmt::format("plain-{}", index);
+			this->plain_servers[id].id = id;
+			add_server(id, "desk", index);
+		}
+		for (int index = 1; index <= shape.daemons; ++index)
+		{
+			auto const id = fmt::format("d{}", index);
+			this->list.daemons.push_back(
+				{instance_id(id), data_centre_id(data_centre_of(index)), id, false});
+		}
+		this->list.version = platform_version(1);
+		this->publish(policy::seal(this->make_policy(), {}));
+		for (auto const& listed : this->list.daemons)
+		{
+			this->start(listed.id.str());
+		}
+	}
+
+	policy::RoutingPolicy world::make_policy() const
+	{
+		policy::RoutingPolicy document;
+		auto& region = *document.add_regions();
+		region.set_name("luzon");
+		std::ranges::for_each(data_centres, [&](char const* name) { region.add_data_centres(name); });
+		*document.add_pools() = make_pool("prefill", policy::PREFILL, "m1");
+		*document.add_pools() = make_pool("decode", policy::DECODE, "m1");
+		*document.add_pools() = make_pool("desk", policy::PLAIN, "");
+		auto& report = *document.add_services();
+		report.set_name("report");
+		report.set_prefill_pool("prefill");
+		report.set_decode_pool("decode");
+		report.set_first_token_target_ms(520);
+		report.set_token_gap_target_ms(56);
+		report.set_patience_ms(2'000);
+		report.set_deadline_ms(30'000);
+		report.set_objective(policy::WASTE);
+		report.set_max_prompt_tokens(64'000);
+		report.set_max_output_tokens(4'096);
+		auto& desk = *document.add_services();
+		desk.set_name("desk");
+		desk.set_plain_pool("desk");
+		desk.set_deadline_ms(3'000);
+		auto& lookups = *desk.add_routes();
+		lookups.set_path_prefix("/rosters");
+		lookups.set_repeatable(true);
+		desk.add_routes()->set_path_prefix("/signoffs");
+		auto& account = *document.add_accounts();
+		account.set_name("crews");
+		account.set_requests_per_second(10'000);
+		account.set_concurrent_requests(10'000);
+		return document;
+	}
+
+	void world::at(duration delay, std::function<void()> run)
+	{
+		this->queue.push({this->now + delay, ++this->last_order, std::move(run)});
+	}
+
+	void world::run_for(duration span)
+	{
+		std::ignore = this->run_until([] { return false; }, span);
+	}
+
+	bool world::run_until(std::function<bool()> const& condition, duration within)
+	{
+		auto const end = this->now + within;
+		while (!condition())
+		{
+			if (this->queue.empty() || this->queue.top().at > end)
+			{
+				this->now = end;
+				return condition();
+			}
+			auto next = this->queue.top();
+			this->queue.pop();
+			this->now = next.at;
+			next.run();
+		}
+		return true;
+	}
+
+	duration world::link_delay()
+	{
+		return duration(std::uniform_int_distribution<int>(300, 900)(this->random));
+	}
+
+	void world::carry(std::string const& from, std::string const& to, std::function<void()> run)
+	{
+		std::set<std::string> const link{from, to};
+		if (this->cuts.contains(link))
+		{
+			return;
+		}
+		if (auto const held = this->holding.find(link); held != this->holding.end())
+		{
+			held->second.push_back(std::move(run));
+			return;
+		}
+		this->at(this->link_delay(),
+			[this, link, run = std::move(run)]
+			{
+				if (!this->cuts.contains(link))
+				{
+					run();
+				}
+			});
+	}
+
+	void world::start(std::string const& name)
+	{
+		auto& target = this->daemons[name];
+		target = daemon{};
+		target.started = incarnation(++this->last_incarnation);
+		target.is_running = true;
+		decide::core_settings settings;
+		settings.instance = instance_id(name);
+		settings.started = target.started;
+		auto const listed = std::ranges::find(this->list.daemons, settings.instance, &decide::listed_daemon::id);
+		settings.data_centre = listed->data_centre;
+		settings.key_secret = name + std::to_string(target.started.count());
+		auto behaviour = decide::default_hooks();
+		behaviour.mechanisms = this->mechanisms;
+		target.core = std::make_unique<decide::core>(settings, behaviour);
+		this->poll_platform(name, target.started);
+		this->tick(name, target.started);
+	}
+
+	void world::kill(std::string const& name)
+	{
+		if (auto const engine = this->engines.find(name); engine != this->engines.end())
+		{
+			engine->second.is_dead = true;
+			engine->second.held.clear();
+			return;
+		}
+		if (auto const server = this->plain_servers.find(name); server != this->plain_servers.end())
+		{
+			server->second.is_dead = true;
+			return;
+		}
+		auto& target = this->daemons.at(name);
+		target.is_running = false;
+		target.while_paused.clear();
+		for (auto& [caller, view] : this->callers)
+		{
+			view.is_connection_lost = view.is_connection_lost || (view.daemon == name && !view.is_answered());
+		}
+	}
+
+	void world::pause(std::string const& name)
+	{
+		this->daemons.at(name).is_paused = true;
+	}
+
+	void world::resume(std::string const& name)
+	{
+		auto& target = this->daemons.at(name);
+		target.is_paused = false;
+		// Everything that came meanwhile is read from the sockets at once, before any timer.
+		auto const missed = std::exchange(target.while_paused, {});
+		std::ranges::for_each(missed, [&](decide::event const& event) { this->deliver(name, target.started, event); });
+	}
+
+	void world::drain(std::string const& name)
+	{
+		this->deliver(name, this->daemons.at(name).started, decide::drain_requested{});
+	}
+
+	decide::core& world::core_of(std::string const& name)
+	{
+		return *this->daemons.at(name).core;
+	}
+
+	bool world::is_running(std::string const& name) const
+	{
+		return this->daemons.at(name).is_running;
+	}
+
+	bool world::has_left(std::string const& name) const
+	{
+		return this->daemons.at(name).has_left;
+	}
+
+	std::vector<std::string> world::running_daemons() const
+	{
+		std::vector<std::string> names;
+		for (auto const& [name, each] : this->daemons)
+		{
+			if (each.is_running)
+			{
+				names.push_back(name);
+			}
+		}
+		return names;
+	}
+
+	bool world::is_dead(std::string const& name) const
+	{
+		if (auto const engine = this->engines.find(name); engine != this->engines.end())
+		{
+			return engine->second.is_dead;
+		}
+		if (auto const server = this->plain_servers.find(name); server != this->plain_servers.end())
+		{
+			return server->second.is_dead;
+		}
+		auto const found = this->daemons.find(name);
+		return found == this->daemons.end() || !found->second.is_running;
+	}
+
+	void world::deliver(std::string const& name, incarnation to, decide::event event)
+	{
+		auto& target = this->daemons.at(name);
+		if (!target.is_running || target.started != to)
+		{
+			return;
+		}
+		if (target.is_paused)
+		{
+			target.while_paused.push_back(std::move(event));
+			return;
+		}
+		this->hand_in(name, event);
+	}
+
+	void world::hand_in(std::string const& name, decide::event const& event)
+	{
+		auto const actions = this->daemons.at(name).core->handle(event, this->now);
+		this->check_config(name);
+		std::ranges::for_each(actions, [&](decide::action const& action) { this->carry_out(name, action); });
+	}
+
+	void world::tick(std::string const& name, incarnation of)
+	{
+		auto const& target = this->daemons.at(name);
+		if (!target.is_running || target.started != of)
+		{
+			return;
+		}
+		if (!target.is_paused)
+		{
+			this->hand_in(name, decide::tick{});
+		}
+		this->at(milliseconds(10), [this, name, of] { this->tick(name, of); });
+	}
+
+	void world::check_config(std::string const& name)
+	{
+		auto& target = this->daemons.at(name);
+		auto const version = target.core->config().version();
+		if (version < target.highest_in_force)
+		{
+			this->violations.push_back(fmt::format("{} went back from version {} to {}", name,
+				target.highest_in_force.count(), version.count()));
+		}
+		target.highest_in_force = std::max(target.highest_in_force, version);
+		this->digests_in_force[target.core->config().digest()].insert(name);
+	}
+
+	void world::poll_platform(std::string const& name, incarnation of)
+	{
+		auto& target = this->daemons.at(name);
+		if (!target.is_running || target.started != of)
+		{
+			return;
+		}
+		this->at(platform_poll, [this, name, of] { this->poll_platform(name, of); });
+		if (this->is_out || this->cuts.contains({name, "platform"}))
+		{
+			return;
+		}
+		auto const count = this->is_stale ? this->stale_policies : this->published.size();
+		platform_version const newest(count);
+		if (newest > target.policy_seen && count > 0)
+		{
+			target.policy_seen = newest;
+			this->carry(name, "platform",
+				[this, name, of, newest, document = this->published[count - 1]]
+				{ this->deliver(name, of, decide::policy_read{newest, document, {}}); });
+		}
+		if (this->list.version > target.list_seen)
+		{
+			target.list_seen = this->list.version;
+			this->carry(name, "platform",
+				[this, name, of, shown = this->list] { this->deliver(name, of, decide::instances_read{shown}); });
+		}
+	}
+
+	void world::publish(policy::SealedPolicy const& document)
+	{
+		this->published.push_back(document);
+	}
+
+	void world::set_outage(bool out)
+	{
+		this->is_out = out;
+	}
+
+	void world::set_stale(std::size_t documents)
+	{
+		this->is_stale = documents > 0;
+		this->stale_policies = documents;
+	}
+
+	void world::set_list_lag(duration lag)
+	{
+		this->list_lag = lag;
+	}
+
+	void world::change_list(std::function<void(decide::instance_list&)> const& change)
+	{
+		this->at(this->list_lag,
+			[this, change]
+			{
+				change(this->list);
+				this->list.version += platform_version(1);
+			});
+	}
+
+	void world::list_as_leaving(std::string const& name)
+	{
+		this->change_list(
+			[name](decide::instance_list& changed)
+			{
+				for (auto& server : changed.servers)
+				{
+					server.leaving = server.leaving || server.id.str() == name;
+				}
+				for (auto& listed : changed.daemons)
+				{
+					listed.leaving = listed.leaving || listed.id.str() == name;
+				}
+			});
+	}
+
+	void world::cut(std::string const& left, std::string const& right)
+	{
+		this->cuts.insert({left, right});
+	}
+
+	void world::hold(std::string const& left, std::string const& right)
+	{
+		this->holding.try_emplace({left, right});
+	}
+
+	void world::heal(std::string const& left, std::string const& right)
+	{
+		std::set<std::string> const link{left, right};
+		this->cuts.erase(link);
+		if (auto const held = this->holding.extract(link))
+		{
+			std::ranges::for_each(held.mapped(), [](std::function<void()> const& run) { run(); });
+		}
+	}
+
+	void world::heal_all()
+	{
+		this->cuts.clear();
+		while (!this->holding.empty())
+		{
+			auto const link = this->holding.begin()->first;
+			this->heal(*link.begin(), *link.rbegin());
+		}
+	}
+
+	void world::set_noise(double lost, double doubled)
+	{
+		this->loss = lost;
+		this->doubling = doubled;
+	}
+
+	void world::ask_completion(
+		std::string const& caller, std::string const& name, std::string prompt, std::uint32_t tokens)
+	{
+		auto& view = this->callers[caller];
+		view.daemon = name;
+		view.asked_at = this->now;
+		view.prompt = std::move(prompt);
+		view.expected_tokens = tokens;
+		if (!this->is_running(name))
+		{
+			view.is_connection_lost = true;
+			return;
+		}
+		auto const of = this->daemons.at(name).started;
+		view.request = decide::make_request_id(instance_id(name), of, ++this->last_request);
+		this->deliver(name, of,
+			decide::completion_requested{view.request, service_id("report"), "",
+				std::make_shared<std::string const>(view.prompt), token_count(tokens)});
+	}
+
+	void world::call_service(std::string const& caller, std::string const& name, std::string method,
+		std::string target, std::string body, std::string key)
+	{
+		auto& view = this->callers[caller];
+		view.daemon = name;
+		view.asked_at = this->now;
+		view.body = body;
+		if (!this->is_running(name))
+		{
+			view.is_connection_lost = true;
+			return;
+		}
+		auto const of = this->daemons.at(name).started;
+		view.request = decide::make_request_id(instance_id(name), of, ++this->last_request);
+		this->deliver(name, of,
+			decide::plain_requested{view.request, service_id("desk"), "", std::move(method), std::move(target), "",
+				std::move(body), std::move(key)});
+	}
+
+	void world::ask_key(std::string const& name, std::string const& daemon_name)
+	{
+		auto const of = this->daemons.at(daemon_name).started;
+		auto const request = decide::make_request_id(instance_id(daemon_name), of, ++this->last_request);
+		this->callers[name].request = request;
+		this->callers[name].daemon = daemon_name;
+		this->deliver(daemon_name, of, decide::keys_requested{request, "", 1});
+	}
+
+	void world::hang_up(std::string const& caller)
+	{
+		auto& view = this->callers.at(caller);
+		view.is_gone = true;
+		this->deliver(view.daemon, this->daemons.at(view.daemon).started, decide::caller_gone{view.request});
+	}
+
+	caller_view* world::find_caller(request_id const& request)
+	{
+		auto const found =
+			std::ranges::find_if(this->callers, [&](auto const& each) { return each.second.request == request; });
+		return found == this->callers.end() ? nullptr : &found->second;
+	}
+
+	void world::note(std::string const& event, std::string const& where)
+	{
+		if (this->on_event)
+		{
+			this->on_event(event, where);
+		}
+	}
+
+	void world::carry_out(std::string const& name, decide::action const& action)
+	{
+		auto const of = this->daemons.at(name).started;
+		if (auto const* const event = std::get_if<decide::record_event>(&action))
+		{
+			this->note(event->name, name);
+		}
+		else if (auto const* const message = std::get_if<decide::send_peer>(&action))
+		{
+			this->send(name, *message);
+		}
+		else if (auto const* const order = std::get_if<decide::probe_peer>(&action))
+		{
+			this->probe(name, *order);
+		}
+		else if (auto const* const begun = std::get_if<decide::start_prefill>(&action))
+		{
+			this->prefill(name, *begun);
+		}
+		else if (auto const* const decoding = std::get_if<decide::start_decode>(&action))
+		{
+			this->decode(name, *decoding);
+		}
+		else if (auto const* const plain = std::get_if<decide::start_plain>(&action))
+		{
+			this->call_plain(name, *plain);
+		}
+		else if (auto const* const poll = std::get_if<decide::poll_load>(&action))
+		{
+			this->poll_engine(name, *poll);
+		}
+		else if (auto const* const cancel = std::get_if<decide::cancel_attempt>(&action))
+		{
+			this->carry(name, cancel->server.str(),
+				[this, name, of, cancel = *cancel]
+				{
+					auto& engine = this->engines.at(cancel.server.str());
+					if (engine.is_dead || engine.is_silent)
+					{
+						return;
+					}
+					engine.held.erase(cancel.attempt);
+					this->carry(cancel.server.str(), name, [this, name, of, cancel]
+						{ this->deliver(name, of, decide::cancel_acknowledged{cancel.server, cancel.attempt}); });
+				});
+		}
+		else if (auto const* const wanted = std::get_if<decide::send_order>(&action))
+		{
+			this->carry(name, wanted->server.str(),
+				[this, wanted = *wanted]
+				{
+					auto& engine = this->engines.at(wanted.server.str());
+					if (!engine.is_dead && !engine.is_silent && engine.obey(wanted))
+					{
+						this->note("loaded:" + wanted.model, wanted.server.str());
+					}
+				});
+		}
+		else if (std::holds_alternative<decide::leave>(action))
+		{
+			this->daemons.at(name).has_left = true;
+			this->at(milliseconds(200), [this, name] { this->kill(name); });
+		}
+		else
+		{
+			this->answer(name, action);
+		}
+	}
+
+	void world::answer(std::string const& name, decide::action const& action)
+	{
+		auto const with_caller = [&](request_id const& request, auto const& change)
+		{
+			auto* const view = this->find_caller(request);
+			if (view != nullptr && !view->is_gone && view->daemon == name)
+			{
+				change(*view);
+				if (view->is_answered() && !view->answered_at)
+				{
+					view->answered_at = this->now;
+				}
+			}
+		};
+		if (auto const* const token = std::get_if<decide::answer_token>(&action))
+		{
+			with_caller(token->request,
+				[&](caller_view& view)
+				{
+					view.is_out_of_order = view.is_out_of_order || token->index != view.next_index;
+					view.next_index = token->index + 1;
+					view.text += token->text;
+				});
+		}
+		else if (auto const* const end = std::get_if<decide::answer_end>(&action))
+		{
+			with_caller(end->request, [](caller_view& view) { view.is_whole = true; });
+		}
+		else if (auto const* const failed = std::get_if<decide::answer_failure>(&action))
+		{
+			with_caller(failed->request, [&](caller_view& view) { view.failure = *failed; });
+		}
+		else if (auto const* const reply = std::get_if<decide::answer_reply>(&action))
+		{
+			with_caller(reply->request, [&](caller_view& view) { view.reply = *reply; });
+		}
+		else if (auto const* const issued = std::get_if<decide::answer_keys>(&action))
+		{
+			for (auto const& [caller, view] : this->callers)
+			{
+				if (view.request == issued->request)
+				{
+					this->keys[caller] = issued->keys.front();
+				}
+			}
+		}
+	}
+
+	void world::send(std::string const& name, decide::send_peer const& message)
+	{
+		std::uniform_real_distribution<double> chance;
+		auto const to = message.to.str();
+		if (!this->daemons.contains(to) || chance(this->random) < this->loss)
+		{
+			return;
+		}
+		auto const arrive = [this, to, content = message.message]
+		{
+			auto const& target = this->daemons.at(to);
+			this->deliver(to, target.started, decide::peer_received{content});
+		};
+		this->carry(name, to, arrive);
+		if (chance(this->random) < this->doubling)
+		{
+			this->carry(name, to, arrive);
+		}
+	}
+
+	void world::probe(std::string const& name, decide::probe_peer const& order)
+	{
+		auto const of = this->daemons.at(name).started;
+		auto const to = order.peer.str();
+		this->carry(name, to,
+			[this, name, of, to, order]
+			{
+				auto const outcome =
+					this->is_dead(to) ? decide::probe_outcome::refused : decide::probe_outcome::connected;
+				this->carry(to, name, [this, name, of, order, outcome]
+					{ this->deliver(name, of, decide::peer_probed{order.peer, order.believed, outcome}); });
+			});
+	}
+
+	void world::prefill(std::string const& name, decide::start_prefill const& call)
+	{
+		auto const of = this->daemons.at(name).started;
+		auto const server = call.server.str();
+		this->carry(name, server,
+			[this, name, of, server, call]
+			{
+				auto const fail = [this, name, of, server, id = call.call](decide::call_failure kind)
+				{
+					this->carry(server, name,
+						[this, name, of, id, kind] { this->deliver(name, of, decide::call_failed{id, kind}); });
+				};
+				auto& engine = this->engines.at(server);
+				++engine.work_started;
+				if (engine.is_dead || engine.says_leaving)
+				{
+					fail(engine.is_dead ? decide::call_failure::not_connected : decide::call_failure::leaving);
+					return;
+				}
+				if (engine.is_silent)
+				{
+					return;
+				}
+				engine.held[call.attempt] = {*call.prompt, this->now + call.hard_deadline};
+				this->note("engine_prefilling", server);
+				auto const tokens = call.prompt_tokens.count() + call.resume_at;
+				engine.busy_until = std::max(engine.busy_until, this->now) +
+					duration(static_cast<duration::rep>(tokens / engine.tokens_per_us));
+				this->at(engine.busy_until - this->now,
+					[this, name, of, server, call, fail]
+					{
+						auto& done = this->engines.at(server);
+						auto const held = done.held.find(call.attempt);
+						if (done.is_dead || held == done.held.end())
+						{
+							fail(done.is_dead ? decide::call_failure::lost : decide::call_failure::rejected);
+							return;
+						}
+						held->second.drop_at = std::min(held->second.drop_at, this->now + done.retention);
+						this->carry(server, name,
+							[this, name, of, server, call]
+							{
+								this->deliver(name, of, decide::prefill_finished{call.call, server, token_count(0)});
+							});
+					});
+			});
+	}
+
+	void world::decode(std::string const& name, decide::start_decode const& call)
+	{
+		auto const of = this->daemons.at(name).started;
+		auto const server = call.server.str();
+		this->carry(name, server,
+			[this, name, of, server, call]
+			{
+				auto const fail = [this, name, of, server, id = call.call](decide::call_failure kind)
+				{
+					this->carry(server, name,
+						[this, name, of, id, kind] { this->deliver(name, of, decide::call_failed{id, kind}); });
+				};
+				auto& engine = this->engines.at(server);
+				++engine.work_started;
+				if (engine.is_dead || engine.says_leaving)
+				{
+					fail(engine.is_dead ? decide::call_failure::not_connected : decide::call_failure::leaving);
+					return;
+				}
+				if (engine.is_silent)
+				{
+					return;
+				}
+				auto& source = this->engines.at(call.transfer);
+				source.drop_expired(this->now);
+				auto const held = source.held.find(call.attempt);
+				if (source.is_dead || held == source.held.end())
+				{
+					fail(decide::call_failure::rejected);
+					return;
+				}
+				engine.held[call.attempt] = {held->second.prompt, this->now + call.hard_deadline};
+				this->note("engine_transferring", server);
+				if (source.stalls_transfers)
+				{
+					return;
+				}
+				auto const prompt = held->second.prompt;
+				source.held.erase(held);
+				this->stream(name, of, call, prompt, call.resume_at);
+			});
+	}
+
+	void world::stream(std::string const& name, incarnation to, decide::start_decode call, std::string prompt,
+		std::uint32_t index)
+	{
+		auto const server = call.server.str();
+		this->at(this->engines.at(server).token_gap,
+			[this, name, to, call, prompt, index, server]
+			{
+				auto& engine = this->engines.at(server);
+				if (engine.is_dead)
+				{
+					// The kernel of a live machine closes the connection.
+					this->carry(server, name, [this, name, to, call]
+						{ this->deliver(name, to, decide::call_failed{call.call, decide::call_failure::lost}); });
+					return;
+				}
+				engine.drop_expired(this->now);
+				if (!engine.held.contains(call.attempt))
+				{
+					return;
+				}
+				if (engine.is_silent)
+				{
+					this->stream(name, to, call, prompt, index);
+					return;
+				}
+				auto const is_end = index >= call.output_tokens.count();
+				decide::event event = decide::decode_finished{call.call, index};
+				if (!is_end)
+				{
+					event = decide::token_received{call.call, index, reference_token(prompt, index)};
+				}
+				this->carry(server, name, [this, name, to, event] { this->deliver(name, to, event); });
+				if (!is_end && std::uniform_real_distribution<double>()(this->random) < this->doubling)
+				{
+					this->carry(server, name, [this, name, to, event] { this->deliver(name, to, event); });
+				}
+				if (is_end)
+				{
+					engine.held.erase(call.attempt);
+					return;
+				}
+				this->stream(name, to, call, prompt, index + 1);
+			});
+	}
+
+	void world::call_plain(std::string const& name, decide::start_plain const& call)
+	{
+		auto const of = this->daemons.at(name).started;
+		auto const server = call.server.str();
+		auto const reply = [this, name, of, server](decide::event event)
+		{ this->carry(server, name, [this, name, of, event] { this->deliver(name, of, event); }); };
+		// Whatever happens, the client's own time-out ends the call.
+		this->at(std::min(call.timeout, call_timeout), [this, name, of, id = call.call]
+			{ this->deliver(name, of, decide::call_failed{id, decide::call_failure::lost}); });
+		this->carry(name, server,
+			[this, server, call, reply]
+			{
+				auto& target = this->plain_servers.at(server);
+				++target.work_started;
+				if (target.is_dead || target.says_leaving)
+				{
+					reply(decide::call_failed{call.call,
+						target.is_dead ? decide::call_failure::not_connected : decide::call_failure::leaving});
+					return;
+				}
+				if (target.is_silent)
+				{
+					return;
+				}
+				this->runs[call.body] += call.fresh_connection ? 1 : 0;
+				this->note("service_ran", server);
+				this->at(target.delay,
+					[this, server, call, reply]
+					{
+						auto const& done = this->plain_servers.at(server);
+						if (done.is_dead || done.drops_answers)
+						{
+							reply(decide::call_failed{call.call, decide::call_failure::lost});
+							return;
+						}
+						reply(decide::plain_answered{call.call, 200, "text/plain", "done: " + call.body});
+					});
+			});
+	}
+
+	void world::poll_engine(std::string const& name, decide::poll_load const& order)
+	{
+		auto const of = this->daemons.at(name).started;
+		auto const server = order.server.str();
+		this->carry(name, server,
+			[this, name, of, server, order]
+			{
+				auto& engine = this->engines.at(server);
+				if (engine.is_dead || engine.is_silent)
+				{
+					return;
+				}
+				this->carry(server, name, [this, name, of, order, report = engine.report(this->now)]
+					{ this->deliver(name, of, decide::load_reported{order.server, report}); });
+			});
+	}
+}
