--- a/packages/base/src/digest.cpp
+++ b/packages/base/src/digest.cpp
@@ -57,8 +57,8 @@
 	std::optional<std::uint64_t> parse_number(std::string_view text) noexcept
 	{
 		std::uint64_t value = 0;
-		auto const end = text.data() + text.size();
-		auto const [stop, error] = std::from_chars(text.data(), end, value);
+		auto const* const end = text.data() + text.size();
+		auto const [stop, error] = std::from_chars(text.begin(), end, value);
 		if (text.empty() || error != std::errc{} || stop != end)
 		{
 			return std::nullopt;
--- a/packages/daemon/impl/platform_link.cpp
+++ b/packages/daemon/impl/platform_link.cpp
@@ -86,6 +86,11 @@
 	asio::awaitable<void> platform_link::pause_after(bool was_answered)
 	{
 		this->answering = was_answered;
+		if (was_answered)
+		{
+			decide::event confirmed = decide::platform_confirmed{};
+			co_await this->deliver(std::move(confirmed));
+		}
 		if (!this->watching)
 		{
 			co_await sleep_for(this->poll_interval);
--- a/packages/decide/impl/cell_ledger.cpp
+++ b/packages/decide/impl/cell_ledger.cpp
@@ -19,6 +19,8 @@
 		constexpr duration release_memory = seconds(2);
 		// An engine whose report is older than this is not given work.
 		constexpr duration report_timeout = seconds(2);
+		// A new owner refuses nobody as too late before it has had time to hear of its engines.
+		constexpr duration warm_up_time = milliseconds(500);
 		constexpr duration failure_avoidance = seconds(2);
 		// A prefill is granted this long before its engine is expected to be free, to cover the way of the messages.
 		constexpr duration grant_lead = milliseconds(10);
@@ -48,6 +50,7 @@
 		, settings(&core)
 		, behaviour(&varying)
 		, created(now)
+		, usable_at(now)
 		, hazard_read_at(now)
 	{
 	}
@@ -299,6 +302,10 @@
 			return decisions;
 		}
 		auto ahead = this->make_forecast(now);
+		if (ahead.usable_prefill > 0 && ahead.usable_decode > 0)
+		{
+			this->usable_at = now;
+		}
 		auto is_blocked = false;
 		for (auto const& request : order)
 		{
@@ -375,6 +382,7 @@
 		{
 			if (engine.is_usable(now, report_timeout))
 			{
+				++ahead.usable_decode;
 				ahead.slots_left += engine.free_slots();
 			}
 		}
@@ -389,10 +397,15 @@
 	duration cell_ledger::predict_first_token(
 		waiting_request const& request, forecast const& ahead, time_point now) const
 	{
-		if (ahead.usable_prefill == 0)
+		if (ahead.usable_prefill == 0 || ahead.usable_decode == 0)
+		{
+			// A short gap is waited out, as while a new owner or a new model has not been heard of yet.
+			return now - this->usable_at < report_timeout ? duration{} : request.patience + least_retry_after;
+		}
+		if (now - this->created < warm_up_time)
 		{
-			// Just after a takeover the engines have not been heard yet; afterwards there is nobody to wait for.
-			return now - this->created < report_timeout ? duration{} : request.patience + least_retry_after;
+			// What the engines hold is not known yet.
+			return {};
 		}
 		auto const prefill_wait = ahead.prefill_backlog / static_cast<duration::rep>(ahead.usable_prefill);
 		auto slot_wait = duration{};
--- a/packages/decide/impl/cell_owner.cpp
+++ b/packages/decide/impl/cell_owner.cpp
@@ -209,9 +209,9 @@
 		this->decide(*ledger, members, now);
 	}
 
-	void cell_owner::handle_tick(membership& members, bool trusted, turn& now)
+	void cell_owner::handle_tick(membership& members, owner_authority current, turn& now)
 	{
-		this->is_trusted = trusted;
+		this->authority = current;
 		for (auto& [id, ledger] : this->ledgers)
 		{
 			this->totals->leases_lapsed += ledger.drop_lapsed(members, now.now());
@@ -248,7 +248,7 @@
 
 	void cell_owner::decide(cell_ledger& ledger, membership const& members, turn& now)
 	{
-		if (!this->is_trusted)
+		if (!this->authority.grants)
 		{
 			return;
 		}
@@ -367,9 +367,11 @@
 		auto const [entry, is_new] = this->orders.try_emplace(reported.server, pending_order{fence, now.now()});
 		auto const is_due = entry->second.fence != fence || (now.now() - entry->second.sent >= order_interval &&
 																this->behaviour->mechanisms.order_repetition);
-		if ((is_new || is_due) && this->is_trusted)
+		// An engine that has obeyed a later policy shows that this one is old.
+		auto const may_order = this->authority.grants && this->authority.orders && reported.report.fence <= fence;
+		if (is_due && may_order)
 		{
-			entry->second = pending_order{fence, now.now()};
+			this->orders[reported.server] = pending_order{fence, now.now()};
 			++this->totals->orders_sent;
 			now.emit(send_order{reported.server, server->address, pool->model(), std::string(role), fence});
 			now.record("order_sent", {}, fmt::format("{} {} {}", reported.server.str(), pool->model(), fence.count()));
--- a/packages/decide/impl/configuration.cpp
+++ b/packages/decide/impl/configuration.cpp
@@ -188,7 +188,8 @@
 			return fault;
 		}
 		auto const is_far_behind = document.revision() > in_force + policy::max_ancestors;
-		if (this->current && !is_far_behind && !names_ancestor(document, this->digest()))
+		auto const is_line_checked = this->current && this->mechanisms->version_order;
+		if (is_line_checked && !is_far_behind && !names_ancestor(document, this->digest()))
 		{
 			return fmt::format("the document is of another line; {}", rebase);
 		}
--- a/packages/decide/impl/core.cpp
+++ b/packages/decide/impl/core.cpp
@@ -18,6 +18,8 @@
 		constexpr duration check_grace = seconds(2);
 		// A leaving daemon stays at least this long, so that callers' calls on their way still find it.
 		constexpr duration least_leaving_time = seconds(1);
+		// An answer of the configuration service shows for this long that nothing newer was published.
+		constexpr duration confirmation_lifetime = seconds(5);
 		constexpr duration usual_retry_after = seconds(1);
 		// Daemons of each data centre that watch the configuration service once the fleet is large.
 		constexpr std::size_t watchers_per_data_centre = 3;
@@ -60,7 +62,8 @@
 		this->regain_trust(now);
 		this->members.handle_tick(this->facts(), now);
 		this->cancels.handle_tick(this->members, now);
-		this->owner.handle_tick(this->members, !this->suspect_since, now);
+		owner_authority const authority{!this->suspect_since, this->is_policy_current(now.now())};
+		this->owner.handle_tick(this->members, authority, now);
 		this->streams.handle_tick(this->members, now);
 		this->lookups.handle_tick(this->members, now);
 		this->keyed.handle_tick(this->members, now);
@@ -230,6 +233,11 @@
 		}
 	}
 
+	void core::handle(platform_confirmed const& /*happened*/, turn& now)
+	{
+		this->confirmed_at = now.now();
+	}
+
 	void core::handle(instances_read const& happened, turn& now)
 	{
 		this->first_list_at = this->first_list_at.value_or(now.now());
@@ -416,6 +424,14 @@
 		}
 	}
 
+	bool core::is_policy_current(time_point now) const
+	{
+		// Either the service has answered lately, or no daemon is out of sight that could have heard from it.
+		auto const is_confirmed = this->confirmed_at && now - *this->confirmed_at < confirmation_lifetime;
+		return is_confirmed || !this->members.misses_daemons(now) ||
+			   !this->behaviour.mechanisms.orders_need_current_policy;
+	}
+
 	void core::choose_watchers(turn& now)
 	{
 		auto const& daemons = this->members.list().daemons;
--- a/packages/decide/impl/membership.cpp
+++ b/packages/decide/impl/membership.cpp
@@ -117,8 +117,13 @@
 		peer.clock_read_at = now.now();
 		for (auto const& server : heartbeat.leaving_servers())
 		{
-			auto& known = this->leaving_servers[server_id(server.server())];
-			known = std::max(known, incarnation(server.incarnation()));
+			auto const [known, is_new] =
+				this->leaving_servers.try_emplace(server_id(server.server()), server.incarnation());
+			if (is_new || known->second < incarnation(server.incarnation()))
+			{
+				known->second = incarnation(server.incarnation());
+				++this->changes;
+			}
 		}
 		this->adopt_silences(heartbeat, now.now());
 		if (heartbeat.echo() != 0)
@@ -153,9 +158,15 @@
 	{
 		for (auto& [id, peer] : this->peers)
 		{
-			if (id != this->settings->instance)
+			if (id == this->settings->instance)
+			{
+				continue;
+			}
+			this->note_liveness(id, peer, now);
+			if (peer.expected && !peer.refused && peer.last_heard && now.now() - *peer.last_heard > this->probe_after())
 			{
-				this->note_liveness(id, peer, now);
+				// A process that died is proved gone by its closed port long before its silence counts.
+				this->probe(id, now);
 			}
 		}
 		if (!this->last_sent || now.now() - *this->last_sent >= this->settings->heartbeat_interval)
@@ -182,6 +193,11 @@
 		++this->changes;
 	}
 
+	duration membership::probe_after() const noexcept
+	{
+		return this->settings->heartbeat_interval + this->settings->heartbeat_interval / 2;
+	}
+
 	bool membership::is_reachable(peer_record const& peer, time_point now) const
 	{
 		if (peer.refused)
@@ -335,6 +351,16 @@
 			{ return each.first == this->settings->instance || !each.second.listed || each.second.last_heard; });
 	}
 
+	bool membership::misses_daemons(time_point now) const
+	{
+		return std::ranges::any_of(this->peers,
+			[&](auto const& each)
+			{
+				return each.first != this->settings->instance && each.second.listed && !each.second.refused &&
+					   !this->is_reachable(each.second, now);
+			});
+	}
+
 	std::vector<instance_id> membership::targets() const
 	{
 		std::vector<instance_id> chosen;
--- a/packages/decide/impl/plain_calls.cpp
+++ b/packages/decide/impl/plain_calls.cpp
@@ -177,8 +177,8 @@
 		{
 			auto excluded = running.excluded;
 			excluded.push_back(running.server);
-			auto const has_other = this->servers->choose(
-				pool_id(running.service->plain_pool()), excluded, members, now.now()) != nullptr;
+			auto const has_other =
+				this->servers->choose(pool_id(running.service->plain_pool()), excluded, members, now.now()) != nullptr;
 			if (now.now() - running.attempted_at >= attempt_timeout && has_other && now.now() < running.deadline)
 			{
 				silent.push_back(call);
--- a/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
+++ b/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
@@ -115,6 +115,7 @@
 		{
 			duration prefill_backlog{};
 			std::size_t usable_prefill = 0;
+			std::size_t usable_decode = 0;
 			int slots_left = 0;
 			double releases_per_us = 0;
 		};
@@ -144,6 +145,8 @@
 		core_settings const* settings;
 		hooks const* behaviour;
 		time_point created;
+		// When there last was a usable engine of either kind.
+		time_point usable_at;
 		lease_queue queue;
 		std::map<std::string, lease> leases;
 		// Attempts released lately, which reports may still name.
--- a/packages/decide/include/godwittrestle/decide/cell_owner.hpp
+++ b/packages/decide/include/godwittrestle/decide/cell_owner.hpp
@@ -21,6 +21,15 @@
 	// first. Daemons that see each other come to the same answer.
 	[[nodiscard]] std::optional<instance_id> owner_of(cell const& target, membership const& members, time_point now);
 
+	// What an owner may do now.
+	struct owner_authority
+	{
+		// Grant leases: not between a pause and the check of what the daemon believes.
+		bool grants = true;
+		// Order engines: only while no newer policy can be in force elsewhere.
+		bool orders = true;
+	};
+
 	// The part of a daemon that owns cells: it grants leases, watches the engines' reports, cancels what nobody runs
 	// any more and orders engines to load what the policy wants.
 	class cell_owner
@@ -40,9 +49,8 @@
 			wire::PeerMessage const& message, wire::DisownReply const& reply, membership const& members, turn& now);
 		void handle(load_reported const& reported, membership& members, turn& now);
 
-		// Polls engines and grants, refuses and lapses what is due. Nothing is granted or ordered while the daemon
-		// has not checked its beliefs after a pause.
-		void handle_tick(membership& members, bool is_trusted, turn& now);
+		// Polls engines and grants, refuses and lapses what is due.
+		void handle_tick(membership& members, owner_authority current, turn& now);
 
 		// Forgets all cells, as after a pause in which others have taken over.
 		void reset() noexcept;
@@ -87,6 +95,6 @@
 		std::map<server_id, time_point> polled;
 		std::map<std::string, unclaimed_attempt> unclaimed;
 		std::map<server_id, pending_order> orders;
-		bool is_trusted = true;
+		owner_authority authority;
 	};
 }
--- a/packages/decide/include/godwittrestle/decide/core.hpp
+++ b/packages/decide/include/godwittrestle/decide/core.hpp
@@ -84,6 +84,7 @@
 		void handle(cancel_acknowledged const& event, turn& now);
 		void handle(load_reported const& event, turn& now);
 		void handle(policy_read const& event, turn& now);
+		void handle(platform_confirmed const& event, turn& now);
 		void handle(instances_read const& event, turn& now);
 		void handle(drain_requested const& event, turn& now);
 
@@ -96,6 +97,8 @@
 		void refresh_cells(turn& now);
 		void note_config_change(turn& now);
 		void update_readiness(turn& now);
+		// Whether no newer policy can be in force elsewhere, as far as this daemon can tell.
+		[[nodiscard]] bool is_policy_current(time_point now) const;
 		void choose_watchers(turn& now);
 		void continue_leaving(turn& now);
 		[[nodiscard]] heartbeat_facts facts() const;
@@ -125,6 +128,7 @@
 		std::optional<time_point> last_turn;
 		// Set after a pause, until the daemon has checked what it believes.
 		std::optional<time_point> suspect_since;
+		std::optional<time_point> confirmed_at;
 		std::optional<time_point> first_list_at;
 		std::optional<time_point> leaving_since;
 		std::optional<bool> watching;
--- a/packages/decide/include/godwittrestle/decide/event.hpp
+++ b/packages/decide/include/godwittrestle/decide/event.hpp
@@ -151,6 +151,11 @@
 		std::string fault;
 	};
 
+	// The configuration service answered, whether or not it had something new.
+	struct platform_confirmed
+	{
+	};
+
 	struct instances_read
 	{
 		instance_list list;
@@ -168,5 +173,5 @@
 
 	using event = std::variant<tick, completion_requested, plain_requested, keys_requested, caller_gone, peer_received,
 		peer_unreachable, peer_probed, prefill_finished, token_received, decode_finished, plain_answered, call_failed,
-		cancel_acknowledged, load_reported, policy_read, instances_read, drain_requested>;
+		cancel_acknowledged, load_reported, policy_read, platform_confirmed, instances_read, drain_requested>;
 }
--- a/packages/decide/include/godwittrestle/decide/membership.hpp
+++ b/packages/decide/include/godwittrestle/decide/membership.hpp
@@ -102,6 +102,9 @@
 		// Whether every listed daemon has been heard from at least once.
 		[[nodiscard]] bool heard_from_all() const;
 
+		// Whether a listed daemon can't be reached and is not proved gone.
+		[[nodiscard]] bool misses_daemons(time_point now) const;
+
 		[[nodiscard]] bool has_peers() const noexcept
 		{
 			return this->peers.size() > 1;
@@ -136,6 +139,8 @@
 			time_point clock_read_at;
 		};
 
+		// Silence after which a peer's address is probed.
+		[[nodiscard]] duration probe_after() const noexcept;
 		void rebuild_ring();
 		void note_liveness(instance_id const& id, peer_record& peer, turn& now);
 		void adopt_silences(wire::Heartbeat const& heartbeat, time_point now);
--- a/packages/decide/include/godwittrestle/decide/settings.hpp
+++ b/packages/decide/include/godwittrestle/decide/settings.hpp
@@ -28,7 +28,7 @@
 		duration lease_lifetime = seconds(3);
 		duration key_lifetime = std::chrono::minutes(10);
 		// Recorded answers of finished keyed calls, in bytes; older ones are dropped first.
-		byte_count key_answer_budget{16U * 1024 * 1024};
+		byte_count key_answer_budget{16'777'216};
 		// Above this many daemons the fleet uses the ring instead of the full mesh.
 		std::size_t full_mesh_limit = 32;
 		// Most engines of one cell.
@@ -49,6 +49,7 @@
 		bool version_order = true;
 		bool out_of_turn_refusal = true;
 		bool order_repetition = true;
+		bool orders_need_current_policy = true;
 		bool wake_up_check = true;
 		bool immediate_refusal = true;
 		bool key_table_move = true;
--- a/packages/http/impl/client.cpp
+++ b/packages/http/impl/client.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -25,7 +26,7 @@
 		constexpr int http_1_1 = 11;
 		constexpr std::size_t max_idle_per_server = 32;
 		constexpr std::uint64_t max_answer_bytes = 64ULL * 1024 * 1024;
-		constexpr std::size_t piece_bytes = 16U * 1024;
+		constexpr std::size_t piece_bytes = 16'384;
 		constexpr duration connect_timeout = seconds(1);
 
 		using connection = std::unique_ptr<beast::tcp_stream>;
@@ -77,7 +78,7 @@
 				auto candidate = std::move(list.back());
 				list.pop_back();
 				error_code error;
-				candidate->socket().non_blocking(true, error);
+				std::ignore = candidate->socket().non_blocking(true, error);
 				char byte = 0;
 				candidate->socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
 				if (error == asio::error::would_block)
@@ -109,7 +110,7 @@
 			{
 				co_return nullptr;
 			}
-			fresh->socket().set_option(tcp::no_delay(true), malformed);
+			std::ignore = fresh->socket().set_option(tcp::no_delay(true), malformed);
 			co_return fresh;
 		}
 
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <list>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -41,12 +42,12 @@
 			error_code ignored;
 			auto const milliseconds_allowed = std::chrono::duration_cast<milliseconds>(timeout).count();
 			auto const seconds_allowed = std::max<int>(1, static_cast<int>(milliseconds_allowed / 1000));
-			socket.set_option(tcp::no_delay(true), ignored);
-			socket.set_option(asio::socket_base::keep_alive(true), ignored);
-			socket.set_option(keep_idle(std::max(1, seconds_allowed - 1)), ignored);
-			socket.set_option(keep_interval(1), ignored);
-			socket.set_option(keep_count(1), ignored);
-			socket.set_option(tcp_user_timeout(static_cast<int>(milliseconds_allowed)), ignored);
+			std::ignore = socket.set_option(tcp::no_delay(true), ignored);
+			std::ignore = socket.set_option(asio::socket_base::keep_alive(true), ignored);
+			std::ignore = socket.set_option(keep_idle(std::max(1, seconds_allowed - 1)), ignored);
+			std::ignore = socket.set_option(keep_interval(1), ignored);
+			std::ignore = socket.set_option(keep_count(1), ignored);
+			std::ignore = socket.set_option(tcp_user_timeout(static_cast<int>(milliseconds_allowed)), ignored);
 		}
 
 		request to_request(beast::http::request<beast::http::string_body>&& message)
@@ -187,7 +188,7 @@
 		{
 			this->is_stopping = true;
 			error_code ignored;
-			this->acceptor.close(ignored);
+			std::ignore = this->acceptor.close(ignored);
 			for (auto* const idle : this->idle_streams)
 			{
 				idle->close();
@@ -289,7 +290,7 @@
 			co_await this->handle(to_request(parser.release()), talk);
 			*is_done = true;
 			error_code ignored;
-			stream.socket().cancel(ignored);
+			std::ignore = stream.socket().cancel(ignored);
 			// The watch ends before the exchange does.
 			co_await asio::post(this->executor, token);
 			co_return keep_alive&& talk.answered();
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -19,8 +19,8 @@
 	// What one connection may cost.
 	struct server_limits
 	{
-		std::size_t header_bytes = 16U * 1024;
-		std::size_t body_bytes = 8U * 1024 * 1024;
+		std::size_t header_bytes = 16'384;
+		std::size_t body_bytes = 8'388'608;
 		std::size_t connections = 4096;
 		// Time for a whole request to arrive, once its first byte has.
 		duration read_timeout = seconds(10);
--- a/tests/scenarios/run_scenario.cpp
+++ b/tests/scenarios/run_scenario.cpp
@@ -17,6 +17,8 @@
 		int rows = 0;
 		int failed = 0;
 		std::map<std::string, int> outcomes;
+		// The same for each fault of the table.
+		std::map<std::string, std::map<std::string, int>> outcomes_by_fault;
 	};
 
 	std::string describe(table_row const& row)
@@ -29,6 +31,16 @@
 		return text;
 	}
 
+	std::string describe(std::map<std::string, int> const& outcomes)
+	{
+		std::string text;
+		for (auto const& [outcome, count] : outcomes)
+		{
+			text += fmt::format(" {}={}", outcome, count);
+		}
+		return text;
+	}
+
 	// Runs every row with every seed. shows_failures: print what did not hold.
 	table_result run_table(script const& scenario, decide::mechanism_set mechanisms, bool shows_failures)
 	{
@@ -44,6 +56,10 @@
 				for (auto const& [outcome, count] : run.outcomes())
 				{
 					result.outcomes[outcome] += count;
+					if (auto const fault = row.find("FAULT"); fault != row.end())
+					{
+						result.outcomes_by_fault[fault->second][outcome] += count;
+					}
 				}
 				for (auto const& failure : failures)
 				{
@@ -72,12 +88,12 @@
 			verdict = shows_need ? verdict : 1;
 		}
 		auto const result = run_table(scenario, {}, true);
-		std::cout << fmt::format("{}: {} of {} rows hold; outcomes:", scenario.name, result.rows - result.failed, result.rows);
-		for (auto const& [outcome, count] : result.outcomes)
+		std::cout << fmt::format("{}: {} of {} rows hold; outcomes:{}\n", scenario.name, result.rows - result.failed,
+			result.rows, describe(result.outcomes));
+		for (auto const& [fault, outcomes] : result.outcomes_by_fault)
 		{
-			std::cout << fmt::format(" {}={}", outcome, count);
+			std::cout << fmt::format("  {:<24}{}\n", fault, describe(outcomes));
 		}
-		std::cout << '\n';
 		return result.failed > 0 ? 1 : verdict;
 	}
 }
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -132,7 +132,7 @@
 				auto const deadline = milliseconds(number_of(body, "deadline_ms", 60'000));
 				++this->prefills;
 				this->held[attempt] = {digest, clock::now() + deadline};
-				auto const tokens = static_cast<double>(prompt.size() / bytes_per_token + 1);
+				auto const tokens = static_cast<double>(prompt.size()) / bytes_per_token + 1;
 				auto const took =
 					duration(static_cast<duration::rep>(tokens / this->settings.prefill_tokens_per_second * 1e6));
 				// One prefill at a time: this one begins when the ones before it are done.
--- a/tests/world/backends.cpp
+++ b/tests/world/backends.cpp
@@ -26,7 +26,7 @@
 			[](auto const& each) { return decide::held_request{each.first}; });
 		shown.model = this->model;
 		shown.role = this->role;
-		shown.fence = this->fence;
+		shown.fence = this->hides_fence ? platform_version{} : this->fence;
 		shown.leaving = this->says_leaving;
 		return shown;
 	}
--- a/tests/world/backends.hpp
+++ b/tests/world/backends.hpp
@@ -28,10 +28,14 @@
 		std::string model;
 		platform_version fence;
 		bool checks_fence = true;
+		// Reports never show which fencing number was obeyed.
+		bool hides_fence = false;
 		bool is_dead = false;
 		bool is_silent = false;
 		// The engine itself says that it is leaving.
 		bool says_leaving = false;
+		// The next call is begun only after this time, whatever happens to its connection.
+		duration call_delay{};
 		// Transfers from this engine never finish.
 		bool stalls_transfers = false;
 		std::uint32_t slots = 20;
--- a/tests/world/interpreter.cpp
+++ b/tests/world/interpreter.cpp
@@ -73,6 +73,7 @@
 			{"version_order", &decide::mechanism_set::version_order},
 			{"out_of_turn_refusal", &decide::mechanism_set::out_of_turn_refusal},
 			{"order_repetition", &decide::mechanism_set::order_repetition},
+			{"orders_need_current_policy", &decide::mechanism_set::orders_need_current_policy},
 			{"wake_up_check", &decide::mechanism_set::wake_up_check},
 			{"immediate_refusal", &decide::mechanism_set::immediate_refusal},
 			{"key_table_move", &decide::mechanism_set::key_table_move},
@@ -162,7 +163,10 @@
 		else if (verb == "await")
 		{
 			auto const before = this->event_counts[given.at(1)];
-			auto const has_come = [&] { return this->event_counts[given.at(1)] > before; };
+			auto const has_come = [&]
+			{
+				return this->event_counts[given.at(1)] > before;
+			};
 			if (!this->scene->run_until(has_come, milliseconds(std::stoi(given.at(3)))))
 			{
 				this->fail(each, "did not happen");
@@ -187,11 +191,13 @@
 		fleet_shape const shape{number(given, "daemons", 3), number(given, "prefill", 2), number(given, "decode", 2),
 			number(given, "plain", 2)};
 		this->scene = std::make_unique<world>(shape, this->mechanisms, this->seed);
-		this->scene->on_event = [this](std::string const& event, std::string const&) { this->note_event(event); };
+		this->scene->on_event = [this](std::string const& event, std::string const&)
+		{
+			this->note_event(event);
+		};
 		auto const is_ready = [&]
 		{
-			return std::ranges::all_of(this->scene->running_daemons(),
-				[&](std::string const& name)
+			return std::ranges::all_of(this->scene->running_daemons(), [&](std::string const& name)
 				{ return this->scene->core_of(name).status(time_point{}).state == decide::readiness::ready; });
 		};
 		if (!this->scene->run_until(is_ready, ready_time))
@@ -206,18 +212,76 @@
 	{
 		auto& target = *this->scene;
 		std::map<std::string, std::function<void(std::string const&)>> const with_name{
-			{"kill", [&](auto const& name) { target.kill(name); }},
-			{"start", [&](auto const& name) { target.start(name); }},
-			{"pause", [&](auto const& name) { target.pause(name); }},
-			{"resume", [&](auto const& name) { target.resume(name); }},
-			{"drain", [&](auto const& name) { target.drain(name); }},
-			{"hang-up", [&](auto const& name) { target.hang_up(name); }},
-			{"list-leaving", [&](auto const& name) { target.list_as_leaving(name); }},
-			{"stale", [&](auto const& documents) { target.set_stale(std::stoul(documents)); }},
-			{"lag", [&](auto const& span) { target.set_list_lag(milliseconds(std::stoi(span))); }},
-			{"ignore-fence", [&](auto const& name) { target.engines.at(name).checks_fence = false; }},
-			{"stall-transfers", [&](auto const& name) { target.engines.at(name).stalls_transfers = true; }},
-			{"drop-answers", [&](auto const& name) { target.plain_servers.at(name).drops_answers = true; }},
+			{"kill",
+				[&](auto const& name)
+				{
+					target.kill(name);
+				}},
+			{"start",
+				[&](auto const& name)
+				{
+					target.start(name);
+				}},
+			{"pause",
+				[&](auto const& name)
+				{
+					target.pause(name);
+				}},
+			{"resume",
+				[&](auto const& name)
+				{
+					target.resume(name);
+				}},
+			{"drain",
+				[&](auto const& name)
+				{
+					target.drain(name);
+				}},
+			{"hang-up",
+				[&](auto const& name)
+				{
+					target.hang_up(name);
+				}},
+			{"list-leaving",
+				[&](auto const& name)
+				{
+					target.list_as_leaving(name);
+				}},
+			{"stale",
+				[&](auto const& count)
+				{
+					target.set_stale(std::stoul(count));
+				}},
+			{"lag",
+				[&](auto const& span)
+				{
+					target.set_list_lag(milliseconds(std::stoi(span)));
+				}},
+			{"hide-fence",
+				[&](auto const& name)
+				{
+					target.engines.at(name).hides_fence = true;
+				}},
+			{"ignore-fence",
+				[&](auto const& name)
+				{
+					target.engines.at(name).checks_fence = false;
+				}},
+			{"stall-transfers",
+				[&](auto const& name)
+				{
+					target.engines.at(name).stalls_transfers = true;
+				}},
+			{"delay-call",
+				[&](auto const& name)
+				{
+					target.engines.at(name).call_delay = seconds(2);
+				}},
+			{"drop-answers",
+				[&](auto const& name)
+				{
+					target.plain_servers.at(name).drops_answers = true;
+				}},
 			{"mark",
 				[&](auto const& name)
 				{
@@ -227,9 +291,21 @@
 				}},
 		};
 		std::map<std::string, std::function<void()>> const alone{
-			{"outage", [&] { target.set_outage(true); }},
-			{"recover", [&] { target.set_outage(false); }},
-			{"fresh", [&] { target.set_stale(0); }},
+			{"outage",
+				[&]
+				{
+					target.set_outage(true);
+				}},
+			{"recover",
+				[&]
+				{
+					target.set_outage(false);
+				}},
+			{"fresh",
+				[&]
+				{
+					target.set_stale(0);
+				}},
 		};
 		auto const& verb = given.front();
 		if (auto const found = with_name.find(verb); found != with_name.end())
@@ -374,7 +450,8 @@
 		if (!this->scene->run_until([&] { return this->holds(given); }, within))
 		{
 			auto const view = this->scene->callers.find(given.front());
-			this->fail(each, view == this->scene->callers.end() ? "does not hold" : std::string(outcome_of(view->second)));
+			this->fail(
+				each, view == this->scene->callers.end() ? "does not hold" : std::string(outcome_of(view->second)));
 		}
 	}
 
@@ -391,9 +468,12 @@
 		}
 		if (subject == "all")
 		{
-			return std::ranges::all_of(target.callers, [&](auto const& each)
-				{ return each.second.is_answered() || each.second.is_connection_lost || each.second.is_gone ||
-					  target.keys.contains(each.first); });
+			return std::ranges::all_of(target.callers,
+				[&](auto const& each)
+				{
+					return each.second.is_answered() || each.second.is_connection_lost || each.second.is_gone ||
+						   target.keys.contains(each.first);
+				});
 		}
 		if (subject == "runs")
 		{
@@ -474,7 +554,10 @@
 		{
 			return !target.digests_in_force.contains(digest);
 		}
-		auto const has_it = [&](std::string const& name) { return target.core_of(name).config().digest() == digest; };
+		auto const has_it = [&](std::string const& name)
+		{
+			return target.core_of(name).config().digest() == digest;
+		};
 		return given.at(3) == "all" ? std::ranges::all_of(target.running_daemons(), has_it) : has_it(given.at(3));
 	}
 
--- a/tests/world/interpreter.hpp
+++ b/tests/world/interpreter.hpp
@@ -24,18 +24,15 @@
 	//     outage|recover, stale DOCUMENTS|fresh, lag MS  the platform
 	//     list-leaving NAME, says-leaving NAME         a leaving server by the list or by its own word
 	//     silence|unsilence NAME                       a server or engine whose connections hang
-	//     drop-answers NAME, ignore-fence NAME, stall-transfers NAME, order NAME MODEL
-	//     key K from D                                 get an idempotency key
-	//     complete C via D tokens=N prompt=BYTES       ask for a completion
-	//     book C via D key=K body=B                    call that must not be repeated
-	//     lookup C via D                               call that may be repeated
-	//     hang-up C                                    the caller closes its connection
-	//     seal NAME via D, publish NAME, model NAME M  documents of operators
-	//     mark NAME                                    remember how much work a server has begun
-	//     expect ... [within MS]                       see the table in interpreter.cpp
+	//     delay-call NAME, drop-answers NAME, ignore-fence NAME, hide-fence NAME, stall-transfers NAME, order NAME
+	//     MODEL key K from D                                 get an idempotency key complete C via D tokens=N
+	//     prompt=BYTES       ask for a completion book C via D key=K body=B                    call that must not be
+	//     repeated lookup C via D                               call that may be repeated hang-up C the caller closes
+	//     its connection seal NAME via D, publish NAME, model NAME M  documents of operators mark NAME remember how
+	//     much work a server has begun expect ... [within MS]                       see the table in interpreter.cpp
 	class interpreter
 	{
-	public:
+	  public:
 		interpreter(decide::mechanism_set mechanisms, std::uint64_t seed);
 
 		// Runs everything and returns what did not hold; empty when all did.
@@ -44,7 +41,7 @@
 		// The callers' outcomes, for the fault table's counts.
 		[[nodiscard]] std::map<std::string, int> outcomes() const;
 
-	private:
+	  private:
 		using words = std::vector<std::string>;
 
 		struct reaction
--- a/tests/world/script.cpp
+++ b/tests/world/script.cpp
@@ -61,7 +61,7 @@
 	std::vector<table_row> script::rows() const
 	{
 		std::vector<table_row> rows{{}};
-		for (auto const& [name, values] : this->columns)
+		for (auto const& [column, values] : this->columns)
 		{
 			std::vector<table_row> next;
 			for (auto const& row : rows)
@@ -69,7 +69,7 @@
 				for (auto const& value : values)
 				{
 					next.push_back(row);
-					next.back()[name] = value;
+					next.back()[column] = value;
 				}
 			}
 			rows = std::move(next);
@@ -83,9 +83,9 @@
 		for (auto const& each : this->commands)
 		{
 			auto text = each.text();
-			for (auto const& [name, value] : row)
+			for (auto const& [column, value] : row)
 			{
-				boost::algorithm::replace_all(text, "$" + name, value);
+				boost::algorithm::replace_all(text, "$" + column, value);
 			}
 			// A value may hold several commands, or none.
 			std::vector<std::string> parts;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -80,8 +80,7 @@
 		for (int index = 1; index <= shape.daemons; ++index)
 		{
 			auto const id = fmt::format("d{}", index);
-			this->list.daemons.push_back(
-				{instance_id(id), data_centre_id(data_centre_of(index)), id, false});
+			this->list.daemons.push_back({instance_id(id), data_centre_id(data_centre_of(index)), id, false});
 		}
 		this->list.version = platform_version(1);
 		this->publish(policy::seal(this->make_policy(), {}));
@@ -325,8 +324,8 @@
 		auto const version = target.core->config().version();
 		if (version < target.highest_in_force)
 		{
-			this->violations.push_back(fmt::format("{} went back from version {} to {}", name,
-				target.highest_in_force.count(), version.count()));
+			this->violations.push_back(fmt::format(
+				"{} went back from version {} to {}", name, target.highest_in_force.count(), version.count()));
 		}
 		target.highest_in_force = std::max(target.highest_in_force, version);
 		this->digests_in_force[target.core->config().digest()].insert(name);
@@ -344,13 +343,13 @@
 		{
 			return;
 		}
+		this->carry(name, "platform", [this, name, of] { this->deliver(name, of, decide::platform_confirmed{}); });
 		auto const count = this->is_stale ? this->stale_policies : this->published.size();
 		platform_version const newest(count);
 		if (newest > target.policy_seen && count > 0)
 		{
 			target.policy_seen = newest;
-			this->carry(name, "platform",
-				[this, name, of, newest, document = this->published[count - 1]]
+			this->carry(name, "platform", [this, name, of, newest, document = this->published[count - 1]]
 				{ this->deliver(name, of, decide::policy_read{newest, document, {}}); });
 		}
 		if (this->list.version > target.list_seen)
@@ -464,8 +463,8 @@
 				std::make_shared<std::string const>(view.prompt), token_count(tokens)});
 	}
 
-	void world::call_service(std::string const& caller, std::string const& name, std::string method,
-		std::string target, std::string body, std::string key)
+	void world::call_service(std::string const& caller, std::string const& name, std::string method, std::string target,
+		std::string body, std::string key)
 	{
 		auto& view = this->callers[caller];
 		view.daemon = name;
@@ -678,6 +677,13 @@
 						[this, name, of, id, kind] { this->deliver(name, of, decide::call_failed{id, kind}); });
 				};
 				auto& engine = this->engines.at(server);
+				if (engine.call_delay > duration{})
+				{
+					// The call waits in the engine's accept queue while other connections are served.
+					auto const delay = std::exchange(engine.call_delay, duration{});
+					this->at(delay, [this, name, call] { this->prefill(name, call); });
+					return;
+				}
 				++engine.work_started;
 				if (engine.is_dead || engine.says_leaving)
 				{
@@ -692,7 +698,7 @@
 				this->note("engine_prefilling", server);
 				auto const tokens = call.prompt_tokens.count() + call.resume_at;
 				engine.busy_until = std::max(engine.busy_until, this->now) +
-					duration(static_cast<duration::rep>(tokens / engine.tokens_per_us));
+									duration(static_cast<duration::rep>(tokens / engine.tokens_per_us));
 				this->at(engine.busy_until - this->now,
 					[this, name, of, server, call, fail]
 					{
@@ -704,11 +710,8 @@
 							return;
 						}
 						held->second.drop_at = std::min(held->second.drop_at, this->now + done.retention);
-						this->carry(server, name,
-							[this, name, of, server, call]
-							{
-								this->deliver(name, of, decide::prefill_finished{call.call, server, token_count(0)});
-							});
+						this->carry(server, name, [this, name, of, server, call]
+							{ this->deliver(name, of, decide::prefill_finished{call.call, server, token_count(0)}); });
 					});
 			});
 	}
@@ -744,20 +747,24 @@
 					fail(decide::call_failure::rejected);
 					return;
 				}
-				engine.held[call.attempt] = {held->second.prompt, this->now + call.hard_deadline};
+				auto const prompt = held->second.prompt;
+				engine.held[call.attempt] = {prompt, this->now + call.hard_deadline};
+				if (!source.stalls_transfers)
+				{
+					source.held.erase(held);
+				}
+				auto const is_stalled = source.stalls_transfers;
 				this->note("engine_transferring", server);
-				if (source.stalls_transfers)
+				if (is_stalled)
 				{
 					return;
 				}
-				auto const prompt = held->second.prompt;
-				source.held.erase(held);
 				this->stream(name, of, call, prompt, call.resume_at);
 			});
 	}
 
-	void world::stream(std::string const& name, incarnation to, decide::start_decode call, std::string prompt,
-		std::uint32_t index)
+	void world::stream(
+		std::string const& name, incarnation to, decide::start_decode call, std::string prompt, std::uint32_t index)
 	{
 		auto const server = call.server.str();
 		this->at(this->engines.at(server).token_gap,
@@ -806,7 +813,9 @@
 		auto const of = this->daemons.at(name).started;
 		auto const server = call.server.str();
 		auto const reply = [this, name, of, server](decide::event event)
-		{ this->carry(server, name, [this, name, of, event] { this->deliver(name, of, event); }); };
+		{
+			this->carry(server, name, [this, name, of, event] { this->deliver(name, of, event); });
+		};
 		// Whatever happens, the client's own time-out ends the call.
 		this->at(std::min(call.timeout, call_timeout), [this, name, of, id = call.call]
 			{ this->deliver(name, of, decide::call_failed{id, decide::call_failure::lost}); });
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -29,7 +29,7 @@
 	// the seed, so that a run gives the same verdict each time.
 	class world
 	{
-	public:
+	  public:
 		world(fleet_shape shape, decide::mechanism_set mechanisms, std::uint64_t seed);
 
 		// Lets virtual time pass.
@@ -72,7 +72,8 @@
 		void set_list_lag(duration lag);
 
 		// Callers.
-		void ask_completion(std::string const& caller, std::string const& daemon, std::string prompt, std::uint32_t tokens);
+		void ask_completion(
+			std::string const& caller, std::string const& daemon, std::string prompt, std::uint32_t tokens);
 		void call_service(std::string const& caller, std::string const& daemon, std::string method, std::string target,
 			std::string body, std::string key);
 		void ask_key(std::string const& name, std::string const& daemon);
@@ -92,7 +93,7 @@
 		std::vector<std::string> violations;
 		std::map<std::string, std::set<std::string>> digests_in_force;
 
-	private:
+	  private:
 		struct daemon
 		{
 			std::unique_ptr<decide::core> core;
@@ -132,7 +133,8 @@
 		void probe(std::string const& name, decide::probe_peer const& order);
 		void prefill(std::string const& name, decide::start_prefill const& call);
 		void decode(std::string const& name, decide::start_decode const& call);
-		void stream(std::string const& name, incarnation to, decide::start_decode call, std::string prompt, std::uint32_t index);
+		void stream(std::string const& name, incarnation to, decide::start_decode call, std::string prompt,
+			std::uint32_t index);
 		void call_plain(std::string const& name, decide::start_plain const& call);
 		void poll_engine(std::string const& name, decide::poll_load const& order);
 		void note(std::string const& event, std::string const& where);
