--- a/tests/bench/engine_model.cpp
+++ b/tests/bench/engine_model.cpp
@@ -67,8 +67,8 @@
 		}
 	}
 
-	void prefill_model::run(std::string const& attempt, std::uint32_t tokens, std::vector<std::uint64_t> const& pieces,
-		std::function<void(std::uint32_t)> on_done, std::function<void(engine_failure)> on_failed)
+	void prefill_model::run(std::string const& attempt, std::uint32_t tokens, bool is_repeat,
+		std::vector<std::uint64_t> const& pieces, std::function<void(std::uint32_t)> on_done, std::function<void(engine_failure)> on_failed)
 	{
 		if (this->is_dead)
 		{
@@ -77,6 +77,7 @@
 		}
 		job next;
 		next.tokens = tokens;
+		next.is_repeat = is_repeat;
 		next.pieces = pieces;
 		next.on_done = std::move(on_done);
 		next.on_failed = std::move(on_failed);
@@ -111,6 +112,7 @@
 		auto& done = this->jobs.at(attempt);
 		done.is_done = true;
 		this->totals->computed_tokens += done.tokens - done.cached;
+		this->totals->wasted_tokens += done.is_repeat ? done.tokens - done.cached : 0;
 		this->remember(done.pieces);
 		this->current.clear();
 		this->start_next();
@@ -130,7 +132,7 @@
 
 	void prefill_model::waste(job const& lost)
 	{
-		if (lost.is_done && !lost.is_used)
+		if (lost.is_done && !lost.is_used && !lost.is_repeat)
 		{
 			this->totals->wasted_tokens += lost.tokens - lost.cached;
 		}
--- a/tests/bench/engine_model.hpp
+++ b/tests/bench/engine_model.hpp
@@ -84,9 +84,10 @@
 	public:
 		prefill_model(event_queue& events, engine_shape shape, engine_totals& totals);
 
-		// Computes a prompt. on_done: called with the tokens that came from the cache; on_failed when the engine dies.
-		void run(std::string const& attempt, std::uint32_t tokens, std::vector<std::uint64_t> const& pieces,
-			std::function<void(std::uint32_t)> on_done, std::function<void(engine_failure)> on_failed);
+		// Computes a prompt. is_repeat: an earlier result of the same request was decoded from, so that this is work done
+		// twice. on_done: called with the tokens that came from the cache; on_failed when the engine dies.
+		void run(std::string const& attempt, std::uint32_t tokens, bool is_repeat,
+			std::vector<std::uint64_t> const& pieces, std::function<void(std::uint32_t)> on_done, std::function<void(engine_failure)> on_failed);
 
 		// Moves a result over the link. on_done: called with whether the result was still there.
 		void transfer(std::string const& attempt, std::function<void(bool)> on_done);
@@ -101,6 +102,11 @@
 		// Returns a report whose cache events are late and may have a gap.
 		[[nodiscard]] decide::load_report report(std::uint64_t cache_after, std::mt19937_64& random);
 
+		[[nodiscard]] bool is_alive() const noexcept
+		{
+			return !this->is_dead;
+		}
+
 		[[nodiscard]] std::size_t load() const noexcept
 		{
 			return this->waiting.size() + (this->current.empty() ? 0 : 1);
@@ -110,6 +116,7 @@
 		struct job
 		{
 			std::uint32_t tokens = 0;
+			bool is_repeat = false;
 			std::vector<std::uint64_t> pieces;
 			std::function<void(std::uint32_t)> on_done;
 			std::function<void(engine_failure)> on_failed;
@@ -170,6 +177,11 @@
 
 		[[nodiscard]] decide::load_report report() const;
 
+		[[nodiscard]] bool is_alive() const noexcept
+		{
+			return !this->is_dead;
+		}
+
 		[[nodiscard]] std::size_t load() const noexcept
 		{
 			return this->held.size();
--- a/tests/bench/routers.cpp
+++ b/tests/bench/routers.cpp
@@ -239,7 +239,7 @@
 				auto const* const target = this->outcomes.at(decide::request_of(call.attempt));
 				this->prefill_of(call.server.str())
 					.run(
-						call.attempt, call.prompt_tokens.count() + call.resume_at,
+						call.attempt, call.prompt_tokens.count() + call.resume_at, target->tokens > 0,
 						this->options.uses_prefixes ? target->asked.pieces : std::vector<std::uint64_t>{},
 						[this, call](std::uint32_t cached)
 						{ this->later(decide::prefill_finished{call.call, call.server.str(), token_count(cached)}); },
@@ -274,6 +274,12 @@
 			void run_poll(decide::poll_load const& order)
 			{
 				auto const is_prefill = order.server.str().starts_with('p');
+				auto const is_alive = is_prefill ? this->prefill_of(order.server.str()).is_alive()
+												 : this->decode_of(order.server.str()).is_alive();
+				if (!is_alive)
+				{
+					return;
+				}
 				auto report = is_prefill ? this->prefill_of(order.server.str()).report(order.cache_sequence, this->random)
 										 : this->decode_of(order.server.str()).report();
 				report.model = "m";
@@ -316,14 +322,20 @@
 			}
 
 		private:
+			// A dead engine answers no report and is passed over from then on.
+			template <typename Engines>
+			static std::vector<std::size_t> loads_of(Engines const& engines)
+			{
+				std::vector<std::size_t> loads;
+				std::ranges::transform(engines, std::back_inserter(loads),
+					[](auto const& engine) { return engine->is_alive() ? engine->load() : unreported; });
+				return loads;
+			}
+
 			void read_reports()
 			{
-				std::vector<std::size_t> prefill;
-				std::vector<std::size_t> decode;
-				std::ranges::transform(
-					this->engines->prefill, std::back_inserter(prefill), [](auto const& engine) { return engine->load(); });
-				std::ranges::transform(
-					this->engines->decode, std::back_inserter(decode), [](auto const& engine) { return engine->load(); });
+				auto const prefill = loads_of(this->engines->prefill);
+				auto const decode = loads_of(this->engines->decode);
 				this->events->at(report_lag,
 					[this, prefill, decode]
 					{
@@ -338,7 +350,11 @@
 				auto const load_of = [&](std::size_t index) { return index < load.size() ? load[index] : 0; };
 				if (this->kind == baseline::round_robin)
 				{
-					return turn++ % count;
+					do
+					{
+						++turn;
+					} while (load_of(turn % count) == unreported);
+					return turn % count;
 				}
 				if (this->kind == baseline::two_choices)
 				{
@@ -372,7 +388,7 @@
 					[this, id, &target, &source, fail]
 					{
 						source.run(
-							id, target.asked.prompt_tokens + target.tokens, target.asked.pieces,
+							id, target.asked.prompt_tokens + target.tokens, target.tokens > 0, target.asked.pieces,
 							[this, id, &target, &source, fail](std::uint32_t) { this->decode(id, target, source, fail); },
 							fail);
 					});
@@ -393,6 +409,8 @@
 					});
 			}
 
+			static constexpr std::size_t unreported = SIZE_MAX;
+
 			event_queue* events;
 			engine_set* engines;
 			baseline kind;
