Policy: hold the slot from the start, serve those in time first, let the objective choose engines

Cause: one prefill at a time leaves at most one slot an engine idle (3 of 140), while a late promise costs the first-token target. Ruled out: too much or too little margin. The objective now chooses between the earliest first token and the least work done again.

--- a/packages/decide/impl/cell_ledger.cpp
+++ b/packages/decide/impl/cell_ledger.cpp
@@ -1,7 +1,7 @@
 #include <godwittrestle/decide/cell_ledger.hpp>
 
 #include <algorithm>
-#include <cmath>
+#include <numeric>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -27,10 +27,8 @@
 		constexpr std::size_t max_prefills_per_engine = 2;
 		constexpr duration hazard_interval = milliseconds(500);
 		constexpr double hazard_smoothing = 0.1;
-		// Share of the expected releases that promises are made against.
-		constexpr double promise_safety = 0.7;
-		// Share of the retention time that a finished prefill may wait for its slot.
-		constexpr double promise_retention_share = 0.5;
+		// A cell with less than this part of its slots free is saturated.
+		constexpr int saturation_divisor = 20;
 		constexpr duration network_allowance = milliseconds(5);
 		constexpr duration cross_data_centre_cost = milliseconds(1);
 		constexpr duration least_retry_after = milliseconds(100);
@@ -98,6 +96,14 @@
 
 	void cell_ledger::enqueue(waiting_request request)
 	{
+		auto least = duration::max();
+		for (auto const& [id, engine] : this->prefill)
+		{
+			least = std::min(least, engine.time_for(this->computed_on(engine, request)));
+		}
+		request.own_time = this->prefill.empty()
+							   ? duration{}
+							   : least + this->transfer_time(request.prompt_tokens) + this->usual_token_gap();
 		this->queue.push(std::move(request));
 	}
 
@@ -293,7 +299,6 @@
 	ledger_decisions cell_ledger::decide(time_point now)
 	{
 		ledger_decisions decisions;
-		this->bind_promised(decisions, now);
 		std::vector<waiting_request> order;
 		std::ranges::transform(this->queue.ordered(now), std::back_inserter(order),
 			[](waiting_request const* request) { return *request; });
@@ -306,11 +311,15 @@
 		{
 			this->usable_at = now;
 		}
+		this->note_saturation(ahead, now);
 		auto is_blocked = false;
 		for (auto const& request : order)
 		{
-			auto const where = is_blocked ? std::nullopt : this->place(request, now);
-			if (where)
+			// A late request gets only what those in time leave: its slot would be lost to several of them.
+			auto const must_yield = is_late(request, now) && this->saturated_since;
+			auto const where = is_blocked || must_yield ? std::nullopt : this->place(request, now);
+			auto const awaits_prefix = !is_blocked && this->awaits_cached_prefix(request, where, now);
+			if (where && !awaits_prefix)
 			{
 				decisions.granted.push_back(this->grant(request, *where, now));
 				ahead = this->make_forecast(now);
@@ -318,8 +327,9 @@
 			}
 			auto const predicted = this->predict_first_token(request, ahead, now);
 			auto const waited = now - request.waiting_since;
+			auto const is_crowded_out = must_yield && now - this->saturated_since.value_or(now) > request.patience / 2;
 			auto const is_hopeless = this->behaviour->mechanisms.immediate_refusal
-										 ? waited + predicted > request.patience
+										 ? is_crowded_out || waited + predicted > request.patience
 										 : waited > request.patience;
 			auto const stream_time = request.output_tokens.count() * this->usual_token_gap();
 			if (is_hopeless || now + predicted + stream_time > request.deadline)
@@ -330,7 +340,8 @@
 				this->queue.erase(request.attempt);
 				continue;
 			}
-			is_blocked = true;
+			// Who waits for one engine by choice holds nobody up.
+			is_blocked = is_blocked || !awaits_prefix;
 			ahead.prefill_backlog += duration(static_cast<duration::rep>(
 				request.prompt_tokens.count() /
 				(this->prefill.empty() ? 1.0 : this->prefill.begin()->second.tokens_per_us)));
@@ -339,31 +350,17 @@
 		return decisions;
 	}
 
-	void cell_ledger::bind_promised(ledger_decisions& decisions, time_point now)
+	void cell_ledger::note_saturation(forecast const& ahead, time_point now)
 	{
-		std::vector<lease*> unbound;
-		for (auto& [attempt, held] : this->leases)
+		auto const slots = std::accumulate(this->decode.begin(), this->decode.end(), 0,
+			[](int sum, auto const& engine) { return sum + static_cast<int>(engine.second.limit); });
+		if (ahead.slots_left > slots / saturation_divisor)
 		{
-			if (held.decode_server.empty() && held.phase == wire::LeaseUpdate::TRANSFERRING)
-			{
-				unbound.push_back(&held);
-			}
+			this->saturated_since.reset();
 		}
-		// The oldest grant first: its KV cache is evicted first.
-		std::ranges::sort(
-			unbound, std::less{}, [](lease const* held) { return std::pair(held->granted_at, held->attempt); });
-		for (auto* const held : unbound)
+		else if (!this->saturated_since)
 		{
-			auto const source = this->prefill.find(held->prefill_server);
-			auto const near = source == this->prefill.end() ? data_centre_id{} : source->second.data_centre;
-			auto* const engine = this->choose_decode(near, {}, true, now);
-			if (engine == nullptr)
-			{
-				return;
-			}
-			held->decode_server = engine->id;
-			engine->active.insert(held->attempt);
-			decisions.granted.push_back(*held);
+			this->saturated_since = now;
 		}
 	}
 
@@ -386,8 +383,6 @@
 				ahead.slots_left += engine.free_slots();
 			}
 		}
-		ahead.slots_left -= static_cast<int>(
-			std::ranges::count_if(this->leases, [](auto const& held) { return held.second.decode_server.empty(); }));
 		auto const hazard =
 			this->release_hazard == 0 ? 1.0 / static_cast<double>(initial_stream_time.count()) : this->release_hazard;
 		ahead.releases_per_us = hazard * static_cast<double>(this->leases.size());
@@ -409,7 +404,7 @@
 		}
 		auto const prefill_wait = ahead.prefill_backlog / static_cast<duration::rep>(ahead.usable_prefill);
 		auto slot_wait = duration{};
-		if (this->rule_for(request) != slot_rule::unreserved && ahead.slots_left < 1)
+		if (this->behaviour->slots != slot_rule::unreserved && ahead.slots_left < 1)
 		{
 			auto const needed = 1 - ahead.slots_left;
 			slot_wait = duration(static_cast<duration::rep>(std::min(needed / std::max(ahead.releases_per_us, 1e-12),
@@ -420,16 +415,11 @@
 		{
 			if (engine.is_usable(now, report_timeout))
 			{
-				auto const cached =
-					static_cast<std::uint32_t>(engine.hints.leading(request.prefix_hashes)) * piece_tokens;
-				auto const computed = request.prompt_tokens.count() - std::min(request.prompt_tokens.count(), cached);
-				fastest = std::min(fastest, engine.time_for(token_count(computed)));
+				fastest = std::min(fastest, engine.time_for(this->computed_on(engine, request)));
 			}
 		}
 		auto const own = fastest + this->transfer_time(request.prompt_tokens);
-		auto const wait = this->rule_for(request) == slot_rule::promised ? std::max(prefill_wait + own, slot_wait)
-																		 : std::max(prefill_wait, slot_wait) + own;
-		return wait + this->usual_token_gap() + network_allowance;
+		return std::max(prefill_wait, slot_wait) + own + this->usual_token_gap() + network_allowance;
 	}
 
 	std::optional<cell_ledger::placement> cell_ledger::place_on(
@@ -441,11 +431,9 @@
 		{
 			return std::nullopt;
 		}
-		auto const cached = static_cast<std::uint32_t>(engine.hints.leading(request.prefix_hashes)) * piece_tokens;
 		placement where;
 		where.prefill = &engine;
-		where.computed_tokens =
-			token_count(request.prompt_tokens.count() - std::min(request.prompt_tokens.count(), cached));
+		where.computed_tokens = this->computed_on(engine, request);
 		where.prefill_time = engine.time_for(where.computed_tokens);
 		auto const prefill_end = start + where.prefill_time;
 		where.transfer_start = std::max(prefill_end, engine.link_busy_until);
@@ -466,19 +454,16 @@
 				options.push_back(*option);
 			}
 		}
-		std::ranges::sort(options, std::less{}, [](placement const& option) { return option.transfer_end; });
-		auto const rule = this->rule_for(request);
+		// The earliest first token, or the least work done again, as the service's objective wants it.
+		std::ranges::sort(options, std::less{},
+			[&](placement const& option)
+			{
+				auto const computed = request.prefers_no_waste ? option.computed_tokens : token_count{};
+				return std::pair(computed, option.transfer_end);
+			});
+		auto const must_be_free = this->behaviour->slots == slot_rule::held;
 		for (auto& option : options)
 		{
-			if (rule == slot_rule::promised)
-			{
-				if (this->has_promised_slot(option, now))
-				{
-					return option;
-				}
-				continue;
-			}
-			auto const must_be_free = rule == slot_rule::held;
 			option.decode = this->choose_decode(option.prefill->data_centre, request.excluded, must_be_free, now);
 			if (option.decode != nullptr)
 			{
@@ -488,15 +473,29 @@
 		return std::nullopt;
 	}
 
-	bool cell_ledger::has_promised_slot(placement const& where, time_point now) const
+	bool cell_ledger::awaits_cached_prefix(
+		waiting_request const& request, std::optional<placement> const& open, time_point now) const
 	{
-		auto const ahead = this->make_forecast(now);
-		auto const* const pool = this->policy->find_pool(this->self.prefill_pool);
-		duration const retention = milliseconds(pool->prefill_retention_ms());
-		auto const horizon = static_cast<double>((where.transfer_end - now).count()) +
-							 promise_retention_share * static_cast<double>(retention.count());
-		auto const expected = this->release_hazard == 0 ? 0.0 : ahead.releases_per_us * horizon * promise_safety;
-		return ahead.slots_left + std::floor(expected) >= 1;
+		if (!request.prefers_no_waste || request.prefix_hashes.empty())
+		{
+			return false;
+		}
+		auto const computed_now = open ? open->computed_tokens : request.prompt_tokens;
+		return std::ranges::any_of(this->prefill | std::views::values,
+			[&](prefill_engine const& engine)
+			{
+				auto const computed = this->computed_on(engine, request);
+				auto const ready = std::max(now, engine.busy_until) + engine.time_for(computed) +
+								   this->transfer_time(request.prompt_tokens) + this->usual_token_gap();
+				auto const is_in_time = ready - request.waiting_since <= request.first_token_target;
+				return engine.is_usable(now, report_timeout) && computed < computed_now && is_in_time;
+			});
+	}
+
+	token_count cell_ledger::computed_on(prefill_engine const& engine, waiting_request const& request) const
+	{
+		auto const cached = static_cast<std::uint32_t>(engine.hints.leading(request.prefix_hashes)) * piece_tokens;
+		return token_count(request.prompt_tokens.count() - std::min(request.prompt_tokens.count(), cached));
 	}
 
 	decode_engine* cell_ledger::choose_decode(
@@ -522,15 +521,6 @@
 		return best;
 	}
 
-	slot_rule cell_ledger::rule_for(waiting_request const& request) const noexcept
-	{
-		if (this->behaviour->slots != slot_rule::by_objective)
-		{
-			return this->behaviour->slots;
-		}
-		return request.prefers_no_waste ? slot_rule::held : slot_rule::promised;
-	}
-
 	duration cell_ledger::transfer_time(token_count prompt_tokens) const noexcept
 	{
 		auto const* const pool = this->policy->find_pool(this->self.prefill_pool);
--- a/packages/decide/impl/cell_owner.cpp
+++ b/packages/decide/impl/cell_owner.cpp
@@ -79,8 +79,11 @@
 			request.waiting_since = now - to_duration(asked.waited());
 			request.asked_at = now;
 			request.asked_clock = asked.asked();
-			request.patience = milliseconds(service.patience_ms());
-			request.token_gap_target = milliseconds(service.token_gap_target_ms());
+			// Callers that have part of their answer already wait for the rest as long as it can still be whole.
+			request.patience =
+				asked.resumed() ? to_duration(asked.remaining()) : duration(milliseconds(service.patience_ms()));
+			request.first_token_target = milliseconds(service.first_token_target_ms());
+			request.is_resumed = asked.resumed();
 			request.prefers_no_waste = service.objective() == policy::WASTE;
 			return request;
 		}
@@ -257,8 +260,7 @@
 		{
 			++this->totals->leases_granted;
 			now.record("lease_granted", granted.request,
-				fmt::format("{} -> {}", granted.prefill_server.str(),
-					granted.decode_server.empty() ? "later" : granted.decode_server.str()));
+				fmt::format("{} -> {}", granted.prefill_server.str(), granted.decode_server.str()));
 			now.send(granted.entry, members.address_of(granted.entry),
 				make_grant(granted, ledger.described().id, this->settings->lease_lifetime));
 		}
--- a/packages/decide/impl/completions.cpp
+++ b/packages/decide/impl/completions.cpp
@@ -40,6 +40,18 @@
 		}
 	}
 
+	namespace
+	{
+		wire::LeaseUpdate::Phase reached_phase(bool is_prefilling, bool is_decoding) noexcept
+		{
+			if (is_prefilling)
+			{
+				return wire::LeaseUpdate::PREFILLING;
+			}
+			return is_decoding ? wire::LeaseUpdate::DECODING : wire::LeaseUpdate::TRANSFERRING;
+		}
+	}
+
 	completions::completions(core_settings const& core, hooks const& varying, limits& account_limits,
 		cancellations& pending_cancels, call_counter& call_ids, counters& sums)
 		: settings(&core)
@@ -92,9 +104,7 @@
 			{
 				// The new owner learns of the lease at once.
 				running.owner = *owner;
-				auto const reached = running.at == phase::prefilling      ? wire::LeaseUpdate::PREFILLING
-									 : running.at == phase::awaiting_slot ? wire::LeaseUpdate::TRANSFERRING
-																		  : wire::LeaseUpdate::DECODING;
+				auto const reached = reached_phase(running.at == phase::prefilling, running.is_prefill_used);
 				this->send_update(running, reached, members, now);
 			}
 		}
@@ -124,6 +134,7 @@
 		request.set_attempt(asking.attempt);
 		request.set_asked(to_wire(now.now().time_since_epoch()));
 		request.set_cell(asking.cell.str());
+		request.set_resumed(asking.delivered > 0);
 		std::ranges::for_each(asking.excluded, [&](server_id const& server) { request.add_excluded(server.str()); });
 		now.send(*owner, members.address_of(*owner), std::move(message));
 	}
@@ -176,12 +187,6 @@
 			return;
 		}
 		auto& granted = found->second;
-		if (granted.at == phase::awaiting_slot && !grant.decode_server().empty())
-		{
-			granted.decode_server = server_id(grant.decode_server());
-			this->begin_decode(granted, members, now);
-			return;
-		}
 		if (granted.at != phase::waiting)
 		{
 			return;
@@ -245,12 +250,8 @@
 			this->totals->wasted_tokens += computed;
 		}
 		now.record("prefill_finished", ready->request, fmt::format("{} tokens from cache", ready->cached.count()));
-		ready->at = phase::awaiting_slot;
 		this->send_update(*ready, wire::LeaseUpdate::TRANSFERRING, members, now);
-		if (!ready->decode_server.empty())
-		{
-			this->begin_decode(*ready, members, now);
-		}
+		this->begin_decode(*ready, members, now);
 	}
 
 	void completions::begin_decode(stream& ready, membership const& members, turn& now)
@@ -461,7 +462,7 @@
 		if (running.at == phase::waiting)
 		{
 			auto const patience = milliseconds(running.service->patience_ms()) + owner_slack;
-			if (now.now() - running.waiting_since > patience)
+			if (running.delivered == 0 && now.now() - running.waiting_since > patience)
 			{
 				this->fail(running, refusal_kind::no_server, "no daemon that could grant a lease answered in time",
 					"come back after the time in Retry-After", usual_retry_after, members, now);
@@ -483,10 +484,6 @@
 		{
 			allowed += prefill_slack * duration(std::uint64_t{tokens} * 1'000'000 / pool->prefill_tokens_per_second());
 		}
-		else if (running.at == phase::awaiting_slot)
-		{
-			allowed = milliseconds(pool->prefill_retention_ms());
-		}
 		else if (!running.is_prefill_used)
 		{
 			auto const bytes = std::uint64_t{tokens} * pool->kv_bytes_per_token();
@@ -643,9 +640,7 @@
 			{
 				continue;
 			}
-			auto const reached = running.at == phase::prefilling      ? wire::LeaseUpdate::PREFILLING
-								 : running.at == phase::awaiting_slot ? wire::LeaseUpdate::TRANSFERRING
-																	  : wire::LeaseUpdate::DECODING;
+			auto const reached = reached_phase(running.at == phase::prefilling, running.is_prefill_used);
 			auto update = this->make_update(running, reached);
 			auto const produced = running.delivered - std::min(running.delivered, running.renewed_at_token);
 			if (reached == wire::LeaseUpdate::DECODING && running.is_prefill_used && produced > 0)
--- a/packages/decide/impl/lease_queue.cpp
+++ b/packages/decide/impl/lease_queue.cpp
@@ -19,6 +19,11 @@
 		}
 	}
 
+	bool is_late(waiting_request const& request, time_point now) noexcept
+	{
+		return !request.is_resumed && now + request.own_time > request.waiting_since + request.first_token_target;
+	}
+
 	void lease_queue::push(waiting_request request)
 	{
 		if (auto const known = this->requests.find(request.attempt); known != this->requests.end())
@@ -55,8 +60,8 @@
 		auto const key = [&](waiting_request const* request)
 		{
 			auto const is_pressing = now - request->waiting_since > request->patience / 2;
-			return std::tuple(is_pressing ? 0U : request->priority, request->fair_tag, request->waiting_since,
-				std::string_view(request->attempt));
+			return std::tuple(is_late(*request, now), is_pressing ? 0U : request->priority, request->fair_tag,
+				request->waiting_since, std::string_view(request->attempt));
 		};
 		std::ranges::sort(order, std::less{}, key);
 		return order;
--- a/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
+++ b/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
@@ -29,7 +29,6 @@
 		service_id service;
 		account_id account;
 		server_id prefill_server;
-		// Empty while a promised slot is not bound to an engine yet.
 		server_id decode_server;
 		wire::LeaseUpdate::Phase phase = wire::LeaseUpdate::PREFILLING;
 		token_count prompt_tokens;
@@ -52,7 +51,6 @@
 	// What a ledger decided in one pass.
 	struct ledger_decisions
 	{
-		// Granted now, or bound to a decode engine now.
 		std::vector<lease> granted;
 		std::vector<lease_refusal> refused;
 	};
@@ -120,17 +118,20 @@
 			double releases_per_us = 0;
 		};
 
-		void bind_promised(ledger_decisions& decisions, time_point now);
+		void note_saturation(forecast const& ahead, time_point now);
 		[[nodiscard]] forecast make_forecast(time_point now) const;
 		[[nodiscard]] duration predict_first_token(
 			waiting_request const& request, forecast const& ahead, time_point now) const;
 		[[nodiscard]] std::optional<placement> place(waiting_request const& request, time_point now);
 		[[nodiscard]] std::optional<placement> place_on(
 			prefill_engine& engine, waiting_request const& request, time_point now) const;
-		[[nodiscard]] bool has_promised_slot(placement const& where, time_point now) const;
+		// Whether a request had better wait for an engine that has more of its prompt, and is still in time then.
+		[[nodiscard]] bool awaits_cached_prefix(
+			waiting_request const& request, std::optional<placement> const& open, time_point now) const;
+		// Tokens that an engine most likely has to compute for a request.
+		[[nodiscard]] token_count computed_on(prefill_engine const& engine, waiting_request const& request) const;
 		[[nodiscard]] decode_engine* choose_decode(
 			data_centre_id const& near, std::vector<server_id> const& excluded, bool must_be_free, time_point now);
-		[[nodiscard]] slot_rule rule_for(waiting_request const& request) const noexcept;
 		[[nodiscard]] duration transfer_time(token_count prompt_tokens) const noexcept;
 		[[nodiscard]] duration usual_token_gap() const noexcept;
 		lease grant(waiting_request const& request, placement const& where, time_point now);
@@ -147,6 +148,8 @@
 		time_point created;
 		// When there last was a usable engine of either kind.
 		time_point usable_at;
+		// Since when nearly all slots are taken; nothing while some are free.
+		std::optional<time_point> saturated_since;
 		lease_queue queue;
 		std::map<std::string, lease> leases;
 		// Attempts released lately, which reports may still name.
--- a/packages/decide/include/godwittrestle/decide/completions.hpp
+++ b/packages/decide/include/godwittrestle/decide/completions.hpp
@@ -70,8 +70,6 @@
 		{
 			waiting,
 			prefilling,
-			// The KV cache is ready; the decode engine is not chosen yet.
-			awaiting_slot,
 			decoding,
 		};
 
--- a/packages/decide/include/godwittrestle/decide/lease_queue.hpp
+++ b/packages/decide/include/godwittrestle/decide/lease_queue.hpp
@@ -32,15 +32,21 @@
 		// The entry daemon's clock when it last asked, in microseconds.
 		std::uint64_t asked_clock = 0;
 		duration patience{};
-		duration token_gap_target{};
+		duration first_token_target{};
+		// Time from a grant to the first token, at the least.
+		duration own_time{};
+		bool is_resumed = false;
 		bool prefers_no_waste = false;
 		// Position within its class, by start-time fair queueing over the accounts.
 		std::uint64_t fair_tag = 0;
 	};
 
-	// The waiting requests of one cell in the order in which they are served: by priority, then fairly between the
-	// accounts by token cost, so that one account's burst does not starve another. A request that has waited for half
-	// of its patience moves up to the first class.
+	// Whether a request's first token would miss its target even if it were granted now.
+	[[nodiscard]] bool is_late(waiting_request const& request, time_point now) noexcept;
+
+	// The waiting requests of one cell in the order in which they are served: those that can still meet their
+	// first-token target first, then by priority, then fairly between the accounts by token cost, so that one account's
+	// burst does not starve another. A request that has waited for half of its patience moves up to the first priority.
 	class lease_queue
 	{
 	  public:
--- a/packages/decide/include/godwittrestle/decide/settings.hpp
+++ b/packages/decide/include/godwittrestle/decide/settings.hpp
@@ -60,14 +60,10 @@
 	// Which decode slots the owner counts on when it grants a prefill.
 	enum class slot_rule
 	{
-		// By the service's objective: held for waste, promised for goodput.
-		by_objective,
-		// No reservation: grants a prefill whatever the slots.
-		unreserved,
 		// The slot is free when the prefill starts and is held from then on.
 		held,
-		// The slot is expected to be free by the time the prefill ends.
-		promised,
+		// No reservation: grants a prefill whatever the slots.
+		unreserved,
 	};
 
 	// Behaviour that varies between deployments, tests and experiments.
@@ -75,7 +71,7 @@
 	{
 		// Estimates the tokens of a text.
 		std::function<token_count(std::string_view)> count_tokens;
-		slot_rule slots = slot_rule::by_objective;
+		slot_rule slots = slot_rule::held;
 		mechanism_set mechanisms;
 	};
 
