--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -79,10 +79,6 @@
 			{
 				return make_error(431, "too_large", "the header is too large", "send fewer or shorter headers");
 			}
-			if (error == beast::error::timeout)
-			{
-				return make_error(408, "timeout", "the request did not arrive in time", "send it in one go");
-			}
 			return make_error(400, "invalid_request", "the request is not HTTP/1.1: " + error.message(),
 				"send a well-formed request");
 		}
--- /dev/null
+++ b/tests/contract/scripted_server.cpp
@@ -0,0 +1,77 @@
+#include "scripted_server.hpp"
+
+#include <array>
+#include <list>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace godwittrestle::testing
+{
+	namespace
+	{
+		namespace asio = boost::asio;
+		using asio::ip::tcp;
+
+		constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+		tcp::endpoint any_port()
+		{
+			return {asio::ip::make_address("127.0.0.1"), 0};
+		}
+
+		std::string to_text(tcp::endpoint const& where)
+		{
+			return fmt::format("{}:{}", where.address().to_string(), where.port());
+		}
+	}
+
+	scripted_server::scripted_server(asio::io_context& loop, std::string answer, ending how)
+		: acceptor(loop, any_port())
+		, bytes(std::move(answer))
+		, end(how)
+	{
+		asio::co_spawn(loop, this->serve(), asio::detached);
+	}
+
+	std::string scripted_server::address() const
+	{
+		return to_text(this->acceptor.local_endpoint());
+	}
+
+	asio::awaitable<void> scripted_server::serve()
+	{
+		std::list<tcp::socket> open;
+		for (;;)
+		{
+			auto [error, socket] = co_await this->acceptor.async_accept(token);
+			if (error)
+			{
+				co_return;
+			}
+			std::array<char, 65536> received{};
+			std::ignore = co_await socket.async_read_some(asio::buffer(received), token);
+			std::ignore = co_await asio::async_write(socket, asio::buffer(this->bytes), token);
+			if (this->end == ending::stays_silent)
+			{
+				open.push_back(std::move(socket));
+			}
+		}
+	}
+
+	std::string refused_address(asio::io_context& loop)
+	{
+		tcp::acceptor const acceptor(loop, any_port());
+		return to_text(acceptor.local_endpoint());
+	}
+
+	std::string http_answer(std::string const& status, std::string const& headers, std::string const& body)
+	{
+		return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}", status, headers, body.size(), body);
+	}
+}
