--- a/packages/decide/impl/core.cpp
+++ b/packages/decide/impl/core.cpp
@@ -410,8 +410,13 @@
 			return;
 		}
 		this->seen_generation = this->members.generation();
-		this->seen_version = this->policies.version();
-		this->cells = derive_cells(*this->policies.active(), this->members.list(), this->own.cell_size);
+		auto const& list = this->members.list();
+		if (this->seen_version != this->policies.version() || this->seen_list != list.version)
+		{
+			this->seen_version = this->policies.version();
+			this->seen_list = list.version;
+			this->cells = derive_cells(*this->policies.active(), list, this->own.cell_size);
+		}
 		this->keyed.update(this->policies.active());
 		this->owner.update(this->cells, this->policies.active(), this->members, now);
 		this->streams.update(this->cells, this->members, now);
--- a/packages/decide/impl/membership.cpp
+++ b/packages/decide/impl/membership.cpp
@@ -13,6 +13,8 @@
 	{
 		// Time for which a silence that others reported counts, unless reported again.
 		constexpr duration silence_lifetime = seconds(5);
+		// Time for which a departed daemon is remembered, so that its requests on engines are known to be orphans.
+		constexpr duration departed_memory = std::chrono::minutes(10);
 
 		std::uint64_t to_clock(time_point point) noexcept
 		{
@@ -33,6 +35,7 @@
 		self.data_centre = core.data_centre;
 		self.started = core.started;
 		self.listed = true;
+		self.was_listed = true;
 	}
 
 	void membership::apply(instance_list const& list, turn& now)
@@ -54,6 +57,12 @@
 				known = std::max(known, server.started);
 			}
 		}
+		std::erase_if(this->leaving_servers,
+			[&](auto const& said)
+			{
+				auto const* const server = this->find_server(said.first);
+				return server == nullptr || server->started > said.second;
+			});
 		std::ranges::for_each(this->peers, [](auto& peer) { peer.second.listed = false; });
 		for (auto const& daemon : list.daemons)
 		{
@@ -61,8 +70,10 @@
 			peer.data_centre = daemon.data_centre;
 			peer.address = daemon.peer_address;
 			peer.listed = true;
+			peer.was_listed = true;
 			peer.leaving = peer.leaving || daemon.leaving;
 		}
+		this->forget_departed(now.now());
 		this->rebuild_ring(now.now());
 		++this->changes;
 		now.record("list_applied", {}, std::to_string(list.version.count()));
@@ -267,8 +278,9 @@
 		}
 		auto const& peer = found->second;
 		auto const is_replaced = peer.started > started;
-		auto const is_unlisted = peer.last_heard && !peer.listed && peer.address.empty();
-		return is_replaced || peer.refused || (is_unlisted && !this->is_reachable(peer, now));
+		// The platform no longer lists it, and it is silent as well: the list alone may be ahead of the process.
+		auto const is_unlisted = peer.was_listed && !peer.listed && !this->is_reachable(peer, now);
+		return is_replaced || peer.refused || is_unlisted;
 	}
 
 	void membership::probe(instance_id const& id, turn& now)
@@ -379,6 +391,17 @@
 		return chosen;
 	}
 
+	void membership::forget_departed(time_point now)
+	{
+		std::erase_if(this->peers,
+			[&](auto const& each)
+			{
+				auto const& peer = each.second;
+				auto const is_old = !peer.last_heard || now - *peer.last_heard > departed_memory;
+				return each.first != this->settings->instance && !peer.listed && is_old;
+			});
+	}
+
 	void membership::rebuild_ring(time_point now)
 	{
 		std::set<instance_id> expected_before;
@@ -389,7 +412,8 @@
 			{
 				expected_before.insert(id);
 			}
-			if (id == this->settings->instance || !peer.address.empty())
+			auto const is_known = peer.listed || this->is_reachable(peer, now);
+			if (id == this->settings->instance || (is_known && !peer.address.empty()))
 			{
 				this->ring.push_back(id);
 			}
--- a/packages/decide/include/godwittrestle/decide/core.hpp
+++ b/packages/decide/include/godwittrestle/decide/core.hpp
@@ -139,6 +139,7 @@
 		std::optional<bool> watching;
 		std::uint64_t seen_generation = 0;
 		platform_version seen_version;
+		platform_version seen_list;
 		bool has_left = false;
 	};
 }
--- a/packages/decide/include/godwittrestle/decide/membership.hpp
+++ b/packages/decide/include/godwittrestle/decide/membership.hpp
@@ -126,6 +126,7 @@
 			std::string address;
 			incarnation started;
 			bool listed = false;
+			bool was_listed = false;
 			bool leaving = false;
 			bool refused = false;
 			bool was_live = false;
@@ -142,6 +143,7 @@
 
 		// Silence after which a peer's address is probed.
 		[[nodiscard]] duration probe_after() const noexcept;
+		void forget_departed(time_point now);
 		void rebuild_ring(time_point now);
 		void note_liveness(instance_id const& id, peer_record& peer, turn& now);
 		void adopt_silences(wire::Heartbeat const& heartbeat, time_point now);
--- a/tests/bench/slopes.cpp
+++ b/tests/bench/slopes.cpp
@@ -435,9 +435,14 @@
 			request.ByteSizeLong() + transport_bytes, update.ByteSizeLong() + transport_bytes, told.ByteSizeLong());
 	}
 
-	int run(bool is_short)
+	int run(bool is_short, bool is_target_only)
 	{
 		std::cout << std::unitbuf;
+		if (is_target_only)
+		{
+			measure_fleet(1'200, 12'000, 2'300, seconds(2));
+			return 0;
+		}
 		measure_messages();
 		for (auto const accounts : {100, 1'000, 2'300})
 		{
@@ -468,7 +473,8 @@
 {
 	namespace options = boost::program_options;
 	options::options_description known("Slopes of each role's cost");
-	known.add_options()("help", "print this help")("short", "leave the largest fleets out");
+	known.add_options()("help", "print this help")("short", "leave the largest fleets out")(
+		"target", "only the fleet of the target size");
 	options::variables_map given;
 	options::store(options::parse_command_line(count, arguments, known), given);
 	if (given.contains("help"))
@@ -476,5 +482,5 @@
 		std::cout << known;
 		return 0;
 	}
-	return run(given.contains("short"));
+	return run(given.contains("short"), given.contains("target"));
 }
--- a/tests/contract/caller_face.test.cpp
+++ b/tests/contract/caller_face.test.cpp
@@ -165,8 +165,10 @@
 TEST_CASE("a thousand idle connections keep nobody waiting and are closed", "[caller_face]")
 {
 	running_face const face;
+	constexpr std::size_t connections = 1000;
 	std::vector<tcp::socket> idle;
-	for (auto count = 0; count < 1000; ++count)
+	idle.reserve(connections);
+	for (std::size_t count = 0; count < connections; ++count)
 	{
 		idle.push_back(face.connect());
 	}
--- a/tests/unit/membership.test.cpp
+++ b/tests/unit/membership.test.cpp
@@ -90,3 +90,23 @@
 	REQUIRE(members.accepts_work(server_id("s")));
 	REQUIRE_FALSE(members.accepts_work(server_id("unknown")));
 }
+
+TEST_CASE("a daemon that the platform drops is gone once it is silent, and is forgotten in the end", "[membership]")
+{
+	auto loose = make_turn();
+	mechanism_set const mechanisms;
+	membership members(loose.settings, mechanisms);
+	auto start = loose.at({});
+	members.apply(make_list(2), start);
+	instance_id const peer("d1");
+	REQUIRE(members.heard(peer, incarnation(5), start));
+	auto list = make_list(1);
+	list.version = platform_version(2);
+	members.apply(list, start);
+	REQUIRE_FALSE(members.is_proved_gone(peer, incarnation(5), {}));
+	REQUIRE(members.is_proved_gone(peer, incarnation(5), time_point(seconds(10))));
+	auto later = loose.at(time_point(std::chrono::minutes(11)));
+	list.version = platform_version(3);
+	members.apply(list, later);
+	REQUIRE(members.address_of(peer).empty());
+}
