--- a/packages/daemon/impl/caller_face.cpp
+++ b/packages/daemon/impl/caller_face.cpp
@@ -8,8 +8,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include <godwittrestle/base/digest.hpp>
-#include <godwittrestle/http/sse.hpp>
+#include "completion_writer.hpp"
 
 namespace godwittrestle::daemon
 {
@@ -25,11 +24,6 @@
 		constexpr std::string_view services_prefix = "/services/";
 		constexpr std::string_view bearer_prefix = "Bearer ";
 
-		http::response make_json(unsigned status, json::object const& body)
-		{
-			return {status, {{"Content-Type", "application/json"}}, json::serialize(body)};
-		}
-
 		http::response make_text(unsigned status, std::string text)
 		{
 			return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
@@ -52,31 +46,6 @@
 			return value.starts_with(bearer_prefix) ? value.substr(bearer_prefix.size()) : std::string{};
 		}
 
-		http::response to_response(decide::answer_failure const& failed)
-		{
-			auto answer = http::make_error(decide::http_status(failed.kind), decide::to_string(failed.kind),
-				failed.message, failed.remedy, failed.retry_after);
-			if (failed.kind == decide::refusal_kind::not_run || failed.kind == decide::refusal_kind::outcome_unknown)
-			{
-				auto const is_unknown = failed.kind == decide::refusal_kind::outcome_unknown;
-				answer.headers.push_back({"X-Outcome", is_unknown ? "unknown" : "not_run"});
-				answer.headers.push_back({"X-Passed-On", failed.passed_on ? "yes" : "no"});
-			}
-			answer.headers.push_back({"X-Request-Id", failed.request.str()});
-			return answer;
-		}
-
-		json::object make_choice(std::string_view text, json::value const& finish_reason)
-		{
-			return {{"index", 0}, {"text", text}, {"finish_reason", finish_reason}};
-		}
-
-		json::object make_completion(request_id const& request, std::string_view model, json::object choice)
-		{
-			return {{"id", request.str()}, {"object", "text_completion"}, {"model", model},
-				{"choices", json::array{std::move(choice)}}};
-		}
-
 		// What a completion request's body asks for.
 		struct completion_body
 		{
@@ -125,103 +94,6 @@
 		}
 	}
 
-	namespace
-	{
-		// Writes the parts of one completion's answer, streamed or whole.
-		class completion_writer
-		{
-		  public:
-			completion_writer(http::exchange& exchange, request_id id, std::string service, bool streamed)
-				: talk(&exchange)
-				, request(std::move(id))
-				, model(std::move(service))
-				, is_streamed(streamed)
-			{
-			}
-
-			// Whether the answer has ended, in whichever way.
-			[[nodiscard]] bool is_done() const noexcept
-			{
-				return this->done;
-			}
-
-			// Returns false when the caller is gone.
-			asio::awaitable<bool> write(decide::action part)
-			{
-				if (auto const* const token = std::get_if<decide::answer_token>(&part))
-				{
-					return this->write_token(*token);
-				}
-				this->done = true;
-				if (auto const* const end = std::get_if<decide::answer_end>(&part))
-				{
-					return this->write_end(*end);
-				}
-				return this->write_failure(std::get<decide::answer_failure>(part));
-			}
-
-		  private:
-			asio::awaitable<bool> write_token(decide::answer_token token)
-			{
-				if (!this->is_streamed)
-				{
-					this->whole += token.text;
-					co_return true;
-				}
-				if (!this->is_begun)
-				{
-					this->is_begun = true;
-					http::response head;
-					head.headers = {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"},
-						{"X-Request-Id", this->request.str()}};
-					if (!co_await this->talk->begin_stream(std::move(head)))
-					{
-						co_return false;
-					}
-				}
-				auto const chunk = make_completion(this->request, this->model, make_choice(token.text, nullptr));
-				http::sse_event const event{std::to_string(token.index), "", json::serialize(chunk)};
-				co_return co_await this->talk->write(http::to_text(event));
-			}
-
-			asio::awaitable<bool> write_end(decide::answer_end end)
-			{
-				auto last = make_completion(this->request, this->model, make_choice(this->whole, "stop"));
-				last["usage"] = json::object{{"completion_tokens", end.total}};
-				if (!this->is_begun)
-				{
-					auto answer = make_json(200, last);
-					answer.headers.push_back({"X-Request-Id", this->request.str()});
-					co_return co_await this->talk->reply(std::move(answer));
-				}
-				http::sse_event const usage{"", "", json::serialize(last)};
-				http::sse_event const done_mark{"", "", "[DONE]"};
-				auto const is_written = co_await this->talk->write(http::to_text(usage) + http::to_text(done_mark));
-				co_return is_written&& co_await this->talk->end_stream();
-			}
-
-			asio::awaitable<bool> write_failure(decide::answer_failure failed)
-			{
-				auto answer = to_response(failed);
-				if (!this->is_begun)
-				{
-					co_return co_await this->talk->reply(std::move(answer));
-				}
-				http::sse_event const event{"", "error", answer.body};
-				auto const is_written = co_await this->talk->write(http::to_text(event));
-				co_return is_written&& co_await this->talk->end_stream();
-			}
-
-			http::exchange* talk;
-			request_id request;
-			std::string model;
-			std::string whole;
-			bool is_streamed;
-			bool is_begun = false;
-			bool done = false;
-		};
-	}
-
 	struct caller_face::session
 	{
 		explicit session(asio::io_context& loop)
--- /dev/null
+++ b/packages/decide/impl/cell_support.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <godwittrestle/base/units.hpp>
+
+// Shared by the parts of cell_ledger.
+namespace godwittrestle::decide
+{
+	// An engine whose report is older than this is not given work.
+	inline constexpr duration report_timeout = seconds(2);
+}
--- /dev/null
+++ b/packages/decide/impl/completion_progress.cpp
@@ -0,0 +1,272 @@
+#include <godwittrestle/decide/completions.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/decide/cancellations.hpp>
+#include <godwittrestle/decide/limits.hpp>
+#include <godwittrestle/decide/membership.hpp>
+#include <godwittrestle/decide/turn.hpp>
+
+#include "completion_support.hpp"
+
+// How a stream goes on, is tried again, ends, and is told of to its cell owner.
+namespace godwittrestle::decide
+{
+	namespace
+	{
+		constexpr duration renew_interval = seconds(1);
+		// Time past the patience after which an owner that does not answer is no longer waited for.
+		constexpr duration owner_slack = milliseconds(500);
+		constexpr duration usual_retry_after = seconds(1);
+		// A decode call without a token for this long has stalled.
+		constexpr duration stall_timeout = milliseconds(1500);
+		// A transfer may take this many times as long as its link needs, a prefill as its engine usually does.
+		constexpr int transfer_slack = 4;
+		constexpr int prefill_slack = 4;
+		// A prefill that was finished is repeated at most once.
+		constexpr std::uint32_t max_prefills = 2;
+		constexpr std::uint32_t max_attempts = 4;
+	}
+
+	void completions::finish(stream& done, membership const& members, turn& now)
+	{
+		this->send_update(done, wire::LeaseUpdate::RELEASED, members, now);
+		auto const first = done.first_token.value_or(now.now());
+		auto const gaps = std::max<std::uint32_t>(done.delivered, 2) - 1;
+		auto const is_first_in_time = first - done.arrived <= milliseconds(done.service->first_token_target_ms());
+		auto const are_gaps_in_time =
+			(now.now() - first) / gaps <= duration(milliseconds(done.service->token_gap_target_ms()));
+		++this->totals->answers;
+		this->totals->answers_in_time += is_first_in_time && are_gaps_in_time ? 1 : 0;
+		now.record("answer_whole", done.request, fmt::format("{} tokens", done.delivered));
+		now.emit(answer_end{done.request, done.delivered, is_first_in_time, are_gaps_in_time});
+		this->close(done, now);
+	}
+
+	void completions::handle_tick(membership const& members, turn& now)
+	{
+		if (now.now() - this->renewed >= renew_interval)
+		{
+			this->renewed = now.now();
+			this->renew(members, now);
+		}
+		std::vector<request_id> running;
+		running.reserve(this->streams.size());
+		std::ranges::transform(this->streams, std::back_inserter(running), [](auto const& each) { return each.first; });
+		for (auto const& request : running)
+		{
+			this->check_progress(this->streams.at(request), members, now);
+		}
+	}
+
+	void completions::check_progress(stream& running, membership const& members, turn& now)
+	{
+		if (now.now() >= running.deadline)
+		{
+			this->abandon_attempt(running, false, false, members, now);
+			this->fail(running, refusal_kind::deadline, "the answer was not whole by its deadline",
+				"come back after the time in Retry-After", usual_retry_after, members, now);
+			return;
+		}
+		if (running.at == phase::waiting)
+		{
+			auto const patience = milliseconds(running.service->patience_ms()) + owner_slack;
+			if (running.delivered == 0 && now.now() - running.waiting_since > patience)
+			{
+				this->fail(running, refusal_kind::no_server, "no daemon that could grant a lease answered in time",
+					"come back after the time in Retry-After", usual_retry_after, members, now);
+			}
+			else if (now.now() - running.asked_at >= ask_interval)
+			{
+				this->ask(running, members, now);
+			}
+			return;
+		}
+		if (!this->behaviour->mechanisms.stall_detection)
+		{
+			return;
+		}
+		auto const* const pool = running.policy->find_pool(running.service->prefill_pool());
+		auto const tokens = running.prompt_tokens.count() + running.delivered;
+		duration allowed = stall_timeout;
+		if (running.at == phase::prefilling)
+		{
+			allowed += prefill_slack * duration(std::uint64_t{tokens} * 1'000'000 / pool->prefill_tokens_per_second());
+		}
+		else if (!running.is_prefill_used)
+		{
+			auto const bytes = std::uint64_t{tokens} * pool->kv_bytes_per_token();
+			allowed += transfer_slack * duration(bytes / pool->link_megabytes_per_second());
+		}
+		if (now.now() - running.last_progress > allowed)
+		{
+			auto const is_prefill = running.at == phase::prefilling;
+			auto const is_decode = running.at == phase::decoding;
+			now.record(
+				"stalled", running.request, is_prefill ? running.prefill_server.str() : running.decode_server.str());
+			if (!running.decode_server.empty() && is_decode)
+			{
+				running.excluded.push_back(running.decode_server);
+			}
+			this->abandon_attempt(running, is_prefill, is_decode, members, now);
+			this->retry(running, members, now);
+		}
+	}
+
+	void completions::retry(stream& failed, membership const& members, turn& now)
+	{
+		auto const prefills_left = failed.prefill_attempts < max_prefills;
+		if (failed.attempt + 1 >= max_attempts || !prefills_left || now.now() >= failed.deadline)
+		{
+			this->fail(failed, refusal_kind::backend_failed, "the engines failed this request more than once",
+				"come back after the time in Retry-After", usual_retry_after, members, now);
+			return;
+		}
+		if (failed.delivered >= failed.output_tokens.count())
+		{
+			// Only the end was lost.
+			this->finish(failed, members, now);
+			return;
+		}
+		++this->totals->resumed;
+		++failed.attempt;
+		failed.at = phase::waiting;
+		failed.waiting_since = now.now();
+		now.record("attempt_started", failed.request,
+			fmt::format("attempt {} from token {}", failed.attempt, failed.delivered));
+		this->ask(failed, members, now);
+	}
+
+	void completions::abandon_attempt(
+		stream& failed, bool prefill_failed, bool decode_failed, membership const& members, turn& now)
+	{
+		if (failed.call)
+		{
+			now.emit(abort_call{*failed.call});
+			this->requests_by_call.erase(*failed.call);
+			failed.call.reset();
+		}
+		this->note_waste(failed, now);
+		auto const attempt = this->attempt_of(failed);
+		if (failed.at != phase::waiting)
+		{
+			this->cancels->start(failed.prefill_server, attempt, members, now);
+		}
+		if (failed.at == phase::decoding)
+		{
+			this->cancels->start(failed.decode_server, attempt, members, now);
+		}
+		if (!failed.owner.empty())
+		{
+			wire::PeerMessage message;
+			*message.mutable_lease_update() = this->make_update(failed, wire::LeaseUpdate::RELEASED);
+			message.mutable_lease_update()->set_prefill_failed(prefill_failed);
+			message.mutable_lease_update()->set_decode_failed(decode_failed);
+			now.send(failed.owner, members.address_of(failed.owner), std::move(message));
+		}
+		failed.early.clear();
+		failed.prefill_server = {};
+		failed.decode_server = {};
+		failed.is_prefilled = false;
+	}
+
+	void completions::note_waste(stream const& lost, turn& now)
+	{
+		auto const is_cut_short = lost.at == phase::prefilling;
+		auto const is_unused = lost.is_prefilled && !lost.is_prefill_used;
+		if (is_unused)
+		{
+			this->totals->wasted_tokens += lost.prompt_tokens.count() + lost.delivered - lost.cached.count();
+			this->totals->wasted_prefill_us += to_wire(lost.transfer_ready - lost.call_started);
+			now.record("prefill_wasted", lost.request);
+		}
+		else if (is_cut_short)
+		{
+			this->totals->wasted_prefill_us += to_wire(now.now() - lost.call_started);
+		}
+	}
+
+	void completions::fail(stream& failed, refusal_kind kind, std::string message, std::string remedy,
+		duration retry_after, membership const& members, turn& now)
+	{
+		if (failed.at == phase::waiting && !failed.owner.empty())
+		{
+			this->send_update(failed, wire::LeaseUpdate::RELEASED, members, now);
+		}
+		++this->totals->refusals[kind];
+		now.record("request_refused", failed.request, std::string(to_string(kind)));
+		now.emit(answer_failure{failed.request, kind, std::move(message), std::move(remedy), retry_after, false});
+		this->close(failed, now);
+	}
+
+	void completions::close(stream const& done, turn& /*now*/)
+	{
+		if (done.call)
+		{
+			this->requests_by_call.erase(*done.call);
+		}
+		this->accounts->finish(done.account);
+		this->streams.erase(done.request);
+	}
+
+	wire::LeaseUpdate completions::make_update(stream const& reporting, wire::LeaseUpdate::Phase reached) const
+	{
+		wire::LeaseUpdate update;
+		update.set_request(reporting.request.str());
+		update.set_attempt(reporting.attempt);
+		update.set_phase(reached);
+		update.set_service(reporting.service->name());
+		update.set_account(reporting.account.str());
+		update.set_prefill_server(reporting.prefill_server.str());
+		update.set_decode_server(reporting.decode_server.str());
+		update.set_prompt_tokens(reporting.prompt_tokens.count() + reporting.delivered);
+		update.set_cached_tokens(reporting.cached.count());
+		update.set_output_tokens(reporting.output_tokens.count());
+		update.set_produced_tokens(reporting.delivered);
+		update.set_cell(reporting.cell.str());
+		return update;
+	}
+
+	void completions::send_update(
+		stream& reporting, wire::LeaseUpdate::Phase reached, membership const& members, turn& now)
+	{
+		if (reached == wire::LeaseUpdate::DECODING)
+		{
+			reporting.renewed_at = now.now();
+			reporting.renewed_at_token = reporting.delivered;
+		}
+		wire::PeerMessage message;
+		*message.mutable_lease_update() = this->make_update(reporting, reached);
+		now.send(reporting.owner, members.address_of(reporting.owner), std::move(message));
+	}
+
+	void completions::renew(membership const& members, turn& now)
+	{
+		std::map<instance_id, wire::PeerMessage> renewals;
+		for (auto& [request, running] : this->streams)
+		{
+			if (running.at == phase::waiting)
+			{
+				continue;
+			}
+			auto const reached = reached_phase(running.at == phase::prefilling, running.is_prefill_used);
+			auto update = this->make_update(running, reached);
+			auto const produced = running.delivered - std::min(running.delivered, running.renewed_at_token);
+			if (reached == wire::LeaseUpdate::DECODING && running.is_prefill_used && produced > 0)
+			{
+				update.set_token_gap(to_wire(now.now() - running.renewed_at) / produced);
+				running.renewed_at = now.now();
+				running.renewed_at_token = running.delivered;
+			}
+			*renewals[running.owner].mutable_lease_renewal()->add_leases() = std::move(update);
+		}
+		for (auto& [owner, message] : renewals)
+		{
+			now.send(owner, members.address_of(owner), std::move(message));
+		}
+	}
+}
--- /dev/null
+++ b/packages/decide/impl/completion_support.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/wire.hpp>
+
+// Shared by the parts of completions.
+namespace godwittrestle::decide
+{
+	// A request that waits asks its cell owner again after this time.
+	inline constexpr duration ask_interval = milliseconds(500);
+
+	// Returns a span as it stands in messages: microseconds, never negative.
+	[[nodiscard]] inline std::uint64_t to_wire(duration span) noexcept
+	{
+		return static_cast<std::uint64_t>(std::max(span, duration{}).count());
+	}
+
+	// Returns the phase that a cell owner is told of.
+	[[nodiscard]] inline wire::LeaseUpdate::Phase reached_phase(bool is_prefilling, bool is_decoding) noexcept
+	{
+		if (is_prefilling)
+		{
+			return wire::LeaseUpdate::PREFILLING;
+		}
+		return is_decoding ? wire::LeaseUpdate::DECODING : wire::LeaseUpdate::TRANSFERRING;
+	}
+}
