--- a/packages/decide/impl/membership.cpp
+++ b/packages/decide/impl/membership.cpp
@@ -36,6 +36,7 @@
 		self.started = core.started;
 		self.listed = true;
 		self.was_listed = true;
+		this->rebuild_ring({});
 	}
 
 	void membership::apply(instance_list const& list, turn& now)
@@ -236,12 +237,8 @@
 
 	bool membership::is_eligible(instance_id const& id, time_point now) const
 	{
-		if (id == this->settings->instance)
-		{
-			return !this->leaving;
-		}
 		auto const found = this->peers.find(id);
-		return found != this->peers.end() && !found->second.leaving && this->is_reachable(found->second, now);
+		return found != this->peers.end() && this->is_eligible({&found->first, &found->second}, now);
 	}
 
 	std::vector<instance_id> membership::eligible(time_point now) const
@@ -255,18 +252,42 @@
 	std::optional<instance_id> membership::highest(
 		std::string_view key, std::set<data_centre_id> const& preferred, time_point now) const
 	{
-		std::optional<instance_id> best;
-		std::pair<bool, std::uint64_t> best_rank;
-		for (auto const& [id, peer] : this->peers)
+		auto const seed = hash_bytes(key);
+		peer_entry const* best = nullptr;
+		std::uint64_t best_rank = 0;
+		auto const consider = [&](std::vector<peer_entry> const& entries)
+		{
+			for (auto const& entry : entries)
+			{
+				auto const candidate_rank = hash_bytes(entry.first->str(), seed);
+				if ((best == nullptr || candidate_rank > best_rank) && this->is_eligible(entry, now))
+				{
+					best = &entry;
+					best_rank = candidate_rank;
+				}
+			}
+		};
+		for (auto const& data_centre : preferred)
 		{
-			std::pair const candidate(preferred.contains(peer.data_centre), rank(key, id.str()));
-			if ((!best || candidate > best_rank) && this->is_eligible(id, now))
+			if (auto const found = this->by_data_centre.find(data_centre); found != this->by_data_centre.end())
 			{
-				best = id;
-				best_rank = candidate;
+				consider(found->second);
 			}
 		}
-		return best;
+		if (best == nullptr)
+		{
+			std::ranges::for_each(this->by_data_centre | std::views::values, consider);
+		}
+		return best == nullptr ? std::nullopt : std::optional(*best->first);
+	}
+
+	bool membership::is_eligible(peer_entry const& entry, time_point now) const
+	{
+		if (*entry.first == this->settings->instance)
+		{
+			return !this->leaving;
+		}
+		return !entry.second->leaving && this->is_reachable(*entry.second, now);
 	}
 
 	bool membership::is_proved_gone(instance_id const& id, incarnation started, time_point now) const
@@ -406,12 +427,14 @@
 	{
 		std::set<instance_id> expected_before;
 		this->ring.clear();
+		this->by_data_centre.clear();
 		for (auto& [id, peer] : this->peers)
 		{
 			if (std::exchange(peer.expected, false))
 			{
 				expected_before.insert(id);
 			}
+			this->by_data_centre[peer.data_centre].emplace_back(&id, &peer);
 			auto const is_known = peer.listed || this->is_reachable(peer, now);
 			if (id == this->settings->instance || (is_known && !peer.address.empty()))
 			{
--- a/packages/decide/include/godwittrestle/decide/membership.hpp
+++ b/packages/decide/include/godwittrestle/decide/membership.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <godwittrestle/base/ids.hpp>
@@ -141,6 +142,9 @@
 			time_point clock_read_at;
 		};
 
+		using peer_entry = std::pair<instance_id const*, peer_record const*>;
+
+		[[nodiscard]] bool is_eligible(peer_entry const& entry, time_point now) const;
 		// Silence after which a peer's address is probed.
 		[[nodiscard]] duration probe_after() const noexcept;
 		void forget_departed(time_point now);
@@ -157,6 +161,8 @@
 		std::map<server_id, std::size_t> server_index;
 		std::map<instance_id, peer_record> peers;
 		std::vector<instance_id> ring;
+		// The peers of each data centre; rebuilt with the ring.
+		std::map<data_centre_id, std::vector<peer_entry>> by_data_centre;
 		std::map<server_id, incarnation> leaving_servers;
 		std::optional<time_point> last_sent;
 		std::optional<time_point> newest_echo;
--- a/tests/processes/process_scene.cpp
+++ b/tests/processes/process_scene.cpp
@@ -143,10 +143,11 @@
 		}
 	}
 
-	process_scene::process_scene(unsigned short port, std::string folder, int count)
+	process_scene::process_scene(unsigned short port, std::string folder, int count, std::vector<std::string> more)
 		: first_port(port)
 		, log_folder(std::move(folder))
 		, daemon_count(count)
+		, daemon_arguments(std::move(more))
 	{
 		auto next = static_cast<unsigned short>(port + 50);
 		for (auto const* const name :
@@ -254,10 +255,11 @@
 		{
 			return fmt::format("127.0.0.1:{}", port + offset);
 		};
-		std::vector<std::string> const arguments{DAEMON_PROGRAM, "--instance", name, "--data-centre",
+		std::vector<std::string> arguments{DAEMON_PROGRAM, "--instance", name, "--data-centre",
 			data_centres.at(number % data_centres.size()), "--platform-address",
 			http::to_string(this->endpoint_of("platform")), "--caller-address", address(0), "--operator-address",
 			address(1), "--peer-address", address(2)};
+		arguments.insert(arguments.end(), this->daemon_arguments.begin(), this->daemon_arguments.end());
 		this->processes.erase(name);
 		this->processes[name] = std::make_unique<child_process>(arguments, this->log_folder + "/" + name + ".log");
 	}
--- a/tests/processes/process_scene.hpp
+++ b/tests/processes/process_scene.hpp
@@ -81,7 +81,9 @@
 	{
 	  public:
 		// first_port: the first of 100 ports that are used.
-		process_scene(unsigned short first_port, std::string log_folder, int daemons);
+		// daemon_arguments: given to every daemon besides its addresses.
+		process_scene(
+			unsigned short first_port, std::string log_folder, int daemons, std::vector<std::string> daemon_arguments);
 
 		// Waits until the condition holds; returns false when it does not in time.
 		[[nodiscard]] static bool wait_for(std::function<bool()> const& condition, std::chrono::milliseconds within);
@@ -113,6 +115,7 @@
 		unsigned short first_port;
 		std::string log_folder;
 		int daemon_count;
+		std::vector<std::string> daemon_arguments;
 		std::map<std::string, unsigned short> ports;
 		std::map<std::string, std::unique_ptr<child_process>> processes;
 	};
--- a/tests/processes/run_process_scenario.cpp
+++ b/tests/processes/run_process_scenario.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <csignal>
 #include <exception>
 #include <filesystem>
@@ -5,6 +6,7 @@
 #include <stdexcept>
 
 #include <fmt/format.h>
+#include <zmq.h>
 
 #include <godwittrestle/base/digest.hpp>
 #include <godwittrestle/policy.hpp>
@@ -29,6 +31,24 @@
 		return found == given.end() ? missing : found->substr(name.size() + 1);
 	}
 
+	// "encrypted=yes" gives the daemons a pair of keys.
+	std::vector<std::string> key_arguments(words const& given)
+	{
+		if (option(given, "encrypted", "no") != "yes")
+		{
+			return {};
+		}
+		constexpr std::size_t key_letters = 40;
+		std::array<char, key_letters + 1> public_key{};
+		std::array<char, key_letters + 1> secret_key{};
+		if (zmq_curve_keypair(public_key.data(), secret_key.data()) != 0)
+		{
+			throw std::runtime_error("this build of libzmq has no encryption");
+		}
+		return {std::string("--peer-public-key=") + public_key.data(),
+			std::string("--peer-secret-key=") + secret_key.data()};
+	}
+
 	// Runs the commands of a scenario against real processes; those that make sense only in virtual time are errors.
 	class process_interpreter
 	{
@@ -77,8 +97,8 @@
 
 		void begin(words const& given)
 		{
-			this->scene =
-				std::make_unique<process_scene>(this->port, this->log_folder, std::stoi(option(given, "daemons", "3")));
+			this->scene = std::make_unique<process_scene>(
+				this->port, this->log_folder, std::stoi(option(given, "daemons", "3")), key_arguments(given));
 			this->current = policy::seal(make_test_policy(), {});
 			this->version = 1;
 			this->scene->publish(policy::to_json(this->current));
--- a/tests/world/backends.cpp
+++ b/tests/world/backends.cpp
@@ -13,6 +13,16 @@
 		return fmt::format("{:x}-{} ", decide::hash_bytes(prompt) & 0xffffU, index);
 	}
 
+	std::string reference_text(std::string const& prompt, std::uint32_t tokens)
+	{
+		std::string text;
+		for (std::uint32_t index = 0; index < tokens; ++index)
+		{
+			text += reference_token(prompt, index);
+		}
+		return text;
+	}
+
 	void fake_engine::drop_expired(time_point now)
 	{
 		std::erase_if(this->held, [&](auto const& each) { return each.second.drop_at <= now; });
--- a/tests/world/backends.hpp
+++ b/tests/world/backends.hpp
@@ -13,6 +13,9 @@
 	// Returns the token at a position of the reference answer to a prompt.
 	[[nodiscard]] std::string reference_token(std::string const& prompt, std::uint32_t index);
 
+	// Returns the first tokens of the reference answer to a prompt.
+	[[nodiscard]] std::string reference_text(std::string const& prompt, std::uint32_t tokens);
+
 	// What an engine holds memory for.
 	struct held_memory
 	{
@@ -73,6 +76,8 @@
 		std::string body;
 		std::string text;
 		std::uint32_t expected_tokens = 0;
+		// The whole answer as it should be.
+		std::string reference;
 		std::uint32_t next_index = 0;
 		bool is_out_of_order = false;
 		bool is_whole = false;
--- a/tests/world/expectations.cpp
+++ b/tests/world/expectations.cpp
@@ -28,16 +28,6 @@
 			}
 			return view.is_gone ? "gone" : view.is_connection_lost ? "connection_lost" : "unanswered";
 		}
-
-		std::string reference_text(std::string const& prompt, std::uint32_t tokens)
-		{
-			std::string text;
-			for (std::uint32_t index = 0; index < tokens; ++index)
-			{
-				text += reference_token(prompt, index);
-			}
-			return text;
-		}
 	}
 
 	std::map<std::string, int> interpreter::outcomes() const
@@ -136,7 +126,7 @@
 		auto const& what = given.at(1);
 		if (what == "whole")
 		{
-			return view.is_whole && view.text == reference_text(view.prompt, view.expected_tokens);
+			return view.is_whole && view.text == view.reference;
 		}
 		if (what == "outcome")
 		{
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -450,6 +450,7 @@
 		view.asked_at = this->now;
 		view.prompt = std::move(prompt);
 		view.expected_tokens = tokens;
+		view.reference = reference_text(view.prompt, tokens);
 		if (!this->is_running(name))
 		{
 			view.is_connection_lost = true;
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -132,6 +132,8 @@
 		void answer(std::string const& name, decide::action const& action);
 		void send(std::string const& name, decide::send_peer const& message);
 		void probe(std::string const& name, decide::probe_peer const& order);
+		// Whether the link to a server is cut, so that a call over a new connection fails without having been sent.
+		[[nodiscard]] bool fails_to_connect(std::string const& name, server_id const& server, call_id call);
 		void prefill(std::string const& name, decide::start_prefill const& call);
 		void decode(std::string const& name, decide::start_decode const& call);
 		void stream(std::string const& name, incarnation to, decide::start_decode call, std::string prompt,
--- a/tests/world/world_backends.cpp
+++ b/tests/world/world_backends.cpp
@@ -9,6 +9,8 @@
 	namespace
 	{
 		constexpr duration call_timeout = seconds(30);
+		// A connection over a cut link is given up on after this time.
+		constexpr duration connect_timeout = seconds(1);
 	}
 
 	void world::carry_out(std::string const& name, decide::action const& action)
@@ -164,6 +166,10 @@
 
 	void world::prefill(std::string const& name, decide::start_prefill const& call)
 	{
+		if (this->fails_to_connect(name, call.server, call.call))
+		{
+			return;
+		}
 		auto const of = this->daemons.at(name).started;
 		auto const server = call.server.str();
 		this->carry(name, server,
@@ -216,6 +222,10 @@
 
 	void world::decode(std::string const& name, decide::start_decode const& call)
 	{
+		if (this->fails_to_connect(name, call.server, call.call))
+		{
+			return;
+		}
 		auto const of = this->daemons.at(name).started;
 		auto const server = call.server.str();
 		this->carry(name, server,
@@ -306,8 +316,23 @@
 			});
 	}
 
+	bool world::fails_to_connect(std::string const& name, server_id const& server, call_id call)
+	{
+		if (!this->cuts.contains({name, server.str()}))
+		{
+			return false;
+		}
+		this->at(connect_timeout, [this, name, of = this->daemons.at(name).started, call]
+			{ this->deliver(name, of, decide::call_failed{call, decide::call_failure::not_connected}); });
+		return true;
+	}
+
 	void world::call_plain(std::string const& name, decide::start_plain const& call)
 	{
+		if (this->fails_to_connect(name, call.server, call.call))
+		{
+			return;
+		}
 		auto const of = this->daemons.at(name).started;
 		auto const server = call.server.str();
 		auto const reply = [this, name, of, server](decide::event event)
