--- a/packages/decide/impl/completions.cpp
+++ b/packages/decide/impl/completions.cpp
@@ -57,9 +57,9 @@
 		this->streams.emplace(asked.request, std::move(next));
 	}
 
-	void completions::update(std::vector<cell> const& derived, membership const& members, turn& now)
+	void completions::update(std::shared_ptr<std::vector<cell> const> derived, membership const& members, turn& now)
 	{
-		this->cells = derived;
+		this->cells = std::move(derived);
 		for (auto& [request, running] : this->streams)
 		{
 			auto const* const target = this->find_cell(running.cell);
@@ -116,7 +116,7 @@
 		auto const own_region = wanted.policy->region_of(this->settings->data_centre);
 		cell const* best = nullptr;
 		auto best_rank = std::pair(false, std::uint64_t{0});
-		for (auto const& candidate : this->cells)
+		for (auto const& candidate : *this->cells)
 		{
 			if (candidate.prefill_pool != wanted.service->prefill_pool() ||
 				candidate.decode_pool != wanted.service->decode_pool())
@@ -137,8 +137,8 @@
 
 	cell const* completions::find_cell(cell_id const& id) const
 	{
-		auto const found = std::ranges::find(this->cells, id, &cell::id);
-		return found == this->cells.end() ? nullptr : &*found;
+		auto const found = std::ranges::find(*this->cells, id, &cell::id);
+		return found == this->cells->end() ? nullptr : &*found;
 	}
 
 	void completions::handle(
--- a/packages/decide/impl/core.cpp
+++ b/packages/decide/impl/core.cpp
@@ -403,22 +403,25 @@
 
 	void core::refresh_cells(turn& now)
 	{
-		auto const is_unchanged =
-			this->seen_generation == this->members.generation() && this->seen_version == this->policies.version();
-		if (!this->policies.active() || is_unchanged)
+		auto const& list = this->members.list();
+		auto const is_new_shape = this->seen_version != this->policies.version() || this->seen_list != list.version;
+		auto const is_new_membership =
+			this->seen_generation != this->members.generation() && now.now() - this->refreshed_at >= check_interval;
+		if (!this->policies.active() || !(is_new_shape || is_new_membership))
 		{
 			return;
 		}
+		this->refreshed_at = now.now();
 		this->seen_generation = this->members.generation();
-		auto const& list = this->members.list();
-		if (this->seen_version != this->policies.version() || this->seen_list != list.version)
+		if (is_new_shape)
 		{
 			this->seen_version = this->policies.version();
 			this->seen_list = list.version;
-			this->cells = derive_cells(*this->policies.active(), list, this->own.cell_size);
+			this->cells = std::make_shared<std::vector<cell> const>(
+				derive_cells(*this->policies.active(), list, this->own.cell_size));
+			this->keyed.update(this->policies.active());
 		}
-		this->keyed.update(this->policies.active());
-		this->owner.update(this->cells, this->policies.active(), this->members, now);
+		this->owner.update(*this->cells, this->policies.active(), this->members, now);
 		this->streams.update(this->cells, this->members, now);
 	}
 
--- a/packages/decide/impl/core_report.cpp
+++ b/packages/decide/impl/core_report.cpp
@@ -61,9 +61,9 @@
 		}
 		answer.kind = "model";
 		answer.objective = policy::Objective_Name(service->objective());
-		auto const target = std::ranges::find_if(this->cells, [&](cell const& each)
+		auto const target = std::ranges::find_if(*this->cells, [&](cell const& each)
 			{ return each.prefill_pool == service->prefill_pool() && each.decode_pool == service->decode_pool(); });
-		if (target == this->cells.end())
+		if (target == this->cells->end())
 		{
 			answer.note = "no region has servers of both pools";
 			return answer;
--- a/packages/decide/include/godwittrestle/decide/completions.hpp
+++ b/packages/decide/include/godwittrestle/decide/completions.hpp
@@ -43,7 +43,7 @@
 			account_id const& account, turn& now);
 
 		// Takes over changed cells, then asks again where an owner has changed.
-		void update(std::vector<cell> const& cells, membership const& members, turn& now);
+		void update(std::shared_ptr<std::vector<cell> const> derived, membership const& members, turn& now);
 
 		void handle(
 			wire::LeaseGrant const& grant, wire::PeerMessage const& message, membership const& members, turn& now);
@@ -141,7 +141,7 @@
 		cancellations* cancels;
 		call_counter* calls;
 		counters* totals;
-		std::vector<cell> cells;
+		std::shared_ptr<std::vector<cell> const> cells = std::make_shared<std::vector<cell> const>();
 		std::map<request_id, stream> streams;
 		std::map<call_id, request_id> requests_by_call;
 		time_point renewed;
--- a/packages/decide/include/godwittrestle/decide/core.hpp
+++ b/packages/decide/include/godwittrestle/decide/core.hpp
@@ -125,7 +125,7 @@
 		completions streams;
 		plain_calls lookups;
 		keyed_calls keyed;
-		std::vector<cell> cells;
+		std::shared_ptr<std::vector<cell> const> cells = std::make_shared<std::vector<cell> const>();
 		readiness state = readiness::starting;
 		std::optional<time_point> last_turn;
 		// Set after a pause, until the daemon has checked what it believes.
@@ -138,6 +138,7 @@
 		std::optional<time_point> leaving_since;
 		std::optional<bool> watching;
 		std::uint64_t seen_generation = 0;
+		time_point refreshed_at;
 		platform_version seen_version;
 		platform_version seen_list;
 		bool has_left = false;
--- a/tests/unit/rendezvous.test.cpp
+++ b/tests/unit/rendezvous.test.cpp
@@ -4,11 +4,16 @@
 
 using namespace godwittrestle::decide;
 
+namespace
+{
+	constexpr std::size_t piece_bytes = std::size_t{4} * piece_tokens;
+}
+
 TEST_CASE("equal prefixes have equal leading hashes", "[rendezvous]")
 {
-	std::string const common(4 * piece_tokens * 2, 'a');
-	auto const left = prefix_hashes(common + std::string(4 * piece_tokens, 'b'), 3 * piece_tokens);
-	auto const right = prefix_hashes(common + std::string(4 * piece_tokens, 'c'), 3 * piece_tokens);
+	std::string const common(2 * piece_bytes, 'a');
+	auto const left = prefix_hashes(common + std::string(piece_bytes, 'b'), 3 * piece_tokens);
+	auto const right = prefix_hashes(common + std::string(piece_bytes, 'c'), 3 * piece_tokens);
 	REQUIRE(left.size() == 3);
 	REQUIRE(left[0] == right[0]);
 	REQUIRE(left[1] == right[1]);
