--- a/packages/decide/impl/cell_ledger.cpp
+++ b/packages/decide/impl/cell_ledger.cpp
@@ -8,6 +8,7 @@
 #include <godwittrestle/base/algorithm.hpp>
 #include <godwittrestle/decide/membership.hpp>
 #include <godwittrestle/decide/request_id.hpp>
+#include <godwittrestle/decide/wire_time.hpp>
 
 #include "cell_support.hpp"
 
@@ -159,7 +160,7 @@
 			engine->second.active.insert(held.attempt);
 			if (update.token_gap() != 0)
 			{
-				engine->second.note_token_gap(duration(static_cast<duration::rep>(update.token_gap())));
+				engine->second.note_token_gap(span_from_wire(update.token_gap()));
 			}
 		}
 		if (update.phase() > held.phase && held.phase == wire::LeaseUpdate::PREFILLING)
--- a/packages/decide/impl/cell_owner.cpp
+++ b/packages/decide/impl/cell_owner.cpp
@@ -10,6 +10,7 @@
 #include <godwittrestle/decide/membership.hpp>
 #include <godwittrestle/decide/request_id.hpp>
 #include <godwittrestle/decide/turn.hpp>
+#include <godwittrestle/decide/wire_time.hpp>
 
 namespace godwittrestle::decide
 {
@@ -23,11 +24,6 @@
 		constexpr duration lapse_check_interval = milliseconds(50);
 		constexpr duration not_owner_retry = milliseconds(50);
 
-		duration to_duration(std::uint64_t microseconds_left) noexcept
-		{
-			return duration(static_cast<duration::rep>(microseconds_left));
-		}
-
 		std::string_view role_name(policy::PoolRole role) noexcept
 		{
 			return role == policy::PREFILL ? "prefill" : "decode";
@@ -41,7 +37,7 @@
 			refusal.set_request(request);
 			refusal.set_attempt(attempt);
 			refusal.set_reason(reason);
-			refusal.set_retry_after(static_cast<std::uint64_t>(retry_after.count()));
+			refusal.set_retry_after(to_wire(retry_after));
 			return message;
 		}
 
@@ -53,7 +49,7 @@
 			grant.set_attempt(held.attempt_number);
 			grant.set_prefill_server(held.prefill_server.str());
 			grant.set_decode_server(held.decode_server.str());
-			grant.set_valid_for(static_cast<std::uint64_t>(lifetime.count()));
+			grant.set_valid_for(to_wire(lifetime));
 			grant.set_asked(held.asked_clock);
 			grant.set_cell(cell.str());
 			return message;
@@ -76,13 +72,13 @@
 			request.prefix_hashes.assign(asked.prefix_hashes().begin(), asked.prefix_hashes().end());
 			std::ranges::transform(asked.excluded(), std::back_inserter(request.excluded),
 				[](std::string const& server) { return server_id(server); });
-			request.deadline = now + to_duration(asked.remaining());
-			request.waiting_since = now - to_duration(asked.waited());
+			request.deadline = now + span_from_wire(asked.remaining());
+			request.waiting_since = now - span_from_wire(asked.waited());
 			request.asked_at = now;
 			request.asked_clock = asked.asked();
 			// Callers that have part of their answer already wait for the rest as long as it can still be whole.
 			request.patience =
-				asked.resumed() ? to_duration(asked.remaining()) : duration(milliseconds(service.patience_ms()));
+				asked.resumed() ? span_from_wire(asked.remaining()) : duration(milliseconds(service.patience_ms()));
 			request.first_token_target = milliseconds(service.first_token_target_ms());
 			request.is_resumed = asked.resumed();
 			request.prefers_no_waste = service.objective() == policy::WASTE;
--- a/packages/decide/impl/cell_placement.cpp
+++ b/packages/decide/impl/cell_placement.cpp
@@ -71,7 +71,10 @@
 			if (is_hopeless || now + predicted + stream_time > request.deadline)
 			{
 				auto const late_by = waited + predicted - request.patience;
-				auto const reason = is_hopeless ? wire::LeaseRefusal::TOO_LATE : wire::LeaseRefusal::DEADLINE;
+				auto const is_served = ahead.usable_prefill > 0 && ahead.usable_decode > 0;
+				auto const reason = !is_served    ? wire::LeaseRefusal::NO_SERVER
+									: is_hopeless ? wire::LeaseRefusal::TOO_LATE
+												  : wire::LeaseRefusal::DEADLINE;
 				decisions.refused.push_back({request, reason, std::max(late_by, least_retry_after)});
 				this->queue.erase(request.attempt);
 				continue;
--- a/packages/decide/impl/completion_progress.cpp
+++ b/packages/decide/impl/completion_progress.cpp
@@ -21,7 +21,6 @@
 		constexpr duration renew_interval = seconds(1);
 		// Time past the patience after which an owner that does not answer is no longer waited for.
 		constexpr duration owner_slack = milliseconds(500);
-		constexpr duration usual_retry_after = seconds(1);
 		// A decode call without a token for this long has stalled.
 		constexpr duration stall_timeout = milliseconds(1500);
 		// A transfer may take this many times as long as its link needs, a prefill as its engine usually does.
--- a/packages/decide/impl/completion_support.hpp
+++ b/packages/decide/impl/completion_support.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <algorithm>
-#include <cstdint>
-
 #include <godwittrestle/base/units.hpp>
+#include <godwittrestle/decide/wire_time.hpp>
 #include <godwittrestle/wire.hpp>
 
 // Shared by the parts of completions.
@@ -12,12 +10,6 @@
 	// A request that waits asks its cell owner again after this time.
 	inline constexpr duration ask_interval = milliseconds(500);
 
-	// Returns a span as it stands in messages: microseconds, never negative.
-	[[nodiscard]] inline std::uint64_t to_wire(duration span) noexcept
-	{
-		return static_cast<std::uint64_t>(std::max(span, duration{}).count());
-	}
-
 	// Returns the phase that a cell owner is told of.
 	[[nodiscard]] inline wire::LeaseUpdate::Phase reached_phase(bool is_prefilling, bool is_decoding) noexcept
 	{
--- a/packages/decide/impl/completions.cpp
+++ b/packages/decide/impl/completions.cpp
@@ -104,7 +104,7 @@
 		request.set_remaining(to_wire(asking.deadline - now.now()));
 		request.set_waited(to_wire(now.now() - asking.waiting_since));
 		request.set_attempt(asking.attempt);
-		request.set_asked(to_wire(now.now().time_since_epoch()));
+		request.set_asked(to_wire(now.now()));
 		request.set_cell(asking.cell.str());
 		request.set_resumed(asking.delivered > 0);
 		std::ranges::for_each(asking.excluded, [&](server_id const& server) { request.add_excluded(server.str()); });
@@ -163,8 +163,8 @@
 		{
 			return;
 		}
-		auto const asked = time_point(duration(static_cast<duration::rep>(grant.asked())));
-		auto const expires = asked + duration(static_cast<duration::rep>(grant.valid_for()));
+		auto const asked = clock_from_wire(grant.asked());
+		auto const expires = asked + span_from_wire(grant.valid_for());
 		if (now.now() >= expires && this->behaviour->mechanisms.lease_expiry_check)
 		{
 			now.record("lease_expired", granted.request);
@@ -377,13 +377,19 @@
 			return;
 		}
 		auto& refused = found->second;
-		duration const retry_after(static_cast<duration::rep>(refusal.retry_after()));
+		auto const retry_after = span_from_wire(refusal.retry_after());
 		if (refusal.reason() == wire::LeaseRefusal::NOT_OWNER)
 		{
 			// Asked again after a moment, when both sides have seen the same membership.
 			refused.asked_at = now.now() - ask_interval + retry_after;
 			return;
 		}
+		if (refusal.reason() == wire::LeaseRefusal::NO_SERVER)
+		{
+			this->fail(refused, refusal_kind::no_server, "no engine of the service can be used now",
+				"come back after the time in Retry-After", retry_after, members, now);
+			return;
+		}
 		auto const is_late = refusal.reason() == wire::LeaseRefusal::TOO_LATE;
 		this->fail(refused, is_late ? refusal_kind::too_late : refusal_kind::deadline,
 			is_late ? "the first token would come later than the service allows"
--- a/packages/decide/impl/core.cpp
+++ b/packages/decide/impl/core.cpp
@@ -23,7 +23,6 @@
 		constexpr duration least_leaving_time = seconds(1);
 		// An answer of the configuration service shows for this long that nothing newer was published.
 		constexpr duration confirmation_lifetime = seconds(5);
-		constexpr duration usual_retry_after = seconds(1);
 		// Daemons of each data centre that watch the configuration service once the fleet is large.
 		constexpr std::size_t watchers_per_data_centre = 3;
 	}
--- a/packages/decide/impl/keyed_calls.cpp
+++ b/packages/decide/impl/keyed_calls.cpp
@@ -10,13 +10,13 @@
 #include <godwittrestle/decide/membership.hpp>
 #include <godwittrestle/decide/rendezvous.hpp>
 #include <godwittrestle/decide/turn.hpp>
+#include <godwittrestle/decide/wire_time.hpp>
 
 namespace godwittrestle::decide
 {
 	namespace
 	{
 		constexpr duration resend_interval = milliseconds(300);
-		constexpr duration usual_retry_after = seconds(1);
 		constexpr std::uint32_t max_keys_at_once = 100;
 
 		std::uint64_t fingerprint_of(wire::KeyedCall const& call)
@@ -31,11 +31,6 @@
 			result.set_reason(std::move(reason));
 			return result;
 		}
-
-		std::uint64_t to_clock(time_point point) noexcept
-		{
-			return static_cast<std::uint64_t>(point.time_since_epoch().count());
-		}
 	}
 
 	keyed_calls::keyed_calls(core_settings const& core, mechanism_set const& enabled, limits& account_limits,
@@ -109,7 +104,7 @@
 			// Without the holder's clock it could not tell a late start; the next tick tries again.
 			return;
 		}
-		entry.call.set_start_before(*holder_clock + static_cast<std::uint64_t>((entry.deadline - now.now()).count()));
+		entry.call.set_start_before(*holder_clock + to_wire(entry.deadline - now.now()));
 		entry.passed_on = true;
 		wire::PeerMessage message;
 		*message.mutable_keyed_call() = entry.call;
@@ -160,7 +155,7 @@
 		running_call next{table->first, key->sequence, call, service == nullptr ? policy::Service{} : *service,
 			this->policy, {}, {}, {caller}};
 		keys.begin(key->sequence, fingerprint_of(call));
-		if (service == nullptr || to_clock(now.now()) > key->expires || this->is_too_late(call, now.now()))
+		if (service == nullptr || to_wire(now.now()) > key->expires || this->is_too_late(call, now.now()))
 		{
 			this->conclude(
 				next, make_outcome(wire::KeyedOutcome::NOT_RUN, "the call came too late to be started"), members, now);
@@ -171,7 +166,7 @@
 
 	bool keyed_calls::is_too_late(wire::KeyedCall const& call, time_point now) const
 	{
-		return this->mechanisms->issuer_checks_start_time && to_clock(now) > call.start_before();
+		return this->mechanisms->issuer_checks_start_time && to_wire(now) > call.start_before();
 	}
 
 	void keyed_calls::attempt(running_call next, membership const& members, turn& now)
--- a/packages/decide/impl/membership.cpp
+++ b/packages/decide/impl/membership.cpp
@@ -6,6 +6,7 @@
 
 #include <godwittrestle/decide/rendezvous.hpp>
 #include <godwittrestle/decide/turn.hpp>
+#include <godwittrestle/decide/wire_time.hpp>
 
 namespace godwittrestle::decide
 {
@@ -15,16 +16,6 @@
 		constexpr duration silence_lifetime = seconds(5);
 		// Time for which a departed daemon is remembered, so that its requests on engines are known to be orphans.
 		constexpr duration departed_memory = std::chrono::minutes(10);
-
-		std::uint64_t to_clock(time_point point) noexcept
-		{
-			return static_cast<std::uint64_t>(point.time_since_epoch().count());
-		}
-
-		time_point from_clock(std::uint64_t reading) noexcept
-		{
-			return time_point(duration(static_cast<duration::rep>(reading)));
-		}
 	}
 
 	membership::membership(core_settings const& core, mechanism_set const& enabled)
@@ -140,7 +131,7 @@
 		this->adopt_silences(heartbeat, now.now());
 		if (heartbeat.echo() != 0)
 		{
-			auto const echo = from_clock(heartbeat.echo());
+			auto const echo = clock_from_wire(heartbeat.echo());
 			this->newest_echo = std::max(this->newest_echo.value_or(echo), echo);
 		}
 		if (heartbeat.wants_reply())
@@ -363,14 +354,14 @@
 	{
 		if (id == this->settings->instance)
 		{
-			return to_clock(now);
+			return to_wire(now);
 		}
 		auto const found = this->peers.find(id);
 		if (found == this->peers.end() || found->second.clock == 0)
 		{
 			return std::nullopt;
 		}
-		return found->second.clock + static_cast<std::uint64_t>((now - found->second.clock_read_at).count());
+		return found->second.clock + to_wire(now - found->second.clock_read_at);
 	}
 
 	bool membership::answered_since(time_point since) const
@@ -487,7 +478,7 @@
 			{
 				continue;
 			}
-			auto const since = now - duration(static_cast<duration::rep>(silent.age()));
+			auto const since = now - span_from_wire(silent.age());
 			auto& known = found->second.silent_since;
 			known = std::max(known.value_or(since), since);
 		}
@@ -501,7 +492,7 @@
 		heartbeat.set_config_digest(facts.config_digest);
 		heartbeat.set_list_version(this->listed.version.count());
 		heartbeat.set_leaving(this->leaving);
-		heartbeat.set_clock(to_clock(now));
+		heartbeat.set_clock(to_wire(now));
 		heartbeat.set_wants_reply(wants_reply);
 		if (wants_reply)
 		{
@@ -527,7 +518,7 @@
 			{
 				auto& entry = *heartbeat.add_silent();
 				entry.set_instance(id.str());
-				entry.set_age(static_cast<std::uint64_t>((now - *since).count()));
+				entry.set_age(to_wire(now - *since));
 			}
 		}
 		return message;
--- a/packages/decide/impl/plain_calls.cpp
+++ b/packages/decide/impl/plain_calls.cpp
@@ -12,7 +12,6 @@
 {
 	namespace
 	{
-		constexpr duration usual_retry_after = seconds(1);
 		// A server that has not answered for this long is given up on while there is another and the budget allows.
 		constexpr duration attempt_timeout = milliseconds(1500);
 		constexpr unsigned first_server_error = 500;
--- a/packages/decide/include/godwittrestle/decide/action.hpp
+++ b/packages/decide/include/godwittrestle/decide/action.hpp
@@ -55,6 +55,9 @@
 	// Returns the HTTP status that a kind is answered with.
 	[[nodiscard]] unsigned http_status(refusal_kind kind) noexcept;
 
+	// When to come back after a refusal whose cause has no time of its own.
+	inline constexpr duration usual_retry_after = seconds(1);
+
 	// Ends a request without a whole answer.
 	struct answer_failure
 	{
--- /dev/null
+++ b/packages/decide/include/godwittrestle/decide/wire_time.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include <godwittrestle/base/units.hpp>
+
+// Times as they stand in messages: unsigned microseconds.
+namespace godwittrestle::decide
+{
+	// Returns a span for a message; a negative one becomes zero.
+	[[nodiscard]] constexpr std::uint64_t to_wire(duration span) noexcept
+	{
+		return static_cast<std::uint64_t>(std::max(span, duration{}).count());
+	}
+
+	// Returns a reading of the sender's own clock for a message.
+	[[nodiscard]] constexpr std::uint64_t to_wire(time_point reading) noexcept
+	{
+		return to_wire(reading.time_since_epoch());
+	}
+
+	[[nodiscard]] constexpr duration span_from_wire(std::uint64_t value) noexcept
+	{
+		return duration(static_cast<duration::rep>(value));
+	}
+
+	[[nodiscard]] constexpr time_point clock_from_wire(std::uint64_t value) noexcept
+	{
+		return time_point(span_from_wire(value));
+	}
+}
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -54,21 +54,17 @@
 			server.started = incarnation(1);
 			this->list.servers.push_back(std::move(server));
 		};
-		for (int index = 1; index <= shape.prefill; ++index)
+		for (auto const& [role, count] : {std::pair("prefill", shape.prefill), std::pair("decode", shape.decode)})
 		{
-			auto const id = fmt::format("prefill-{}", index);
-			this->engines[id].id = id;
-			this->engines[id].role = "prefill";
-			this->engines[id].model = "m1";
-			add_server(id, "prefill", index);
-		}
-		for (int index = 1; index <= shape.decode; ++index)
-		{
-			auto const id = fmt::format("decode-{}", index);
-			this->engines[id].id = id;
-			this->engines[id].role = "decode";
-			this->engines[id].model = "m1";
-			add_server(id, "decode", index);
+			for (int index = 1; index <= count; ++index)
+			{
+				auto const id = fmt::format("{}-{}", role, index);
+				auto& engine = this->engines[id];
+				engine.id = id;
+				engine.role = role;
+				engine.model = "m1";
+				add_server(id, role, index);
+			}
 		}
 		for (int index = 1; index <= shape.plain; ++index)
 		{
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -132,6 +132,9 @@
 		void answer(std::string const& name, decide::action const& action);
 		void send(std::string const& name, decide::send_peer const& message);
 		void probe(std::string const& name, decide::probe_peer const& order);
+		// Tells a daemon that a call failed at a server.
+		void fail_call(
+			std::string const& server, std::string const& name, incarnation of, decide::call_failed const& failed);
 		// Whether the link to a server is cut, so that a call over a new connection fails without having been sent.
 		[[nodiscard]] bool fails_to_connect(std::string const& name, server_id const& server, call_id call);
 		void prefill(std::string const& name, decide::start_prefill const& call);
--- a/tests/world/world_backends.cpp
+++ b/tests/world/world_backends.cpp
@@ -177,8 +177,7 @@
 			{
 				auto const fail = [this, name, of, server, id = call.call](decide::call_failure kind)
 				{
-					this->carry(server, name,
-						[this, name, of, id, kind] { this->deliver(name, of, decide::call_failed{id, kind}); });
+					this->fail_call(server, name, of, {id, kind});
 				};
 				auto& engine = this->engines.at(server);
 				if (engine.call_delay > duration{})
@@ -233,8 +232,7 @@
 			{
 				auto const fail = [this, name, of, server, id = call.call](decide::call_failure kind)
 				{
-					this->carry(server, name,
-						[this, name, of, id, kind] { this->deliver(name, of, decide::call_failed{id, kind}); });
+					this->fail_call(server, name, of, {id, kind});
 				};
 				auto& engine = this->engines.at(server);
 				++engine.work_started;
@@ -316,6 +314,12 @@
 			});
 	}
 
+	void world::fail_call(
+		std::string const& server, std::string const& name, incarnation of, decide::call_failed const& failed)
+	{
+		this->carry(server, name, [this, name, of, failed] { this->deliver(name, of, failed); });
+	}
+
 	bool world::fails_to_connect(std::string const& name, server_id const& server, call_id call)
 	{
 		if (!this->cuts.contains({name, server.str()}))
