--- a/tests/bench/routers.cpp
+++ b/tests/bench/routers.cpp
@@ -97,7 +97,7 @@
 				this->outcomes[request] = &target;
 				// The prompt's length and its pieces are all that matters; four bytes count as one token.
 				auto prompt = std::make_shared<std::string>(std::size_t{4} * target.asked.prompt_tokens, 'x');
-				this->write_pieces(*prompt, target.asked.pieces);
+				this->write_pieces(*prompt, index, target.asked.pieces);
 				this->hand_in(decide::completion_requested{request, service_id("summary"), target.asked.account,
 					std::move(prompt), token_count(target.asked.output_tokens)});
 			}
@@ -150,12 +150,12 @@
 			}
 
 			// Makes prompts with equal pieces equal in those pieces, so that the core's own hashes tell them.
-			void write_pieces(std::string& prompt, std::vector<std::uint64_t> const& chain) const
+			void write_pieces(std::string& prompt, std::size_t index, std::vector<std::uint64_t> const& chain) const
 			{
 				if (!this->options.uses_prefixes || chain.empty())
 				{
 					// Without shared text every prompt is its own.
-					auto const mark = fmt::format("{}", reinterpret_cast<std::uintptr_t>(prompt.data()));
+					auto const mark = fmt::format("{:016}", index);
 					prompt.replace(0, std::min(mark.size(), prompt.size()), mark.substr(0, prompt.size()));
 					return;
 				}
