Note usable engines and saturation on every pass; decide in shorter steps

Cause, found by reading: a ledger without waiting requests did not notice when its engines were last usable, so the first request after an idle time met a stale belief and was refused during a short gap that it should have waited out. Change: capacity is noted before the queue is looked at; the pass is split into placing, refusing and waiting.

--- a/packages/decide/impl/cell_placement.cpp
+++ b/packages/decide/impl/cell_placement.cpp
@@ -34,22 +34,11 @@
 
 	ledger_decisions cell_ledger::decide(time_point now)
 	{
-		ledger_decisions decisions;
-		std::vector<waiting_request> order;
-		std::ranges::transform(this->queue.ordered(now), std::back_inserter(order),
-			[](waiting_request const* request) { return *request; });
-		if (order.empty())
-		{
-			return decisions;
-		}
 		auto ahead = this->make_forecast(now);
-		if (ahead.usable_prefill > 0 && ahead.usable_decode > 0)
-		{
-			this->usable_at = now;
-		}
-		this->note_saturation(ahead, now);
+		this->note_capacity(ahead, now);
+		ledger_decisions decisions;
 		auto is_blocked = false;
-		for (auto const& request : order)
+		for (auto const& request : this->waiting_in_order(now))
 		{
 			// A late request gets only what those in time leave: its slot would be lost to several of them.
 			auto const must_yield = is_late(request, now) && this->saturated_since;
@@ -59,38 +48,66 @@
 			{
 				decisions.granted.push_back(this->grant(request, *where, now));
 				ahead = this->make_forecast(now);
-				continue;
 			}
-			auto const predicted = this->predict_first_token(request, ahead, now);
-			auto const waited = now - request.waiting_since;
-			auto const is_crowded_out = must_yield && now - this->saturated_since.value_or(now) > request.patience / 2;
-			auto const is_hopeless = this->behaviour->mechanisms.immediate_refusal
-										 ? is_crowded_out || waited + predicted > request.patience
-										 : waited > request.patience;
-			auto const stream_time = request.output_tokens.count() * this->usual_token_gap();
-			if (is_hopeless || now + predicted + stream_time > request.deadline)
+			else if (auto refusal = this->refusal_for(request, ahead, now))
 			{
-				auto const late_by = waited + predicted - request.patience;
-				auto const is_served = ahead.usable_prefill > 0 && ahead.usable_decode > 0;
-				auto const reason = !is_served    ? wire::LeaseRefusal::NO_SERVER
-									: is_hopeless ? wire::LeaseRefusal::TOO_LATE
-												  : wire::LeaseRefusal::DEADLINE;
-				decisions.refused.push_back({request, reason, std::max(late_by, least_retry_after)});
+				decisions.refused.push_back(std::move(*refusal));
 				this->queue.erase(request.attempt);
-				continue;
 			}
-			// Who waits for one engine by choice holds nobody up.
-			is_blocked = is_blocked || !awaits_prefix;
-			ahead.prefill_backlog += duration(static_cast<duration::rep>(
-				request.prompt_tokens.count() /
-				(this->prefill.empty() ? 1.0 : this->prefill.begin()->second.tokens_per_us)));
-			--ahead.slots_left;
+			else
+			{
+				// Who waits for one engine by choice holds nobody up.
+				is_blocked = is_blocked || !awaits_prefix;
+				this->add_waiting(ahead, request);
+			}
 		}
 		return decisions;
 	}
 
-	void cell_ledger::note_saturation(forecast const& ahead, time_point now)
+	std::vector<waiting_request> cell_ledger::waiting_in_order(time_point now) const
 	{
+		std::vector<waiting_request> order;
+		std::ranges::transform(this->queue.ordered(now), std::back_inserter(order),
+			[](waiting_request const* request) { return *request; });
+		return order;
+	}
+
+	std::optional<lease_refusal> cell_ledger::refusal_for(
+		waiting_request const& request, forecast const& ahead, time_point now) const
+	{
+		auto const predicted = this->predict_first_token(request, ahead, now);
+		auto const waited = now - request.waiting_since;
+		auto const is_crowded_out =
+			is_late(request, now) && this->saturated_since && now - *this->saturated_since > request.patience / 2;
+		auto const is_hopeless = this->behaviour->mechanisms.immediate_refusal
+									 ? is_crowded_out || waited + predicted > request.patience
+									 : waited > request.patience;
+		auto const stream_time = request.output_tokens.count() * this->usual_token_gap();
+		if (!is_hopeless && now + predicted + stream_time <= request.deadline)
+		{
+			return std::nullopt;
+		}
+		auto const is_served = ahead.usable_prefill > 0 && ahead.usable_decode > 0;
+		auto const reason = !is_served    ? wire::LeaseRefusal::NO_SERVER
+							: is_hopeless ? wire::LeaseRefusal::TOO_LATE
+										  : wire::LeaseRefusal::DEADLINE;
+		auto const late_by = waited + predicted - request.patience;
+		return lease_refusal{request, reason, std::max(late_by, least_retry_after)};
+	}
+
+	void cell_ledger::add_waiting(forecast& ahead, waiting_request const& request) const
+	{
+		auto const speed = this->prefill.empty() ? 1.0 : this->prefill.begin()->second.tokens_per_us;
+		ahead.prefill_backlog += duration(static_cast<duration::rep>(request.prompt_tokens.count() / speed));
+		--ahead.slots_left;
+	}
+
+	void cell_ledger::note_capacity(forecast const& ahead, time_point now)
+	{
+		if (ahead.usable_prefill > 0 && ahead.usable_decode > 0)
+		{
+			this->usable_at = now;
+		}
 		auto const slots = std::accumulate(this->decode.begin(), this->decode.end(), 0,
 			[](int sum, auto const& engine) { return sum + static_cast<int>(engine.second.limit); });
 		if (ahead.slots_left > slots / saturation_divisor)
--- a/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
+++ b/packages/decide/include/godwittrestle/decide/cell_ledger.hpp
@@ -118,7 +118,14 @@
 			double releases_per_us = 0;
 		};
 
-		void note_saturation(forecast const& ahead, time_point now);
+		// Takes note of when there last was a usable engine and since when the slots are taken.
+		void note_capacity(forecast const& ahead, time_point now);
+		[[nodiscard]] std::vector<waiting_request> waiting_in_order(time_point now) const;
+		// Returns why a request that can't be granted now is given up on; nothing while it may wait.
+		[[nodiscard]] std::optional<lease_refusal> refusal_for(
+			waiting_request const& request, forecast const& ahead, time_point now) const;
+		// Counts a request that stays in the queue against those behind it.
+		void add_waiting(forecast& ahead, waiting_request const& request) const;
 		[[nodiscard]] forecast make_forecast(time_point now) const;
 		[[nodiscard]] duration predict_first_token(
 			waiting_request const& request, forecast const& ahead, time_point now) const;
