--- a/tests/world/backends.cpp
+++ b/tests/world/backends.cpp
@@ -23,6 +23,16 @@
 		return text;
 	}
 
+	std::optional<decide::call_failure> fake_engine::refuse_work()
+	{
+		++this->work_started;
+		if (this->is_dead)
+		{
+			return decide::call_failure::not_connected;
+		}
+		return this->says_leaving ? std::optional(decide::call_failure::leaving) : std::nullopt;
+	}
+
 	void fake_engine::drop_expired(time_point now)
 	{
 		std::erase_if(this->held, [&](auto const& each) { return each.second.drop_at <= now; });
--- a/tests/world/backends.hpp
+++ b/tests/world/backends.hpp
@@ -49,6 +49,9 @@
 		std::map<std::string, held_memory> held;
 		std::uint64_t work_started = 0;
 
+		// Counts a call that arrives, and returns why it is not begun; nothing when it is.
+		[[nodiscard]] std::optional<decide::call_failure> refuse_work();
+
 		void drop_expired(time_point now);
 		[[nodiscard]] decide::load_report report(time_point now);
 		// Returns whether the order was taken.
--- a/tests/world/world_backends.cpp
+++ b/tests/world/world_backends.cpp
@@ -187,10 +187,9 @@
 					this->at(delay, [this, name, call] { this->prefill(name, call); });
 					return;
 				}
-				++engine.work_started;
-				if (engine.is_dead || engine.says_leaving)
+				if (auto const refused = engine.refuse_work())
 				{
-					fail(engine.is_dead ? decide::call_failure::not_connected : decide::call_failure::leaving);
+					fail(*refused);
 					return;
 				}
 				if (engine.is_silent)
@@ -235,10 +234,9 @@
 					this->fail_call(server, name, of, {id, kind});
 				};
 				auto& engine = this->engines.at(server);
-				++engine.work_started;
-				if (engine.is_dead || engine.says_leaving)
+				if (auto const refused = engine.refuse_work())
 				{
-					fail(engine.is_dead ? decide::call_failure::not_connected : decide::call_failure::leaving);
+					fail(*refused);
 					return;
 				}
 				if (engine.is_silent)
