--- a/packages/daemon/impl/application.cpp
+++ b/packages/daemon/impl/application.cpp
@@ -50,7 +50,8 @@
 		explicit implementation(daemon_settings given)
 			: settings(std::move(given))
 			, started(wall_clock_us())
-			, events(settings)
+			, events(telemetry_settings{settings.instance, settings.data_centre, settings.ring_capacity,
+				  settings.timeline_events, settings.log_level})
 			, core(make_core_settings(settings, started), settings.ring_capacity,
 				  [this](decide::action&& action) { this->carry_out(std::move(action)); })
 			, backend(core, settings.ring_capacity)
--- a/packages/daemon/impl/telemetry.cpp
+++ b/packages/daemon/impl/telemetry.cpp
@@ -20,9 +20,12 @@
 		// Events that an operator wants to see without asking.
 		bool is_notable(std::string_view name)
 		{
-			return name.starts_with("daemon_") || name.starts_with("config_") || name.starts_with("cell_") ||
+			return name.starts_with("daemon_") || name.starts_with("config") || name.starts_with("cell_") ||
 				   name.starts_with("server_") || name.starts_with("orphan_") || name == "ready" || name == "leaving" ||
-				   name == "left" || name == "woke_up" || name == "request_refused" || name == "answer_whole";
+				   name == "left" || name == "woke_up" || name == "answer_whole" || name.starts_with("request_") ||
+				   name.starts_with("registry_") || name.starts_with("settings_") || name.starts_with("servers_") ||
+				   name.starts_with("peer_") || name == "started" || name == "stopped" || name == "draining" ||
+				   name == "drained";
 		}
 
 		log4cplus::Logger logger()
@@ -30,11 +33,12 @@
 			return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("godwittrestle"));
 		}
 
-		// Sets log4cplus up once for the process: one line to standard error for each message.
-		void set_up_logging(std::string const& level)
+		// Sets log4cplus up once for the process: one line for each message.
+		void set_up_logging(std::string const& level, log_target target)
 		{
 			static log4cplus::Initializer const initializer;
-			log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+			auto const to_standard_error = target == log_target::standard_error;
+			log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(to_standard_error, true));
 			appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
 			logger().removeAllAppenders();
 			logger().addAppender(appender);
@@ -42,13 +46,13 @@
 		}
 	}
 
-	telemetry::telemetry(daemon_settings const& settings)
+	telemetry::telemetry(telemetry_settings const& settings)
 		: instance(settings.instance.str())
 		, data_centre(settings.data_centre.str())
 		, inputs(settings.ring_capacity)
 		, kept(settings.timeline_events)
 	{
-		set_up_logging(settings.log_level);
+		set_up_logging(settings.log_level, settings.target);
 	}
 
 	telemetry::~telemetry()
@@ -130,6 +134,7 @@
 		{
 			line["detail"] = event.detail;
 		}
+		std::ranges::for_each(event.fields, [&](decide::event_field const& each) { line[each.name] = each.value; });
 		logger().log(level, boost::json::serialize(line));
 	}
 }
--- a/packages/daemon/include/godwittrestle/daemon/telemetry.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/telemetry.hpp
@@ -11,17 +11,35 @@
 #include <boost/circular_buffer.hpp>
 
 #include <godwittrestle/base/bounded_ring.hpp>
-#include <godwittrestle/daemon/settings.hpp>
+#include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/decide/action.hpp>
 
 namespace godwittrestle::daemon
 {
+	enum class log_target
+	{
+		standard_error,
+		standard_output,
+	};
+
+	struct telemetry_settings
+	{
+		instance_id instance;
+		data_centre_id data_centre;
+		// Lines that may wait for the log.
+		std::size_t ring_capacity = 0;
+		// Events of the time line that are kept.
+		std::size_t timeline_events = 0;
+		std::string log_level;
+		log_target target = log_target::standard_error;
+	};
+
 	// The thread that keeps the time line and writes the log: one JSON object a line, with the instance, the data
 	// centre and the request.
 	class telemetry
 	{
 	  public:
-		explicit telemetry(daemon_settings const& settings);
+		explicit telemetry(telemetry_settings const& settings);
 		~telemetry();
 
 		telemetry(telemetry const&) = delete;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -4,6 +4,7 @@
 
 #include <godwittrestle/daemon/application.hpp>
 #include <godwittrestle/daemon/settings.hpp>
+#include <godwittrestle/platform/adapter.hpp>
 
 namespace
 {
@@ -12,6 +13,15 @@
 	constexpr int exit_fault = 1;
 	constexpr int exit_wrong_setting = 2;
 
+	// Runs as a gateway on the users' platform, by the settings file that it has placed.
+	result<int> run_on_platform(std::string const& settings_path)
+	{
+		auto adapter = platform::make_adapter(settings_path);
+		BOOST_LEAF_AUTO(settings, adapter.read_settings());
+		gateway::application application(std::move(settings), std::move(adapter));
+		return application.run();
+	}
+
 	int run(daemon::command_line line)
 	{
 		if (line.print)
@@ -35,6 +45,10 @@
 		return handle_failure(
 			[&]() -> result<int>
 			{
+				if (auto const* const settings_path = std::getenv(platform::settings_variable))
+				{
+					return run_on_platform(settings_path);
+				}
 				BOOST_LEAF_AUTO(line, daemon::parse_command_line(count, arguments));
 				return run(std::move(line));
 			},
--- a/packages/decide/include/godwittrestle/decide/action.hpp
+++ b/packages/decide/include/godwittrestle/decide/action.hpp
@@ -195,6 +195,13 @@
 		bool watching = true;
 	};
 
+	// One named fact of an event, such as an input of a decision.
+	struct event_field
+	{
+		std::string name;
+		std::string value;
+	};
+
 	// One event of the time line.
 	struct record_event
 	{
@@ -203,6 +210,7 @@
 		std::string name;
 		request_id request;
 		std::string detail;
+		std::vector<event_field> fields;
 	};
 
 	// Everything is handed over or finished; the process may exit.
--- /dev/null
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -0,0 +1,130 @@
+#include <godwittrestle/gateway/connection_pool.hpp>
+
+#include <algorithm>
+#include <ranges>
+
+#include <godwittrestle/daemon/core_loop.hpp>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// Idle connections are given up this long before the server closes them.
+		constexpr duration idle_margin = milliseconds(600);
+		// For servers that do not say how long they keep idle connections.
+		constexpr duration usual_idle_timeout = seconds(4);
+
+		duration idle_time(http::upstream const& connection)
+		{
+			auto const given = connection.keep_alive().idle_timeout.value_or(usual_idle_timeout);
+			return std::max(duration{}, given - idle_margin);
+		}
+	}
+
+	connection_pool::connection_pool(asio::any_io_executor on, std::function<void()> notify)
+		: executor(std::move(on))
+		, on_connect(std::move(notify))
+	{
+	}
+
+	asio::awaitable<http::upstream_pointer> connection_pool::acquire(
+		routing::registered_server const& server, std::size_t limit, duration longest_idle, duration timeout)
+	{
+		auto& connections = this->servers[server.id];
+		if (connections.started != server.started || connections.address != server.address)
+		{
+			connections = server_connections{server.started, server.address, {}, 0};
+		}
+		if (auto idle = this->take_idle(connections, longest_idle, daemon::monotonic_now()))
+		{
+			++connections.in_use;
+			co_return idle;
+		}
+		if (connections.in_use + connections.idle.size() >= limit)
+		{
+			co_return nullptr;
+		}
+		auto const where = http::parse_endpoint(server.address, server.id.str());
+		if (!where)
+		{
+			co_return nullptr;
+		}
+		++connections.in_use;
+		this->on_connect();
+		auto fresh = std::make_shared<http::upstream>(this->executor, *where);
+		auto const is_connected = co_await fresh->connect(timeout);
+		if (!is_connected)
+		{
+			this->release(server, nullptr);
+			co_return nullptr;
+		}
+		co_return fresh;
+	}
+
+	void connection_pool::release(routing::registered_server const& server, http::upstream_pointer const& connection)
+	{
+		auto const known = this->servers.find(server.id);
+		auto const is_current = known != this->servers.end() && known->second.started == server.started &&
+								known->second.address == server.address;
+		if (is_current && known->second.in_use > 0)
+		{
+			--known->second.in_use;
+		}
+		if (!connection)
+		{
+			return;
+		}
+		if (!is_current || !connection->is_reusable())
+		{
+			connection->close();
+			return;
+		}
+		known->second.idle.push_back({connection, daemon::monotonic_now()});
+	}
+
+	void connection_pool::forget(server_id const& server)
+	{
+		auto const known = this->servers.find(server);
+		if (known == this->servers.end())
+		{
+			return;
+		}
+		std::ranges::for_each(known->second.idle, [](idle_connection& each) { each.connection->close(); });
+		this->servers.erase(known);
+	}
+
+	void connection_pool::sweep(time_point now)
+	{
+		for (auto& connections : this->servers | std::views::values)
+		{
+			std::erase_if(connections.idle,
+				[now](idle_connection& each)
+				{
+					auto const is_over =
+						now - each.since > idle_time(*each.connection) || !each.connection->is_quiet();
+					if (is_over)
+					{
+						each.connection->close();
+					}
+					return is_over;
+				});
+		}
+	}
+
+	http::upstream_pointer connection_pool::take_idle(
+		server_connections& connections, duration longest_idle, time_point now)
+	{
+		while (!connections.idle.empty())
+		{
+			auto const candidate = connections.idle.back();
+			connections.idle.pop_back();
+			auto const age = now - candidate.since;
+			if (age <= std::min(longest_idle, idle_time(*candidate.connection)) && candidate.connection->is_quiet())
+			{
+				return candidate.connection;
+			}
+			candidate.connection->close();
+		}
+		return nullptr;
+	}
+}
--- /dev/null
+++ b/packages/gateway/impl/counters.cpp
@@ -0,0 +1,104 @@
+#include <godwittrestle/gateway/counters.hpp>
+
+#include <sstream>
+
+#include <prometheus/text_serializer.h>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		prometheus::Histogram::BucketBoundaries latency_buckets()
+		{
+			return {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 14};
+		}
+	}
+
+	counters::counters()
+		: requests(&prometheus::BuildCounter()
+					   .Name("godwittrestle_requests_total")
+					   .Help("Requests of callers that ended, by kind and outcome")
+					   .Register(this->registry))
+		, first_byte(&prometheus::BuildHistogram()
+						 .Name("godwittrestle_first_byte_seconds")
+						 .Help("Time from a request to the first byte of its answer")
+						 .Register(this->registry))
+		, sends(&prometheus::BuildCounter()
+					.Name("godwittrestle_sends_total")
+					.Help("Calls sent to backend servers, by part and outcome")
+					.Register(this->registry))
+		, connections(&prometheus::BuildCounter()
+						   .Name("godwittrestle_backend_connections_total")
+						   .Help("New connections to backend servers")
+						   .Register(this->registry)
+						   .Add({}))
+		, registry_calls(&prometheus::BuildCounter()
+							  .Name("godwittrestle_registry_calls_total")
+							  .Help("Calls to the registry, by outcome")
+							  .Register(this->registry))
+		, configuration(&prometheus::BuildGauge()
+							 .Name("godwittrestle_configuration_version")
+							 .Help("Version of the configuration in force")
+							 .Register(this->registry)
+							 .Add({}))
+		, servers(&prometheus::BuildGauge()
+					   .Name("godwittrestle_backend_servers")
+					   .Help("Backend servers that are known")
+					   .Register(this->registry)
+					   .Add({}))
+		, dropped(&prometheus::BuildGauge()
+					   .Name("godwittrestle_dropped_log_lines")
+					   .Help("Log lines dropped because the log was too slow")
+					   .Register(this->registry)
+					   .Add({}))
+	{
+	}
+
+	void counters::count_request(std::string_view kind, std::string_view outcome)
+	{
+		this->requests->Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::observe_first_byte(std::string_view kind, duration taken)
+	{
+		auto const seconds_taken = std::chrono::duration<double>(taken).count();
+		this->first_byte->Add({{"kind", std::string(kind)}}, latency_buckets()).Observe(seconds_taken);
+	}
+
+	void counters::count_send(std::string_view part, std::string_view outcome)
+	{
+		this->sends->Add({{"part", std::string(part)}, {"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::count_connection()
+	{
+		this->connections->Increment();
+	}
+
+	void counters::count_registry_call(std::string_view outcome)
+	{
+		this->registry_calls->Add({{"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::set_configuration(std::uint64_t version)
+	{
+		this->configuration->Set(static_cast<double>(version));
+	}
+
+	void counters::set_servers(std::size_t count)
+	{
+		this->servers->Set(static_cast<double>(count));
+	}
+
+	void counters::set_dropped_log_lines(std::uint64_t count)
+	{
+		this->dropped->Set(static_cast<double>(count));
+	}
+
+	std::string counters::render() const
+	{
+		std::ostringstream out;
+		prometheus::TextSerializer().Serialize(out, this->registry.Collect());
+		return out.str();
+	}
+}
--- /dev/null
+++ b/packages/gateway/impl/traffic.cpp
@@ -0,0 +1,253 @@
+#include <godwittrestle/gateway/traffic.hpp>
+
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <godwittrestle/daemon/core_loop.hpp>
+#include <godwittrestle/gateway/wall_clock.hpp>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		using daemon::monotonic_now;
+
+		constexpr auto token = asio::as_tuple(asio::use_awaitable);
+		constexpr std::size_t update_ring_capacity = 256;
+		constexpr duration house_keeping_interval = milliseconds(250);
+		// The platform's balancer needs this long to see that a daemon is no longer ready.
+		constexpr duration balancer_delay = milliseconds(2500);
+		constexpr duration drain_poll = milliseconds(50);
+		// What still runs this long before SIGKILL is broken off.
+		constexpr duration exit_margin = milliseconds(700);
+		constexpr unsigned not_ready = 503;
+		constexpr unsigned not_found = 404;
+
+		http::server_limits to_server_limits(routing::caller_limits const& limits)
+		{
+			http::server_limits converted;
+			converted.header_bytes = limits.header_bytes;
+			converted.body_bytes = limits.body_bytes;
+			converted.header_timeout = limits.header_timeout;
+			converted.idle_timeout = limits.idle_timeout;
+			return converted;
+		}
+	}
+
+	traffic::traffic(gateway_settings const& given, platform_adapter const& brought, event_log lines,
+		std::function<std::uint64_t()> dropped, std::function<void()> drained)
+		: settings(given)
+		, adapter(brought)
+		, log(std::move(lines))
+		, dropped_lines(std::move(dropped))
+		, on_drained(std::move(drained))
+		, updates(update_ring_capacity, this->thread.context(),
+			  [this](registry_update&& update) { this->take(std::move(update)); })
+		, shared{nullptr, routing::directory(given.servers), {}, given.retries, given.data_centre, 1}
+		, forward(this->thread.context().get_executor(), this->shared, brought.calls, this->totals, this->log)
+	{
+	}
+
+	traffic::~traffic()
+	{
+		this->stop();
+	}
+
+	void traffic::start()
+	{
+		auto const executor = this->thread.context().get_executor();
+		this->callers = std::make_unique<http::server>(executor, this->settings.caller_address,
+			to_server_limits(routing::caller_limits{}), [this](http::request message, http::exchange& talk)
+			{ return this->forward.serve(std::move(message), talk); });
+		this->readiness = std::make_unique<http::server>(executor, this->settings.readiness_address,
+			http::server_limits{}, [this](http::request message, http::exchange& talk)
+			{ return this->answer_readiness(std::move(message), talk); });
+		this->metrics = std::make_unique<http::server>(executor, this->settings.metrics_address,
+			http::server_limits{}, [this](http::request message, http::exchange& talk)
+			{ return this->answer_metrics(std::move(message), talk); });
+		this->callers->start();
+		this->readiness->start();
+		this->metrics->start();
+		asio::co_spawn(this->thread.context(), this->keep_house(), asio::detached);
+		this->thread.start();
+	}
+
+	void traffic::stop()
+	{
+		this->updates.close();
+		this->thread.stop();
+	}
+
+	void traffic::push(registry_update update)
+	{
+		this->updates.push(std::move(update));
+	}
+
+	void traffic::apply(gateway_settings changed)
+	{
+		asio::post(this->thread.context(),
+			[this, changed = std::move(changed)]
+			{
+				this->settings = changed;
+				this->shared.retries = changed.retries;
+				this->record("settings_reloaded", {});
+			});
+	}
+
+	void traffic::drain()
+	{
+		asio::post(this->thread.context(),
+			[this]
+			{
+				if (std::exchange(this->is_draining, true))
+				{
+					return;
+				}
+				this->record("draining", {{"running", std::to_string(this->forward.running())}});
+				this->callers->drain();
+				asio::co_spawn(this->thread.context(), this->finish(), asio::detached);
+			});
+	}
+
+	void traffic::take(registry_update&& update)
+	{
+		auto const now = monotonic_now();
+		if (update.is_return)
+		{
+			this->shared.servers.note_registry_return(now);
+		}
+		std::vector<routing::registered_server> whole;
+		for (auto& change : update.changes)
+		{
+			if (auto* const published = std::get_if<published_configuration>(&change))
+			{
+				this->take(std::move(*published));
+			}
+			else if (auto const* const entry = std::get_if<routing::registered_server>(&change))
+			{
+				update.is_whole ? whole.push_back(*entry) : this->put(*entry);
+			}
+			else if (auto const* const removed = std::get_if<server_removed>(&change))
+			{
+				this->shared.servers.remove(removed->server, now);
+				this->record("server_entry_removed", {{"server", removed->server.str()}});
+			}
+		}
+		if (update.part == registry_part::servers && update.is_whole)
+		{
+			this->shared.servers.replace(whole, now);
+			this->has_servers = true;
+			this->record("servers_listed", {{"count", std::to_string(whole.size())}});
+		}
+		this->totals.set_servers(this->shared.servers.all().size());
+	}
+
+	void traffic::take(published_configuration&& published)
+	{
+		auto const version = published.value.version;
+		if (this->shared.routes && this->shared.routes->version() >= version)
+		{
+			return;
+		}
+		this->record("configuration_in_force",
+			{{"version", std::to_string(version.count())},
+				{"before", this->shared.routes ? std::to_string(this->shared.routes->version().count()) : "none"},
+				{"routes", std::to_string(published.value.routes.size())}});
+		this->shared.routes = std::make_shared<routing::route_table const>(std::move(published.value));
+		this->callers->set_limits(to_server_limits(this->shared.routes->limits()));
+		this->totals.set_configuration(version.count());
+	}
+
+	void traffic::put(routing::registered_server const& entry)
+	{
+		if (!this->shared.servers.put(entry, monotonic_now()))
+		{
+			return;
+		}
+		this->record("server_entry_changed",
+			{{"server", entry.id.str()}, {"service", entry.service.str()},
+				{"role", std::string(routing::to_string(entry.role))}, {"leaving", entry.leaving ? "yes" : "no"}});
+	}
+
+	asio::awaitable<void> traffic::answer_readiness(http::request message, http::exchange& talk)
+	{
+		http::response answer;
+		answer.status = this->is_ready() ? answer.status : not_ready;
+		if (message.path() != this->adapter.readiness_path)
+		{
+			answer.status = not_found;
+		}
+		std::ignore = co_await talk.reply(std::move(answer));
+	}
+
+	asio::awaitable<void> traffic::answer_metrics(http::request message, http::exchange& talk)
+	{
+		http::response answer;
+		if (message.path() == this->adapter.metrics_path)
+		{
+			this->totals.set_dropped_log_lines(this->dropped_lines());
+			answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+			answer.body = this->totals.render();
+		}
+		else
+		{
+			answer.status = not_found;
+		}
+		std::ignore = co_await talk.reply(std::move(answer));
+	}
+
+	asio::awaitable<void> traffic::keep_house()
+	{
+		asio::steady_timer timer(this->thread.context());
+		while (true)
+		{
+			timer.expires_after(house_keeping_interval);
+			std::ignore = co_await timer.async_wait(token);
+			auto const now = monotonic_now();
+			for (auto const& gone : this->shared.servers.expire(now))
+			{
+				this->forward.connections().forget(gone->entry.id);
+				this->record("server_forgotten", {{"server", gone->entry.id.str()}});
+			}
+			this->forward.connections().sweep(now);
+		}
+	}
+
+	asio::awaitable<void> traffic::finish()
+	{
+		auto const began = monotonic_now();
+		auto const ends_at = began + this->settings.termination_grace - exit_margin;
+		asio::steady_timer timer(this->thread.context());
+		while (monotonic_now() < ends_at &&
+			   (monotonic_now() - began < balancer_delay || this->forward.running() > 0))
+		{
+			timer.expires_after(drain_poll);
+			std::ignore = co_await timer.async_wait(token);
+		}
+		this->callers->stop();
+		// Answers on their way out.
+		timer.expires_after(drain_poll);
+		std::ignore = co_await timer.async_wait(token);
+		this->record("drained", {{"broken_off", std::to_string(this->forward.running())}});
+		this->on_drained();
+	}
+
+	bool traffic::is_ready() const
+	{
+		return this->shared.routes && this->has_servers && !this->is_draining;
+	}
+
+	void traffic::record(std::string name, std::vector<decide::event_field> fields)
+	{
+		decide::record_event line;
+		line.timestamp = wall_clock_us();
+		line.name = std::move(name);
+		line.fields = std::move(fields);
+		this->log(std::move(line));
+	}
+}
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <godwittrestle/gateway/application.hpp>
+#include <godwittrestle/gateway/connection_pool.hpp>
+#include <godwittrestle/gateway/counters.hpp>
+#include <godwittrestle/gateway/event_log.hpp>
+#include <godwittrestle/gateway/forwarder.hpp>
+#include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/gateway/registry_follower.hpp>
+#include <godwittrestle/gateway/settings.hpp>
+#include <godwittrestle/gateway/stream_joiner.hpp>
+#include <godwittrestle/gateway/traffic.hpp>
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/application.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+
+#include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/gateway/settings.hpp>
+
+namespace godwittrestle::gateway
+{
+	// What a platform brings: its settings and how it speaks.
+	struct platform_adapter
+	{
+		settings_source read_settings;
+		call_protocol calls;
+		registry_protocol registry;
+		// Path at which the platform asks whether the daemon is ready.
+		std::string readiness_path;
+		// Path at which metrics are served.
+		std::string metrics_path;
+	};
+
+	// The daemon as a gateway on a platform of others: its threads and the rings between them.
+	class application
+	{
+	  public:
+		application(gateway_settings settings, platform_adapter adapter);
+		~application();
+
+		application(application const&) = delete;
+		application& operator=(application const&) = delete;
+		application(application&&) = delete;
+		application& operator=(application&&) = delete;
+
+		// Serves until SIGTERM or SIGINT, then until what it has read is answered. Returns the exit code. Throws when an
+		// address can't be bound.
+		[[nodiscard]] int run();
+
+	  private:
+		class implementation;
+		std::unique_ptr<implementation> impl;
+	};
+}
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <godwittrestle/base/units.hpp>
+
+namespace godwittrestle::gateway
+{
+	// The gateway's counters and latency histograms, in the text format of Prometheus.
+	class counters
+	{
+	  public:
+		counters();
+
+		// A caller's request ended. kind: of its route; outcome: served, passed_on_failure, refused, failed, caller_gone.
+		void count_request(std::string_view kind, std::string_view outcome);
+
+		// Time from the request to the first byte of its answer.
+		void observe_first_byte(std::string_view kind, duration taken);
+
+		// A call to a backend server ended.
+		void count_send(std::string_view part, std::string_view outcome);
+
+		void count_connection();
+		void count_registry_call(std::string_view outcome);
+		void set_configuration(std::uint64_t version);
+		void set_servers(std::size_t count);
+		void set_dropped_log_lines(std::uint64_t count);
+
+		[[nodiscard]] std::string render() const;
+
+	  private:
+		prometheus::Registry registry;
+		prometheus::Family<prometheus::Counter>* requests;
+		prometheus::Family<prometheus::Histogram>* first_byte;
+		prometheus::Family<prometheus::Counter>* sends;
+		prometheus::Counter* connections;
+		prometheus::Family<prometheus::Counter>* registry_calls;
+		prometheus::Gauge* configuration;
+		prometheus::Gauge* servers;
+		prometheus::Gauge* dropped;
+	};
+}
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <godwittrestle/gateway/connection_pool.hpp>
+#include <godwittrestle/gateway/counters.hpp>
+#include <godwittrestle/gateway/event_log.hpp>
+#include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/gateway/settings.hpp>
+#include <godwittrestle/gateway/stream_joiner.hpp>
+#include <godwittrestle/http/client.hpp>
+#include <godwittrestle/http/server.hpp>
+#include <godwittrestle/routing.hpp>
+
+namespace godwittrestle::gateway
+{
+	namespace asio = boost::asio;
+
+	// What all requests share. Everything in it belongs to the thread that serves callers.
+	struct shared_state
+	{
+		std::shared_ptr<routing::route_table const> routes;
+		routing::directory servers;
+		std::map<service_id, routing::retry_budget> budgets;
+		routing::retry_terms retries;
+		data_centre_id data_centre;
+		// Daemons that share the retry budget and the servers' connections, this one included.
+		std::uint32_t daemons = 1;
+	};
+
+	// Serves callers' requests: finds the route, places the call, sends it, decides after each failure whether it may
+	// be sent again, and passes the answer on. One coroutine for each request, all on one executor.
+	class forwarder
+	{
+	  public:
+		forwarder(asio::any_io_executor executor, shared_state& shared, call_protocol protocol, counters& totals,
+			event_log log);
+
+		// Serves one request; every way out has given its answer or broken the connection off.
+		[[nodiscard]] asio::awaitable<void> serve(http::request message, http::exchange& talk);
+
+		// Requests that are being served.
+		[[nodiscard]] std::size_t running() const noexcept
+		{
+			return this->in_progress;
+		}
+
+		[[nodiscard]] connection_pool& connections() noexcept
+		{
+			return this->pool;
+		}
+
+	  private:
+		struct request_state;
+		struct answer_begun;
+
+		using state_pointer = std::shared_ptr<request_state>;
+		// The head of a server's answer, or why there is none.
+		using send_outcome = std::variant<answer_begun, routing::send_failure>;
+
+		[[nodiscard]] asio::awaitable<void> forward_plain(state_pointer state);
+		[[nodiscard]] asio::awaitable<void> forward_stream(state_pointer state);
+
+		// Sends the call to a server and waits for the head of its answer.
+		[[nodiscard]] asio::awaitable<send_outcome> send(
+			state_pointer state, routing::server_pointer server, send_terms terms, duration patience);
+		[[nodiscard]] asio::awaitable<send_outcome> await_answer(
+			state_pointer state, routing::server_pointer server, http::upstream_pointer connection, duration patience);
+
+		// Has the prompt prefilled. Returns the handle, or why there is none.
+		[[nodiscard]] asio::awaitable<std::variant<kv_source, routing::send_failure>> prefill(
+			state_pointer state, routing::server_pointer server, duration patience);
+		// Sends one stream to its decode engine and passes its events on. Returns nothing when the stream is whole.
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> run_stream(
+			state_pointer state, routing::stream_placement placement);
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> pass_events(
+			state_pointer state, answer_begun& answer, routing::server_pointer server, call_id call);
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> pass_whole(
+			state_pointer state, answer_begun& answer);
+
+		// Whether the call may go out once more; takes the repeat out of the budget.
+		[[nodiscard]] bool may_repeat(request_state& state, routing::send_failure failure);
+		void note_outcome(request_state& state, routing::server_record& server, routing::send_failure failure);
+		void note_served(request_state& state, routing::server_record& server, answer_begun& answer);
+
+		[[nodiscard]] asio::awaitable<void> refuse(
+			state_pointer state, unsigned status, std::string reason, std::string remedy, bool come_back);
+		[[nodiscard]] asio::awaitable<void> give_up(state_pointer state);
+		[[nodiscard]] asio::awaitable<void> release(kv_source source);
+
+		void record(request_state const& state, std::string name, std::vector<decide::event_field> fields);
+		[[nodiscard]] double draw();
+		[[nodiscard]] std::size_t connection_limit(routing::registered_server const& server) const;
+
+		asio::any_io_executor executor;
+		shared_state* shared;
+		call_protocol protocol;
+		counters* totals;
+		event_log log;
+		connection_pool pool;
+		http::client plain_client;
+		std::mt19937_64 random;
+		std::size_t in_progress = 0;
+	};
+}
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <godwittrestle/base/error.hpp>
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/http/message.hpp>
+#include <godwittrestle/routing/configuration.hpp>
+#include <godwittrestle/routing/server.hpp>
+
+namespace godwittrestle::gateway
+{
+	// What a caller's headers say, decoded.
+	struct caller_call
+	{
+		// The caller's id of this attempt; empty when it gave none.
+		request_id attempt;
+		// How long the caller will wait; nothing when it does not say.
+		std::optional<duration> time_left;
+		token_count prompt;
+		// The last event of a stream that the caller already has.
+		std::optional<std::string> last_event;
+	};
+
+	// Where a decode engine fetches a prefilled prompt.
+	struct kv_source
+	{
+		std::string address;
+		std::string handle;
+	};
+
+	enum class call_part
+	{
+		// The whole call.
+		whole,
+		// Only the prefill of its prompt; the answer is a handle.
+		prefill,
+	};
+
+	// What this daemon adds to a call that it sends to a backend server.
+	struct send_terms
+	{
+		duration time_left{};
+		server_id server;
+		call_part part = call_part::whole;
+		std::optional<kv_source> source;
+		std::optional<std::string> last_event;
+	};
+
+	// What a backend server's answer says besides status and body.
+	struct answer_facts
+	{
+		// The server did not run the call and never will.
+		bool is_not_run = false;
+		// Another server has the address, and did not run the call.
+		bool is_wrong_server = false;
+		// The id of the caller's attempt that is answered; empty when the answer names none.
+		request_id attempt;
+	};
+
+	// How calls and answers are written and read. None of the hooks decides anything.
+	struct call_protocol
+	{
+		std::function<caller_call(http::request const&)> read_call;
+		// Returns a caller's request as it goes to a server: end-to-end headers, without those that only this daemon may
+		// set, with its own.
+		std::function<http::request(http::request const&, send_terms const&)> write_call;
+		std::function<answer_facts(http::response const&)> read_answer;
+		// Reads the handle of a prefilled prompt; nothing when the text names none.
+		std::function<std::optional<std::string>(std::string_view body)> read_handle;
+		// Returns the header that tells a caller when to come back.
+		std::function<http::header(duration)> retry_after;
+		// Returns the request that frees a prefilled prompt.
+		std::function<http::request(std::string const& handle)> release;
+	};
+
+	// A configuration together with the text that it was read from, which other daemons may be given.
+	struct published_configuration
+	{
+		routing::configuration value;
+		std::string text;
+	};
+
+	struct server_removed
+	{
+		server_id server;
+	};
+
+	using registry_change = std::variant<published_configuration, routing::registered_server, server_removed>;
+
+	enum class registry_part
+	{
+		configuration,
+		servers,
+	};
+
+	enum class registry_status
+	{
+		answered,
+		// The changes asked for are no longer kept: the part has to be read as a whole.
+		history_lost,
+		// The registry answered that it will not serve this daemon now.
+		refused,
+		// The answer can't be read.
+		malformed,
+	};
+
+	// One answer of the registry.
+	struct registry_reply
+	{
+		registry_status status = registry_status::malformed;
+		std::vector<registry_change> changes;
+		// Entries that could not be read; they name no server.
+		std::vector<std::string> faults;
+		// The registry's revision, from which to go on.
+		std::uint64_t revision = 0;
+		// Set when a list has further pages: the key after which they begin.
+		std::optional<std::string> next_page;
+	};
+
+	// How the registry is asked and read.
+	struct registry_protocol
+	{
+		// after: the key after which the page begins; empty for the first page.
+		std::function<http::request(registry_part, std::string const& after)> list;
+		// wait: how long the registry may hold the call back until there is a change after the revision.
+		std::function<http::request(registry_part, std::uint64_t revision, duration wait)> watch;
+		std::function<registry_reply(http::response const&)> read_list;
+		std::function<registry_reply(http::response const&)> read_changes;
+		// Reads a configuration's text as another daemon passed it on.
+		std::function<result<routing::configuration>(std::string const& text)> read_configuration;
+	};
+}
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/traffic.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <godwittrestle/daemon/io_thread.hpp>
+#include <godwittrestle/gateway/application.hpp>
+#include <godwittrestle/gateway/counters.hpp>
+#include <godwittrestle/gateway/event_log.hpp>
+#include <godwittrestle/gateway/forwarder.hpp>
+#include <godwittrestle/gateway/registry_follower.hpp>
+#include <godwittrestle/http/server.hpp>
+
+namespace godwittrestle::gateway
+{
+	// The thread that serves callers: it owns the routes, the servers and all connections, and takes what the other
+	// threads learn through bounded rings.
+	class traffic
+	{
+	  public:
+		// on_drained: called once after drain, when everything that was read is answered.
+		traffic(gateway_settings const& settings, platform_adapter const& adapter, event_log log,
+			std::function<std::uint64_t()> dropped_lines, std::function<void()> on_drained);
+		~traffic();
+
+		traffic(traffic const&) = delete;
+		traffic& operator=(traffic const&) = delete;
+		traffic(traffic&&) = delete;
+		traffic& operator=(traffic&&) = delete;
+
+		// Binds the listening sockets; throws when that fails.
+		void start();
+		void stop();
+
+		// Takes what the registry says; waits while the ring is full.
+		void push(registry_update update);
+
+		// Takes settings that may change while the daemon runs.
+		void apply(gateway_settings settings);
+
+		// Stops being ready, answers what is read, and ends.
+		void drain();
+
+	  private:
+		void take(registry_update&& update);
+		void take(published_configuration&& published);
+		void put(routing::registered_server const& entry);
+		[[nodiscard]] asio::awaitable<void> answer_readiness(http::request message, http::exchange& talk);
+		[[nodiscard]] asio::awaitable<void> answer_metrics(http::request message, http::exchange& talk);
+		[[nodiscard]] asio::awaitable<void> keep_house();
+		[[nodiscard]] asio::awaitable<void> finish();
+		[[nodiscard]] bool is_ready() const;
+		void record(std::string name, std::vector<decide::event_field> fields);
+
+		gateway_settings settings;
+		platform_adapter adapter;
+		event_log log;
+		std::function<std::uint64_t()> dropped_lines;
+		std::function<void()> on_drained;
+		daemon::io_thread thread;
+		daemon::ring_to_loop<registry_update> updates;
+		shared_state shared;
+		counters totals;
+		forwarder forward;
+		std::unique_ptr<http::server> callers;
+		std::unique_ptr<http::server> readiness;
+		std::unique_ptr<http::server> metrics;
+		bool has_servers = false;
+		bool is_draining = false;
+	};
+}
--- a/packages/http/impl/message.cpp
+++ b/packages/http/impl/message.cpp
@@ -1,9 +1,14 @@
 #include <godwittrestle/http/message.hpp>
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <utility>
 
+#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <fmt/format.h>
 
@@ -14,6 +19,10 @@
 	namespace
 	{
 		constexpr std::uint64_t max_port = 65535;
+		constexpr std::array<std::string_view, 10> connection_headers{"Connection", "Keep-Alive", "Proxy-Connection",
+			"Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+			"Content-Length"};
+		constexpr std::string_view expect_header = "Expect";
 
 		std::string find_in(std::vector<header> const& headers, std::string_view name)
 		{
@@ -55,6 +64,23 @@
 		return find_in(this->headers, name);
 	}
 
+	std::vector<header> end_to_end_headers(std::vector<header> const& headers)
+	{
+		std::vector<std::string> named;
+		auto const listed = find_in(headers, "Connection");
+		boost::algorithm::split(named, listed, boost::algorithm::is_any_of(","));
+		std::ranges::for_each(named, [](std::string& name) { boost::algorithm::trim(name); });
+		auto const concerns_connection = [&](header const& each)
+		{
+			auto const is_same = [&](std::string_view name) { return boost::algorithm::iequals(each.name, name); };
+			return std::ranges::any_of(connection_headers, is_same) || std::ranges::any_of(named, is_same) ||
+				   is_same(expect_header);
+		};
+		std::vector<header> kept;
+		std::ranges::remove_copy_if(headers, std::back_inserter(kept), concerns_connection);
+		return kept;
+	}
+
 	result<endpoint> parse_endpoint(std::string_view text, std::string path)
 	{
 		auto const colon = text.rfind(':');
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -30,6 +30,8 @@
 
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
 		constexpr int http_1_1 = 11;
+		constexpr duration accept_retry_pause = milliseconds(20);
+		constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -66,7 +68,7 @@
 		{
 			to.version(http_1_1);
 			to.result(from.status);
-			std::ranges::for_each(from.headers, [&](header const& each) { to.set(each.name, each.value); });
+			std::ranges::for_each(from.headers, [&](header const& each) { to.insert(each.name, each.value); });
 		}
 
 		response error_for(error_code const& error)
@@ -83,14 +85,37 @@
 				"send a well-formed request");
 		}
 
+		// Whether a header can be understood in one way only. What two programs read differently is how a request is
+		// hidden inside another one.
+		bool is_unambiguous(beast::http::request<beast::http::string_body> const& message)
+		{
+			auto const count = [&](beast::http::field name)
+			{
+				auto const range = message.equal_range(name);
+				return std::distance(range.first, range.second);
+			};
+			auto const codings = count(beast::http::field::transfer_encoding);
+			auto const lengths = count(beast::http::field::content_length);
+			return count(beast::http::field::host) == 1 && lengths <= 1 && codings <= 1 && lengths + codings <= 1 &&
+				   (codings == 0 || message.chunked());
+		}
+
+		bool expects_continue(beast::http::request<beast::http::string_body> const& message)
+		{
+			return beast::iequals(message[beast::http::field::expect], "100-continue");
+		}
+
 		// One connection, shared between the handler and the watch for its close.
 		class connection_exchange final : public exchange
 		{
 		  public:
-			connection_exchange(beast::tcp_stream& connection, server_limits const& allowed, bool keeps_alive)
+			// is_draining: looked at when the answer begins; true closes the connection after it.
+			connection_exchange(beast::tcp_stream& connection, server_limits const& allowed, bool peer_keeps_alive,
+				bool const& is_server_draining)
 				: stream(connection)
-				, limits(allowed)
-				, keep_alive(keeps_alive)
+				, write_timeout(allowed.write_timeout)
+				, keep_alive(peer_keeps_alive)
+				, is_draining(is_server_draining)
 			{
 			}
 
@@ -99,9 +124,10 @@
 				beast::http::response<beast::http::string_body> message;
 				copy_head(answer, message);
 				message.body() = std::move(answer.body);
+				this->keep_alive = this->keep_alive && !this->is_draining;
 				message.keep_alive(this->keep_alive);
 				message.prepare_payload();
-				this->stream.expires_after(this->limits.write_timeout);
+				this->stream.expires_after(this->write_timeout);
 				auto const [error, size] = co_await beast::http::async_write(this->stream, message, token);
 				this->is_answered = !error;
 				co_return !error;
@@ -112,16 +138,17 @@
 				beast::http::response<beast::http::empty_body> message;
 				copy_head(head, message);
 				message.chunked(true);
+				this->keep_alive = this->keep_alive && !this->is_draining;
 				message.keep_alive(this->keep_alive);
 				beast::http::response_serializer<beast::http::empty_body> serializer(message);
-				this->stream.expires_after(this->limits.write_timeout);
+				this->stream.expires_after(this->write_timeout);
 				auto const [error, size] = co_await beast::http::async_write_header(this->stream, serializer, token);
 				co_return !error;
 			}
 
 			asio::awaitable<bool> write(std::string piece) override
 			{
-				this->stream.expires_after(this->limits.write_timeout);
+				this->stream.expires_after(this->write_timeout);
 				auto const [error, size] =
 					co_await asio::async_write(this->stream, beast::http::make_chunk(asio::buffer(piece)), token);
 				co_return !error;
@@ -129,7 +156,7 @@
 
 			asio::awaitable<bool> end_stream() override
 			{
-				this->stream.expires_after(this->limits.write_timeout);
+				this->stream.expires_after(this->write_timeout);
 				auto const [error, size] =
 					co_await asio::async_write(this->stream, beast::http::make_chunk_last(), token);
 				this->is_answered = !error;
@@ -149,15 +176,17 @@
 				}
 			}
 
-			[[nodiscard]] bool answered() const noexcept
+			// Whether the answer is whole and the connection may carry another request.
+			[[nodiscard]] bool can_go_on() const noexcept
 			{
-				return this->is_answered;
+				return this->is_answered && this->keep_alive;
 			}
 
 		  private:
 			beast::tcp_stream& stream;
-			server_limits const& limits;
+			duration write_timeout;
 			bool keep_alive;
+			bool const& is_draining;
 			bool is_answered = false;
 			std::function<void()> close_callback;
 		};
@@ -180,9 +209,20 @@
 				this->executor, [self = this->shared_from_this()] { return self->accept(); }, asio::detached);
 		}
 
+		void set_limits(server_limits const& given)
+		{
+			this->limits = given;
+		}
+
+		void drain()
+		{
+			this->is_draining = true;
+		}
+
 		void stop()
 		{
 			this->is_stopping = true;
+			this->is_draining = true;
 			error_code ignored;
 			std::ignore = this->acceptor.close(ignored);
 			for (auto* const idle : this->idle_streams)
@@ -209,6 +249,9 @@
 				auto [error, socket] = co_await this->acceptor.async_accept(token);
 				if (error)
 				{
+					// Out of descriptors, or stopping.
+					asio::steady_timer pause(this->executor, accept_retry_pause);
+					std::ignore = co_await pause.async_wait(token);
 					continue;
 				}
 				if (this->open >= this->limits.connections)
@@ -267,19 +310,17 @@
 			beast::http::request_parser<beast::http::string_body> parser;
 			parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
 			parser.body_limit(this->limits.body_bytes);
-			stream.expires_after(this->limits.read_timeout);
-			auto const [error, size] = co_await beast::http::async_read(stream, buffer, parser, token);
+			auto const error = co_await this->read_request(stream, buffer, parser);
 			if (error)
 			{
 				if (error != beast::http::error::end_of_stream && parser.got_some())
 				{
-					connection_exchange refused(stream, this->limits, false);
+					connection_exchange refused(stream, this->limits, false, this->is_draining);
 					co_await refused.reply(error_for(error));
 				}
 				co_return false;
 			}
-			auto const keep_alive = parser.get().keep_alive() && !this->is_stopping;
-			connection_exchange talk(stream, this->limits, keep_alive);
+			connection_exchange talk(stream, this->limits, parser.get().keep_alive(), this->is_draining);
 			stream.expires_never();
 			auto const is_done = std::make_shared<bool>(false);
 			asio::co_spawn(this->executor, this->watch(stream, talk, is_done, buffer.size() > 0), asio::detached);
@@ -289,7 +330,36 @@
 			std::ignore = stream.socket().cancel(ignored);
 			// The watch ends before the exchange does.
 			co_await asio::post(this->executor, token);
-			co_return keep_alive&& talk.answered();
+			co_return talk.can_go_on();
+		}
+
+		// Reads one request; the error says why there is none.
+		asio::awaitable<error_code> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+			beast::http::request_parser<beast::http::string_body>& parser)
+		{
+			stream.expires_after(this->limits.header_timeout);
+			auto const [head_error, head_size] =
+				co_await beast::http::async_read_header(stream, buffer, parser, token);
+			if (head_error)
+			{
+				co_return head_error;
+			}
+			if (!is_unambiguous(parser.get()))
+			{
+				co_return make_error_code(beast::http::error::bad_field);
+			}
+			stream.expires_after(this->limits.read_timeout);
+			if (expects_continue(parser.get()))
+			{
+				auto const interim = asio::buffer(continue_answer);
+				auto const [error, size] = co_await asio::async_write(stream, interim, token);
+				if (error)
+				{
+					co_return error;
+				}
+			}
+			auto const [body_error, body_size] = co_await beast::http::async_read(stream, buffer, parser, token);
+			co_return body_error;
 		}
 
 		// Tells the handler when the peer closes its side while the handler runs.
@@ -320,6 +390,7 @@
 		handler handle;
 		std::list<beast::tcp_stream*> idle_streams;
 		std::size_t open = 0;
+		bool is_draining = false;
 		bool is_stopping = false;
 	};
 
@@ -335,6 +406,16 @@
 		this->impl->start();
 	}
 
+	void server::set_limits(server_limits const& limits)
+	{
+		this->impl->set_limits(limits);
+	}
+
+	void server::drain()
+	{
+		this->impl->drain();
+	}
+
 	void server::stop()
 	{
 		this->impl->stop();
--- /dev/null
+++ b/packages/http/impl/upstream.cpp
@@ -0,0 +1,272 @@
+#include <godwittrestle/http/upstream.hpp>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <godwittrestle/base/digest.hpp>
+
+namespace godwittrestle::http
+{
+	namespace
+	{
+		namespace beast = boost::beast;
+		using asio::ip::tcp;
+		using boost::system::error_code;
+		using head_parser = beast::http::response_parser<beast::http::buffer_body>;
+		using outgoing_message = beast::http::request<beast::http::string_body>;
+
+		constexpr auto token = asio::as_tuple(asio::use_awaitable);
+		constexpr int http_1_1 = 11;
+		constexpr std::size_t piece_bytes = 4'096;
+		constexpr unsigned first_final_status = 200;
+
+		outgoing_message to_message(request const& from)
+		{
+			outgoing_message message;
+			message.version(http_1_1);
+			message.method_string(from.method);
+			message.target(from.target);
+			std::ranges::for_each(from.headers, [&](header const& each) { message.insert(each.name, each.value); });
+			message.body() = from.body;
+			auto const has_body = !from.body.empty() || from.method == "POST" || from.method == "PUT";
+			if (has_body)
+			{
+				message.content_length(from.body.size());
+			}
+			return message;
+		}
+
+		// Reads "timeout=5, max=100".
+		std::optional<duration> parse_idle_timeout(std::string_view value)
+		{
+			constexpr std::string_view name = "timeout=";
+			auto const start = value.find(name);
+			if (start == std::string_view::npos)
+			{
+				return std::nullopt;
+			}
+			auto const rest = value.substr(start + name.size());
+			auto const digits = rest.substr(0, rest.find_first_not_of("0123456789"));
+			auto const number = parse_number(digits);
+			return number ? std::optional<duration>(seconds(*number)) : std::nullopt;
+		}
+	}
+
+	class upstream::implementation
+	{
+	  public:
+		implementation(asio::any_io_executor executor, endpoint target)
+			: where(std::move(target))
+			, socket(executor)
+			, timer(executor)
+		{
+		}
+
+		// Closes the connection when the time is over, which ends whatever waits on it.
+		void arm(duration timeout, std::weak_ptr<upstream> owner)
+		{
+			this->is_timed_out = false;
+			++this->armed;
+			this->timer.expires_after(std::max(duration{}, timeout));
+			this->timer.async_wait(
+				[owner = std::move(owner), armed = this->armed](error_code const& error)
+				{
+					auto const self = owner.lock();
+					// A timer that ran out just before it was cancelled belongs to an earlier wait.
+					if (!error && self && self->impl->armed == armed)
+					{
+						self->impl->is_timed_out = true;
+						self->close();
+					}
+				});
+		}
+
+		void disarm()
+		{
+			++this->armed;
+			this->timer.cancel();
+		}
+
+		[[nodiscard]] upstream_failure failure() const noexcept
+		{
+			if (this->is_timed_out)
+			{
+				return upstream_failure::silent;
+			}
+			return this->is_refused_unsent ? upstream_failure::not_sent : upstream_failure::broken;
+		}
+
+		endpoint where;
+		tcp::socket socket;
+		asio::steady_timer timer;
+		beast::flat_buffer buffer;
+		std::optional<head_parser> parser;
+		std::array<char, piece_bytes> piece{};
+		keep_alive_terms keep_alive;
+		// Counts the waits, so that a late timer is told from the present one.
+		std::uint64_t armed = 0;
+		bool is_sending = false;
+		bool is_send_failed = false;
+		// The connection took no byte of the request.
+		bool is_refused_unsent = false;
+		bool is_timed_out = false;
+	};
+
+	upstream::upstream(asio::any_io_executor executor, endpoint where)
+		: impl(std::make_unique<implementation>(std::move(executor), std::move(where)))
+	{
+	}
+
+	upstream::~upstream() = default;
+
+	asio::awaitable<bool> upstream::connect(duration timeout)
+	{
+		auto const self = this->shared_from_this();
+		error_code malformed;
+		tcp::endpoint const target(
+			asio::ip::make_address(this->impl->where.address, malformed), this->impl->where.port);
+		if (malformed)
+		{
+			co_return false;
+		}
+		this->impl->arm(timeout, self);
+		auto const [error] = co_await this->impl->socket.async_connect(target, token);
+		this->impl->disarm();
+		if (error || this->impl->is_timed_out)
+		{
+			co_return false;
+		}
+		error_code ignored;
+		std::ignore = this->impl->socket.set_option(tcp::no_delay(true), ignored);
+		co_return true;
+	}
+
+	void upstream::send(request const& message)
+	{
+		auto const outgoing = std::make_shared<outgoing_message>(to_message(message));
+		this->impl->is_sending = true;
+		this->impl->is_send_failed = false;
+		this->impl->is_refused_unsent = false;
+		this->impl->parser.reset();
+		beast::http::async_write(this->impl->socket, *outgoing,
+			[self = this->shared_from_this(), outgoing](error_code const& error, std::size_t size)
+			{
+				self->impl->is_sending = false;
+				self->impl->is_send_failed = error.failed();
+				self->impl->is_refused_unsent = error.failed() && size == 0;
+			});
+	}
+
+	asio::awaitable<std::variant<response, upstream_failure>> upstream::read_head(duration timeout)
+	{
+		auto const self = this->shared_from_this();
+		auto& state = *this->impl;
+		state.arm(timeout, self);
+		do
+		{
+			state.parser.emplace();
+			state.parser->body_limit(boost::none);
+			auto const [error, size] =
+				co_await beast::http::async_read_header(state.socket, state.buffer, *state.parser, token);
+			if (error)
+			{
+				state.disarm();
+				co_return state.failure();
+			}
+		} while (state.parser->get().result_int() < first_final_status);
+		state.disarm();
+		response head;
+		head.status = state.parser->get().result_int();
+		for (auto const& field : state.parser->get())
+		{
+			head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+		}
+		state.keep_alive.idle_timeout = parse_idle_timeout(head.find_header("Keep-Alive"));
+		co_return head;
+	}
+
+	asio::awaitable<std::variant<std::string, upstream_failure>> upstream::read_piece(duration timeout)
+	{
+		auto const self = this->shared_from_this();
+		auto& state = *this->impl;
+		state.arm(timeout, self);
+		std::string received;
+		while (received.empty() && !state.parser->is_done())
+		{
+			state.parser->get().body().data = state.piece.data();
+			state.parser->get().body().size = state.piece.size();
+			auto const [error, size] =
+				co_await beast::http::async_read_some(state.socket, state.buffer, *state.parser, token);
+			if (error && error != beast::http::error::need_buffer)
+			{
+				state.disarm();
+				co_return state.failure();
+			}
+			received.assign(state.piece.data(), state.piece.size() - state.parser->get().body().size);
+		}
+		state.disarm();
+		co_return received;
+	}
+
+	asio::awaitable<std::variant<std::string, upstream_failure>> upstream::read_rest(
+		duration timeout, std::size_t limit)
+	{
+		auto const self = this->shared_from_this();
+		auto const ends_at = std::chrono::steady_clock::now() + timeout;
+		std::string whole;
+		while (whole.size() <= limit)
+		{
+			auto const left = std::chrono::duration_cast<duration>(ends_at - std::chrono::steady_clock::now());
+			auto piece = co_await this->read_piece(left);
+			if (std::holds_alternative<upstream_failure>(piece))
+			{
+				co_return piece;
+			}
+			auto const& text = std::get<std::string>(piece);
+			if (text.empty())
+			{
+				co_return whole;
+			}
+			whole += text;
+		}
+		co_return upstream_failure::broken;
+	}
+
+	bool upstream::is_reusable() const
+	{
+		auto const& state = *this->impl;
+		return state.socket.is_open() && state.parser && state.parser->is_done() && state.parser->get().keep_alive() &&
+			   state.buffer.size() == 0 && !state.is_sending && !state.is_send_failed;
+	}
+
+	bool upstream::is_quiet()
+	{
+		auto& socket = this->impl->socket;
+		error_code error;
+		std::ignore = socket.non_blocking(true, error);
+		char byte = 0;
+		socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+		return error == asio::error::would_block;
+	}
+
+	keep_alive_terms const& upstream::keep_alive() const noexcept
+	{
+		return this->impl->keep_alive;
+	}
+
+	void upstream::close()
+	{
+		error_code ignored;
+		std::ignore = this->impl->socket.close(ignored);
+		this->impl->disarm();
+	}
+}
--- a/packages/http/include/godwittrestle/http.hpp
+++ b/packages/http/include/godwittrestle/http.hpp
@@ -4,3 +4,4 @@
 #include <godwittrestle/http/message.hpp>
 #include <godwittrestle/http/server.hpp>
 #include <godwittrestle/http/sse.hpp>
+#include <godwittrestle/http/upstream.hpp>
--- a/packages/http/include/godwittrestle/http/message.hpp
+++ b/packages/http/include/godwittrestle/http/message.hpp
@@ -40,11 +40,17 @@
 		[[nodiscard]] std::string find_header(std::string_view name) const;
 	};
 
+	// Returns the headers without those that concern one connection only: Connection and what it names, the framing of
+	// the body, and the like.
+	[[nodiscard]] std::vector<header> end_to_end_headers(std::vector<header> const& headers);
+
 	// An address to connect to or to listen at: an IP number and a port.
 	struct endpoint
 	{
 		std::string address;
 		unsigned short port = 0;
+
+		[[nodiscard]] bool operator==(endpoint const&) const = default;
 	};
 
 	// Parses "address:port". Fails with invalid_setting, naming the path, when it is not an IP number and a port.
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -22,7 +22,9 @@
 		std::size_t header_bytes = 16'384;
 		std::size_t body_bytes = 8'388'608;
 		std::size_t connections = 4096;
-		// Time for a whole request to arrive, once its first byte has.
+		// Time for a request's header to arrive, once its first byte has.
+		duration header_timeout = seconds(10);
+		// Time for a whole request to arrive, once its header has.
 		duration read_timeout = seconds(10);
 		// Time that a connection may stay open between requests.
 		duration idle_timeout = seconds(30);
@@ -46,7 +48,8 @@
 		// Sends a whole answer. Returns false when the connection is gone.
 		[[nodiscard]] virtual asio::awaitable<bool> reply(response answer) = 0;
 
-		// Sends the head of an answer whose body follows in pieces.
+		// Sends the head of an answer whose body follows in pieces. A handler that returns before end_stream breaks the
+		// connection off, so that the answer can't be taken for whole.
 		[[nodiscard]] virtual asio::awaitable<bool> begin_stream(response head) = 0;
 		[[nodiscard]] virtual asio::awaitable<bool> write(std::string piece) = 0;
 		[[nodiscard]] virtual asio::awaitable<bool> end_stream() = 0;
@@ -77,6 +80,12 @@
 
 		void start();
 
+		// Takes new limits for the requests that follow.
+		void set_limits(server_limits const& limits);
+
+		// Goes on serving, and asks each peer with its next answer to close the connection.
+		void drain();
+
 		// Stops listening and closes the connections that carry no request.
 		void stop();
 
--- /dev/null
+++ b/packages/routing/impl/repeat_rules.cpp
@@ -0,0 +1,65 @@
+#include <godwittrestle/routing/repeat_rules.hpp>
+
+#include <algorithm>
+
+namespace godwittrestle::routing
+{
+	namespace
+	{
+		constexpr duration least_answer_patience = milliseconds(150);
+		constexpr duration least_event_patience = milliseconds(1500);
+		constexpr duration shortest_return = milliseconds(150);
+		constexpr duration longest_return = milliseconds(900);
+		// Callers come back after at most a third of the time that they have left.
+		constexpr int usable_part_of_time_left = 4;
+	}
+
+	std::string_view to_string(send_failure failure) noexcept
+	{
+		switch (failure)
+		{
+			case send_failure::not_sent:
+				return "not_sent";
+			case send_failure::not_run:
+				return "not_run";
+			case send_failure::wrong_server:
+				return "wrong_server";
+			case send_failure::server_error:
+				return "server_error";
+			case send_failure::broken:
+				return "broken";
+			case send_failure::silent:
+				return "silent";
+		}
+		return "unknown";
+	}
+
+	unsigned status_of_failure(bool may_have_run, bool out_of_time) noexcept
+	{
+		constexpr unsigned bad_gateway = 502;
+		constexpr unsigned unavailable = 503;
+		constexpr unsigned gateway_timeout = 504;
+		if (!may_have_run)
+		{
+			return unavailable;
+		}
+		return out_of_time ? gateway_timeout : bad_gateway;
+	}
+
+	duration answer_patience(route const& chosen) noexcept
+	{
+		return std::max(least_answer_patience, 2 * chosen.objective);
+	}
+
+	duration event_patience(route const& chosen) noexcept
+	{
+		return std::max(least_event_patience, 2 * chosen.longest_gap);
+	}
+
+	duration retry_after(duration time_left, double draw) noexcept
+	{
+		auto const longest = std::min(longest_return, time_left / usable_part_of_time_left);
+		auto const spread = std::max(duration{}, longest - shortest_return);
+		return shortest_return + duration(static_cast<duration::rep>(draw * static_cast<double>(spread.count())));
+	}
+}
--- /dev/null
+++ b/packages/routing/impl/retry_budget.cpp
@@ -0,0 +1,44 @@
+#include <godwittrestle/routing/retry_budget.hpp>
+
+#include <algorithm>
+
+namespace godwittrestle::routing
+{
+	namespace
+	{
+		// Part of the budget that is used: daemons count in windows that do not begin together.
+		constexpr double usable_part = 0.8;
+
+		void drop_before(std::deque<time_point>& times, time_point oldest)
+		{
+			while (!times.empty() && times.front() < oldest)
+			{
+				times.pop_front();
+			}
+		}
+	}
+
+	void retry_budget::note_request(time_point now)
+	{
+		this->requests.push_back(now);
+	}
+
+	bool retry_budget::try_spend(retry_terms const& terms, std::uint32_t daemons, time_point now)
+	{
+		this->forget(terms.window, now);
+		auto const earned = terms.ratio * static_cast<double>(this->requests.size());
+		auto const shared = terms.slack / std::max(1U, daemons);
+		if (static_cast<double>(this->repeats.size()) + 1 > usable_part * (earned + shared))
+		{
+			return false;
+		}
+		this->repeats.push_back(now);
+		return true;
+	}
+
+	void retry_budget::forget(duration window, time_point now)
+	{
+		drop_before(this->requests, now - window);
+		drop_before(this->repeats, now - window);
+	}
+}
--- /dev/null
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing/directory.hpp>
+
+namespace godwittrestle::routing
+{
+	// How fast engines work, as far as placement needs to know.
+	struct engine_speed
+	{
+		// Tokens that a prefill engine reads in a millisecond.
+		double prefill_tokens_per_ms = 55;
+		// The same for a decode engine that prefills between the tokens of other requests.
+		double mixed_tokens_per_ms = 27;
+		// Time that moving a KV cache between two engines adds.
+		duration transfer = milliseconds(4);
+	};
+
+	// Returns a uniform number from 0 up to but not including 1.
+	using random_draw = std::function<double()>;
+
+	// Which engines serve a stream.
+	struct stream_placement
+	{
+		// Prefills the prompt; nothing when the decode engine does that itself.
+		server_pointer prefill;
+		server_pointer decode;
+		// Predicted time to the first event.
+		duration first_event{};
+	};
+
+	// What placing is asked for.
+	struct placement_request
+	{
+		service_id service;
+		data_centre_id data_centre;
+		// Tokens that have to be prefilled; 0 for plain calls.
+		token_count prompt;
+		// Servers that have already failed or refused this call.
+		std::set<server_id> excluded;
+		// Time to the first event up to which the prefill engines are waited for.
+		duration split_limit{};
+		// False when only the decode engine itself may prefill.
+		bool may_split = true;
+	};
+
+	// Returns the server with the least work for a plain call, healthy ones first, those of the caller's data centre
+	// first among equals; nothing when no server may get work. Answers bursts on a few slots while one server is dark.
+	[[nodiscard]] server_pointer place_call(directory const& servers, placement_request const& request,
+		random_draw const& draw, time_point now);
+
+	// Returns the engines for a stream. Prefill engines read the prompt as long as they would be done in time: a prompt
+	// that a decode engine reads by itself slows every stream on that engine down to a token for each of its pieces.
+	// Under a burst of long prompts, a decode engine that would begin earlier takes over. Nothing when no decode engine
+	// may get work.
+	[[nodiscard]] std::optional<stream_placement> place_stream(directory const& servers,
+		placement_request const& request, engine_speed const& speed, random_draw const& draw, time_point now);
+}
