--- a/packages/daemon/impl/application.cpp
+++ b/packages/daemon/impl/application.cpp
@@ -55,7 +55,11 @@
 			, core(make_core_settings(settings, started), settings.ring_capacity,
 				  [this](decide::action&& action) { this->carry_out(std::move(action)); })
 			, backend(core, settings.ring_capacity)
-			, peers(core, settings)
+			, peers(peer_link_settings{settings.peer_address, settings.peer_public_key, settings.peer_secret_key,
+						settings.ring_capacity},
+				  peer_hooks{[this](wire::PeerMessage message)
+					  { this->report(decide::peer_received{std::move(message)}); },
+					  [this](instance_id const& peer) { this->report(decide::peer_unreachable{peer}); }})
 			, platform(core, settings)
 			, callers(core, settings, started)
 			, operators(core, events, settings, [this] { return this->figures(); }, [this] { this->drain(); })
@@ -126,6 +130,13 @@
 				action);
 		}
 
+		// Hands an event of the peers to the core. A full ring drops it: whoever needs its effect sends it again.
+		void report(decide::event event)
+		{
+			core_input input(std::move(event));
+			[[maybe_unused]] auto const is_taken = this->core.try_push(input);
+		}
+
 		void drain()
 		{
 			core_input input(decide::event(decide::drain_requested{}));
--- a/packages/daemon/impl/peer_link.cpp
+++ b/packages/daemon/impl/peer_link.cpp
@@ -29,11 +29,11 @@
 		}
 	}
 
-	peer_link::peer_link(core_loop& loop, daemon_settings const& settings)
-		: core(&loop)
-		, bind_address("tcp://" + http::to_string(settings.peer_address))
-		, public_key(settings.peer_public_key)
-		, secret_key(settings.peer_secret_key)
+	peer_link::peer_link(peer_link_settings const& settings, peer_hooks behaviour)
+		: hooks(std::move(behaviour))
+		, bind_address("tcp://" + http::to_string(settings.address))
+		, public_key(settings.public_key)
+		, secret_key(settings.secret_key)
 		, incoming(this->context, zmq::socket_type::router)
 		, inputs(settings.ring_capacity)
 		, wakeup_descriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
@@ -111,8 +111,7 @@
 		auto& socket = this->socket_to(message.to, message.address);
 		if (!socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
 		{
-			core_input report(decide::event(decide::peer_unreachable{message.to}));
-			[[maybe_unused]] auto const is_reported = this->core->try_push(report);
+			this->hooks.unreachable(message.to);
 		}
 	}
 
@@ -131,9 +130,7 @@
 			{
 				continue;
 			}
-			// A full ring drops the message: whoever needs its effect sends it again.
-			core_input input(decide::event(decide::peer_received{std::move(message)}));
-			[[maybe_unused]] auto const is_taken = this->core->try_push(input);
+			this->hooks.received(std::move(message));
 		}
 	}
 
--- a/packages/daemon/include/godwittrestle/daemon/io_thread.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/io_thread.hpp
@@ -80,6 +80,17 @@
 			}
 		}
 
+		// Puts an item in without waiting. Returns false, leaving it untouched, when the ring is full.
+		[[nodiscard]] bool try_push(T& item)
+		{
+			if (!this->ring.try_push(item))
+			{
+				return false;
+			}
+			this->wake();
+			return true;
+		}
+
 		void close()
 		{
 			this->ring.close();
--- a/packages/daemon/include/godwittrestle/daemon/peer_link.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/peer_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <string>
 #include <thread>
@@ -8,18 +9,37 @@
 #include <zmq.hpp>
 
 #include <godwittrestle/base/bounded_ring.hpp>
-#include <godwittrestle/daemon/core_loop.hpp>
-#include <godwittrestle/daemon/settings.hpp>
+#include <godwittrestle/decide/action.hpp>
+#include <godwittrestle/http/message.hpp>
+#include <godwittrestle/wire.hpp>
 
 namespace godwittrestle::daemon
 {
+	// Where a daemon takes its peers' messages, and the fleet's keys.
+	struct peer_link_settings
+	{
+		http::endpoint address;
+		// CURVE keys in Z85; all empty without encryption between daemons.
+		std::string public_key;
+		std::string secret_key;
+		std::size_t ring_capacity = 0;
+	};
+
+	// What becomes of messages; called on the link's thread, and never allowed to wait.
+	struct peer_hooks
+	{
+		std::function<void(wire::PeerMessage)> received;
+		// A message to this peer was dropped, as it could not go out at once.
+		std::function<void(instance_id const&)> unreachable;
+	};
+
 	// The thread that exchanges protobuf messages with other daemons over ZeroMQ. A message that can't go out now is
 	// dropped and reported, never queued for later. A connection that falls silent is found by heartbeats of the
 	// transport and dialled again.
 	class peer_link
 	{
 	  public:
-		peer_link(core_loop& core, daemon_settings const& settings);
+		peer_link(peer_link_settings const& settings, peer_hooks behaviour);
 		~peer_link();
 
 		peer_link(peer_link const&) = delete;
@@ -49,7 +69,7 @@
 			std::string address;
 		};
 
-		core_loop* core;
+		peer_hooks hooks;
 		std::string bind_address;
 		std::string public_key;
 		std::string secret_key;
--- /dev/null
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -0,0 +1,281 @@
+#include <godwittrestle/gateway/fleet_exchange.hpp>
+
+#include <algorithm>
+#include <ranges>
+#include <set>
+#include <utility>
+
+#include <godwittrestle/gateway/wall_clock.hpp>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// Notices go out this often even when nothing has changed.
+		constexpr duration quiet_interval = milliseconds(800);
+		constexpr duration query_interval = milliseconds(250);
+
+		wire::ListedServer to_wire(routing::registered_server const& server)
+		{
+			wire::ListedServer listed;
+			listed.set_id(server.id.str());
+			listed.set_service(server.service.str());
+			listed.set_data_centre(server.data_centre.str());
+			listed.set_address(server.address);
+			listed.set_role(static_cast<std::uint32_t>(server.role));
+			listed.set_slots(server.slots);
+			listed.set_started(server.started.count());
+			listed.set_leaving(server.leaving);
+			return listed;
+		}
+
+		routing::registered_server from_wire(wire::ListedServer const& listed)
+		{
+			routing::registered_server server;
+			server.id = server_id(listed.id());
+			server.service = service_id(listed.service());
+			server.data_centre = data_centre_id(listed.data_centre());
+			server.address = listed.address();
+			server.role = static_cast<routing::server_role>(listed.role());
+			server.slots = listed.slots();
+			server.started = incarnation(listed.started());
+			server.leaving = listed.leaving();
+			return server;
+		}
+
+		// Whether a list from another daemon can be read: a role that is not known comes from a newer one.
+		bool is_known_role(wire::ListedServer const& listed)
+		{
+			return listed.role() <= static_cast<std::uint32_t>(routing::server_role::decode);
+		}
+	}
+
+	fleet_exchange::fleet_exchange(instance_id own, incarnation started, std::string address, shared_state& state,
+		exchange_hooks behaviour, event_log lines)
+		: own_id(own)
+		, own_started(started)
+		, own_address(address)
+		, shared(&state)
+		, hooks(std::move(behaviour))
+		, log(std::move(lines))
+		, members(std::move(own), std::move(address))
+	{
+	}
+
+	void fleet_exchange::set_seeds(std::vector<std::string> addresses)
+	{
+		this->members.set_seeds(std::move(addresses));
+	}
+
+	duration fleet_exchange::tick(registry_knowledge const& known, time_point now)
+	{
+		this->shared->daemons = this->members.size(now);
+		auto const notice = this->make_notice(known, now);
+		std::string shares;
+		std::ranges::for_each(notice.shares(), [&](auto const& each) { shares += each.SerializeAsString(); });
+		auto const is_due = shares != this->last_shares || now - this->last_notice_at >= quiet_interval;
+		if (is_due)
+		{
+			this->last_shares = std::move(shares);
+			this->last_notice_at = now;
+			auto message = this->make_message();
+			*message.mutable_gateway_notice() = notice;
+			for (auto const& address : this->members.targets(this->hooks.draw, now))
+			{
+				this->send(address, message);
+			}
+		}
+		auto const lacks = known.is_lost || !known.has_servers || known.version == platform_version{};
+		auto const live = this->members.live(now);
+		if (lacks && !live.empty())
+		{
+			auto const position = static_cast<std::size_t>(this->hooks.draw() * static_cast<double>(live.size()));
+			this->query(live[position].address, known, now);
+		}
+		return this->members.notice_interval(now);
+	}
+
+	void fleet_exchange::receive(wire::PeerMessage const& message, registry_knowledge const& known, time_point now)
+	{
+		if (message.has_gateway_notice())
+		{
+			this->handle(message, message.gateway_notice(), known, now);
+		}
+		else if (message.has_gateway_state_query())
+		{
+			this->answer(message, message.gateway_state_query(), known);
+		}
+		else if (message.has_gateway_state())
+		{
+			this->take(message.gateway_state(), known);
+		}
+	}
+
+	void fleet_exchange::announce_leaving(registry_knowledge const& known, time_point now)
+	{
+		this->is_leaving = true;
+		this->last_shares.clear();
+		this->last_notice_at = {};
+		std::ignore = this->tick(known, now);
+	}
+
+	void fleet_exchange::handle(wire::PeerMessage const& message, wire::GatewayNotice const& notice,
+		registry_knowledge const& known, time_point now)
+	{
+		instance_id const sender(message.from());
+		auto const size_before = this->members.size(now);
+		if (!this->members.hear({sender, incarnation(message.incarnation()), notice.address(), now}))
+		{
+			return;
+		}
+		for (auto const& told : notice.members())
+		{
+			auto const heard_at = now - duration(static_cast<duration::rep>(told.age()));
+			this->members.suggest(
+				{instance_id(told.instance()), incarnation(told.incarnation()), told.address(), heard_at}, now);
+		}
+		if (notice.leaving())
+		{
+			this->members.forget(sender);
+		}
+		this->take_shares(sender, notice, now);
+		auto const size = this->members.size(now);
+		if (size != size_before)
+		{
+			decide::record_event line;
+			line.timestamp = wall_clock_us();
+			line.name = "peer_count_changed";
+			line.fields = {{"peer", sender.str()}, {"daemons", std::to_string(size)}};
+			this->log(std::move(line));
+		}
+		if (notice.config_version() > known.version.count())
+		{
+			this->query(notice.address(), known, now);
+		}
+	}
+
+	void fleet_exchange::take_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now)
+	{
+		std::set<std::string_view> named;
+		for (auto const& share : notice.shares())
+		{
+			named.insert(share.server());
+			if (auto const server = this->shared->servers.find(server_id(share.server())))
+			{
+				server->load.set_share(
+					sender, routing::server_share{share.running(), share.to_prefill(), share.committed()}, now);
+			}
+		}
+		for (auto const& [id, server] : this->shared->servers.all())
+		{
+			if (!named.contains(id.str()))
+			{
+				server->load.drop_share(sender);
+			}
+		}
+	}
+
+	void fleet_exchange::answer(
+		wire::PeerMessage const& message, wire::GatewayStateQuery const& query, registry_knowledge const& known)
+	{
+		if (query.address().empty() || message.from() == this->own_id.str())
+		{
+			return;
+		}
+		auto reply = this->make_message();
+		auto& state = *reply.mutable_gateway_state();
+		state.set_config_version(known.version.count());
+		if (known.version.count() > query.config_version())
+		{
+			state.set_configuration(known.configuration_text);
+		}
+		state.set_has_servers(known.has_servers && query.wants_servers());
+		state.set_is_current(!known.is_lost);
+		if (state.has_servers())
+		{
+			for (auto const& server : this->shared->servers.all() | std::views::values)
+			{
+				if (!server->missing_until)
+				{
+					*state.add_servers() = to_wire(server->entry);
+				}
+			}
+		}
+		this->send(query.address(), std::move(reply));
+	}
+
+	void fleet_exchange::take(wire::GatewayState const& state, registry_knowledge const& known)
+	{
+		if (!state.configuration().empty() && state.config_version() > known.version.count())
+		{
+			this->hooks.take_configuration(state.configuration());
+		}
+		auto const wants_servers = !known.has_servers || (known.is_lost && state.is_current());
+		if (!state.has_servers() || !wants_servers)
+		{
+			return;
+		}
+		std::vector<routing::registered_server> servers;
+		auto readable = state.servers() | std::views::filter(is_known_role);
+		std::ranges::transform(readable, std::back_inserter(servers), from_wire);
+		this->hooks.take_servers(std::move(servers));
+	}
+
+	wire::GatewayNotice fleet_exchange::make_notice(registry_knowledge const& known, time_point now) const
+	{
+		wire::GatewayNotice notice;
+		notice.set_address(this->own_address);
+		notice.set_config_version(known.version.count());
+		notice.set_leaving(this->is_leaving);
+		for (auto const& each : this->members.live(now))
+		{
+			auto& member = *notice.add_members();
+			member.set_instance(each.id.str());
+			member.set_incarnation(each.started.count());
+			member.set_address(each.address);
+			member.set_age(static_cast<std::uint64_t>((now - each.heard_at).count()));
+		}
+		for (auto const& [id, server] : this->shared->servers.all())
+		{
+			auto const own = server->load.own();
+			if (own.running > 0)
+			{
+				auto& share = *notice.add_shares();
+				share.set_server(id.str());
+				share.set_running(static_cast<std::uint32_t>(own.running));
+				share.set_to_prefill(static_cast<std::uint32_t>(own.to_prefill));
+				share.set_committed(static_cast<std::uint32_t>(own.committed));
+			}
+		}
+		return notice;
+	}
+
+	void fleet_exchange::query(std::string const& address, registry_knowledge const& known, time_point now)
+	{
+		if (now - this->last_query_at < query_interval)
+		{
+			return;
+		}
+		this->last_query_at = now;
+		auto message = this->make_message();
+		auto& asked = *message.mutable_gateway_state_query();
+		asked.set_address(this->own_address);
+		asked.set_config_version(known.version.count());
+		asked.set_wants_servers(known.is_lost || !known.has_servers);
+		this->send(address, std::move(message));
+	}
+
+	void fleet_exchange::send(std::string const& address, wire::PeerMessage message) const
+	{
+		this->hooks.send({instance_id(address), address, std::move(message)});
+	}
+
+	wire::PeerMessage fleet_exchange::make_message() const
+	{
+		wire::PeerMessage message;
+		message.set_from(this->own_id.str());
+		message.set_incarnation(this->own_started.count());
+		message.set_timestamp(wall_clock_us());
+		return message;
+	}
+}
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -1,11 +1,16 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
+#include <array>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include <godwittrestle/daemon/core_loop.hpp>
@@ -38,6 +43,17 @@
 		// Answers to earlier requests that are passed over on one connection.
 		constexpr int most_stray_answers = 3;
 		constexpr duration release_timeout = milliseconds(500);
+		constexpr duration reservation_timeout = milliseconds(200);
+		// Streams that wait for room look again after this.
+		constexpr duration line_poll = milliseconds(25);
+		// Callers leave a stream that has not begun soon after this.
+		constexpr duration longest_wait = milliseconds(2800);
+		// What may come between the end of the wait and the first event, besides the prefill.
+		constexpr duration in_time_margin = milliseconds(150);
+		constexpr std::size_t most_engines_asked = 4;
+		// Part of the expected output that is reserved besides the prompt: streams end at different times.
+		constexpr double reserved_part_of_output = 0.7;
+		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 		constexpr duration default_patience = seconds(60);
 		constexpr duration first_event_margin = milliseconds(700);
 		constexpr duration prefill_margin = milliseconds(500);
@@ -50,9 +66,9 @@
 		class load_guard
 		{
 		  public:
-			load_guard(routing::server_pointer target, token_count tokens)
+			load_guard(routing::server_pointer target, token_count tokens, token_count committed)
 				: server(std::move(target))
-				, call(this->server->load.begin(tokens, monotonic_now()))
+				, call(this->server->load.begin(tokens, committed, monotonic_now()))
 			{
 			}
 
@@ -207,6 +223,13 @@
 			return this->time_left() < least_time;
 		}
 
+		// Tokens of an engine's memory that the stream is expected to need.
+		[[nodiscard]] token_count needed_tokens() const
+		{
+			auto const output = static_cast<double>(this->call.expected_output.count()) * reserved_part_of_output;
+			return this->call.prompt + token_count(static_cast<std::uint32_t>(output));
+		}
+
 		void note_event(time_point now)
 		{
 			if (this->first_event_at)
@@ -243,7 +266,6 @@
 		, totals(&figures)
 		, log(std::move(lines))
 		, pool(on, [this] { this->totals->count_connection(); })
-		, plain_client(on)
 		, random(std::random_device{}())
 	{
 	}
@@ -308,7 +330,7 @@
 			{
 				break;
 			}
-			load_guard const guard(server, token_count{});
+			load_guard const guard(server, token_count{}, token_count{});
 			auto const patience =
 				state->chosen->is_repeatable() ? routing::answer_patience(*state->chosen) : default_patience;
 			send_terms terms;
@@ -338,42 +360,32 @@
 
 	asio::awaitable<void> forwarder::forward_stream(state_pointer state)
 	{
-		std::optional<routing::stream_placement> placement;
+		routing::engine_speed const speed;
+		auto const draw_number = [this] { return this->draw(); };
 		while (true)
 		{
-			if (!placement)
-			{
-				routing::placement_request request;
-				request.service = state->service;
-				request.data_centre = this->shared->data_centre;
-				request.excluded = state->excluded;
-				request.prompt = state->call.prompt;
-				request.split_limit = state->chosen->objective / split_part_of_objective;
-				request.may_split = !state->is_split_barred && !state->joiner.last_event();
-				auto const draw_number = [this] { return this->draw(); };
-				routing::engine_speed const speed;
-				placement =
-					routing::place_stream(this->shared->servers, request, speed, draw_number, monotonic_now());
-			}
-			if (!placement || state->is_out_of_time())
+			auto room = co_await this->reserve_room(state);
+			if (!room)
 			{
 				break;
 			}
-			auto const failure = co_await this->run_stream(state, *placement);
+			auto request = this->placement_for(*state);
+			request.may_split = !state->is_split_barred && !state->joiner.last_event();
+			request.split_limit = state->chosen->objective / split_part_of_objective;
+			auto placement = routing::place_prefill(
+				this->shared->servers, request, room->engine, speed, draw_number, monotonic_now());
+			auto const is_split = placement.prefill != nullptr;
+			auto const failure = co_await this->run_stream(state, std::move(placement), room->reservation);
 			if (!failure)
 			{
 				co_return;
 			}
-			// An engine that could not fetch the KV cache is asked to prefill by itself.
-			auto const is_source_lost = placement->prefill && *failure == send_failure::not_run;
-			auto const decode = placement->decode;
-			placement.reset();
-			if (is_source_lost)
+			// An engine that could not fetch the KV cache may be asked to prefill by itself.
+			if (is_split && *failure == send_failure::not_run)
 			{
 				state->is_split_barred = true;
-				state->excluded.erase(decode->entry.id);
-				state->sent_to.erase(decode->entry.id);
-				placement = routing::stream_placement{nullptr, decode, {}};
+				state->excluded.erase(room->engine->entry.id);
+				state->sent_to.erase(room->engine->entry.id);
 			}
 			if (!this->may_repeat(*state, *failure))
 			{
@@ -383,14 +395,103 @@
 		co_await this->give_up(state);
 	}
 
+	routing::placement_request forwarder::placement_for(request_state const& state) const
+	{
+		routing::placement_request request;
+		request.service = state.service;
+		request.data_centre = this->shared->data_centre;
+		request.excluded = state.excluded;
+		request.prompt = state.call.prompt;
+		request.needed = state.needed_tokens();
+		auto const* const terms = state.routes->find_service(state.service);
+		request.capacity = terms != nullptr && terms->engine ? terms->engine->kv_capacity : token_count{};
+		return request;
+	}
+
+	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::reserve_room(state_pointer state)
+	{
+		routing::engine_speed const speed;
+		auto const prefill_ms = static_cast<double>(state->call.prompt.count()) / speed.prefill_tokens_per_ms;
+		auto const prefill_time = duration(static_cast<duration::rep>(prefill_ms * 1000));
+		routing::waiting_stream waiting;
+		waiting.arrived = state->started;
+		waiting.in_time_until = state->started + state->chosen->objective - prefill_time - in_time_margin;
+		waiting.priority = state->chosen->priority;
+		auto const gives_up_at = state->started + std::min(longest_wait, state->chosen->timeout / 2);
+		auto const draw_number = [this] { return this->draw(); };
+		auto& line = this->shared->line;
+		auto const ticket = line.enter(waiting);
+		std::optional<decode_room> room;
+		asio::steady_timer pause(this->executor);
+		while (!state->is_caller_gone && !state->is_out_of_time())
+		{
+			auto const now = monotonic_now();
+			if (line.is_next(ticket, now))
+			{
+				auto engines = routing::rank_decode_engines(
+					this->shared->servers, this->placement_for(*state), draw_number, now);
+				room = co_await this->try_reserve(state, std::move(engines));
+			}
+			auto const has_engines =
+				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
+			if (room || !has_engines || now > gives_up_at)
+			{
+				break;
+			}
+			pause.expires_after(line_poll);
+			std::ignore = co_await pause.async_wait(wait_token);
+		}
+		line.leave(ticket);
+		co_return room;
+	}
+
+	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::try_reserve(
+		state_pointer state, std::vector<routing::server_pointer> engines)
+	{
+		auto const limit = this->longest_reservation(state->service);
+		if (!limit)
+		{
+			co_return engines.empty() ? std::nullopt : std::optional<decode_room>({engines.front(), std::nullopt});
+		}
+		auto const tokens = state->needed_tokens();
+		for (auto const& engine : engines | std::views::take(most_engines_asked))
+		{
+			auto message = this->protocol.reserve(engine->entry.id, tokens, *limit);
+			auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
+			auto const now = monotonic_now();
+			if (!answer)
+			{
+				engine->health.note(routing::call_outcome::silent, now);
+				this->totals->count_send("reserve", "silent");
+				continue;
+			}
+			auto reservation = answer->status == status_ok ? this->protocol.read_reservation(answer->body) : std::nullopt;
+			this->totals->count_send("reserve", reservation ? "served" : "rejected");
+			if (!reservation)
+			{
+				engine->load.note_full(now);
+				continue;
+			}
+			if (state->is_caller_gone)
+			{
+				this->release_later(engine, this->protocol.give_up_reservation(engine->entry.id, *reservation));
+				co_return std::nullopt;
+			}
+			co_return decode_room{engine, std::move(reservation)};
+		}
+		co_return std::nullopt;
+	}
+
 	asio::awaitable<std::optional<send_failure>> forwarder::run_stream(
-		state_pointer state, routing::stream_placement placement)
+		state_pointer state, routing::stream_placement placement, std::optional<std::string> reservation)
 	{
 		send_terms terms;
-		std::uint32_t const none = 0;
+		terms.reservation = reservation;
+		// The engine's memory is committed from here on, so that the prompt is not read for nothing.
+		auto const own_tokens = placement.prefill ? token_count{} : state->call.prompt;
+		load_guard const guard(placement.decode, own_tokens, state->needed_tokens());
 		state->is_split = placement.prefill != nullptr;
 		state->predicted_first_event = placement.first_event;
-		auto tokens = state->call.prompt;
 		if (placement.prefill)
 		{
 			auto const patience = 2 * placement.first_event + prefill_margin;
@@ -404,20 +505,28 @@
 			else
 			{
 				terms.source = std::move(std::get<kv_source>(source));
-				tokens = token_count(none);
 			}
 		}
-		if (state->is_caller_gone || state->is_out_of_time())
+		auto const prefilled_by = placement.prefill;
+		auto const source = terms.source;
+		auto const give_back_all = [&]
 		{
-			if (terms.source)
+			if (source)
+			{
+				this->release_later(prefilled_by, this->protocol.release(prefilled_by->entry.id, source->handle));
+			}
+			if (reservation)
 			{
-				asio::co_spawn(this->executor, this->release(*terms.source), asio::detached);
+				this->release_later(placement.decode,
+					this->protocol.give_up_reservation(placement.decode->entry.id, *reservation));
 			}
+		};
+		if (state->is_caller_gone || state->is_out_of_time())
+		{
+			give_back_all();
 			co_return send_failure::not_sent;
 		}
-		auto const source = terms.source;
 		terms.last_event = state->joiner.last_event();
-		load_guard const guard(placement.decode, tokens);
 		auto const first_patience = source ? fetched_event_patience : 2 * placement.first_event + first_event_margin;
 		auto const patience =
 			state->chosen->is_repeatable() && state->sent_to.empty() ? first_patience : default_patience;
@@ -437,9 +546,9 @@
 		else
 		{
 			failure = std::get<send_failure>(outcome);
-			if (source && routing::is_proved_not_run(*failure))
+			if (routing::is_proved_not_run(*failure))
 			{
-				asio::co_spawn(this->executor, this->release(*source), asio::detached);
+				give_back_all();
 			}
 		}
 		this->note_outcome(*state, *placement.decode, *failure);
@@ -449,7 +558,7 @@
 	asio::awaitable<std::variant<kv_source, send_failure>> forwarder::prefill(
 		state_pointer state, routing::server_pointer server, duration patience)
 	{
-		load_guard const guard(server, state->call.prompt);
+		load_guard const guard(server, state->call.prompt, token_count{});
 		send_terms terms;
 		terms.part = call_part::prefill;
 		auto const sent_before = state->sent_to;
@@ -778,20 +887,47 @@
 		}
 	}
 
-	asio::awaitable<void> forwarder::release(kv_source source)
+	asio::awaitable<std::optional<http::response>> forwarder::call_server(
+		routing::server_pointer server, http::request message, duration timeout)
 	{
-		auto const where = http::parse_endpoint(source.address, "kv source");
-		if (!where)
+		auto const limit = this->connection_limit(server->entry);
+		auto const connection = co_await this->pool.acquire(server->entry, limit, longest_idle, timeout);
+		if (!connection)
 		{
-			co_return;
+			co_return std::nullopt;
+		}
+		pooled_connection const pooled(this->pool, server->entry, connection);
+		message.headers.push_back({"Host", server->entry.address});
+		connection->send(message);
+		auto head = co_await connection->read_head(timeout);
+		if (auto* const answer = std::get_if<http::response>(&head))
+		{
+			auto body = co_await connection->read_rest(timeout, small_body_bytes);
+			if (auto* const text = std::get_if<std::string>(&body))
+			{
+				answer->body = std::move(*text);
+				co_return std::move(*answer);
+			}
 		}
-		auto message = this->protocol.release(source.handle);
-		http::call_options options;
-		options.timeout = release_timeout;
-		http::endpoint const target = *where;
-		auto const outcome = co_await this->plain_client.call(target, std::move(message), options);
-		auto const is_answered = std::holds_alternative<http::response>(outcome);
-		this->totals->count_send("release", is_answered ? "served" : "broken");
+		connection->close();
+		co_return std::nullopt;
+	}
+
+	asio::awaitable<void> forwarder::give_back(routing::server_pointer server, http::request message)
+	{
+		auto const answer = co_await this->call_server(server, std::move(message), release_timeout);
+		this->totals->count_send("give_back", answer ? "served" : "broken");
+	}
+
+	void forwarder::release_later(routing::server_pointer const& server, http::request message)
+	{
+		asio::co_spawn(this->executor, this->give_back(server, std::move(message)), asio::detached);
+	}
+
+	std::optional<duration> forwarder::longest_reservation(service_id const& service) const
+	{
+		auto const* const terms = this->shared->routes->find_service(service);
+		return terms == nullptr || !terms->engine ? std::nullopt : terms->engine->longest_reservation;
 	}
 
 	void forwarder::record(request_state const& state, std::string name, std::vector<decide::event_field> fields)
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -180,6 +180,13 @@
 	void registry_follower::note_failure(part_state& state, std::string reason)
 	{
 		++state.failures;
+		if (state.failures == failures_of_outage)
+		{
+			registry_update update;
+			update.part = state.part;
+			update.is_lost = true;
+			this->sink(std::move(update));
+		}
 		if (state.failures > 1)
 		{
 			return;
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -1,5 +1,7 @@
 #include <godwittrestle/gateway/traffic.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -19,6 +21,7 @@
 
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
 		constexpr std::size_t update_ring_capacity = 256;
+		constexpr std::size_t peer_ring_capacity = 1024;
 		constexpr duration house_keeping_interval = milliseconds(250);
 		// The platform's balancer needs this long to see that a daemon is no longer ready.
 		constexpr duration balancer_delay = milliseconds(2500);
@@ -48,9 +51,25 @@
 		, on_drained(std::move(drained))
 		, updates(update_ring_capacity, this->thread.context(),
 			  [this](registry_update&& update) { this->take(std::move(update)); })
-		, shared{nullptr, routing::directory(given.servers), {}, given.retries, given.data_centre, 1}
+		, shared{nullptr, routing::directory(given.servers), {}, {}, given.retries, given.data_centre, 1}
 		, forward(this->thread.context().get_executor(), this->shared, brought.calls, this->totals, this->log)
+		, peer_messages(peer_ring_capacity, this->thread.context(), [this](wire::PeerMessage&& message)
+			  { this->exchange.receive(message, this->known, monotonic_now()); })
+		, peers({given.peer_address, {}, {}, peer_ring_capacity},
+			  {[this](wire::PeerMessage message)
+				  {
+					  // A full ring drops the message: notices are sent again and again.
+					  std::ignore = this->peer_messages.try_push(message);
+				  },
+				  [](instance_id const&) {}})
+		, exchange(given.instance, incarnation(wall_clock_us()), http::to_string(given.peer_address), this->shared,
+			  {[this](decide::send_peer message) { this->peers.push(std::move(message)); },
+				  [this](std::string text) { this->take_configuration_text(std::move(text)); },
+				  [this](std::vector<routing::registered_server> servers) { this->take_servers(std::move(servers)); },
+				  [this] { return this->forward.draw(); }},
+			  this->log)
 	{
+		this->set_seeds(given.seeds);
 	}
 
 	traffic::~traffic()
@@ -74,12 +93,16 @@
 		this->readiness->start();
 		this->metrics->start();
 		asio::co_spawn(this->thread.context(), this->keep_house(), asio::detached);
+		asio::co_spawn(this->thread.context(), this->exchange_with_peers(), asio::detached);
+		this->peers.start();
 		this->thread.start();
 	}
 
 	void traffic::stop()
 	{
 		this->updates.close();
+		this->peer_messages.close();
+		this->peers.stop();
 		this->thread.stop();
 	}
 
@@ -95,6 +118,7 @@
 			{
 				this->settings = changed;
 				this->shared.retries = changed.retries;
+				this->set_seeds(changed.seeds);
 				this->record("settings_reloaded", {});
 			});
 	}
@@ -110,6 +134,7 @@
 				}
 				this->record("draining", {{"running", std::to_string(this->forward.running())}});
 				this->callers->drain();
+				this->exchange.announce_leaving(this->known, monotonic_now());
 				asio::co_spawn(this->thread.context(), this->finish(), asio::detached);
 			});
 	}
@@ -117,6 +142,10 @@
 	void traffic::take(registry_update&& update)
 	{
 		auto const now = monotonic_now();
+		if (update.part == registry_part::servers)
+		{
+			this->known.is_lost = update.is_lost;
+		}
 		if (update.is_return)
 		{
 			this->shared.servers.note_registry_return(now);
@@ -141,7 +170,7 @@
 		if (update.part == registry_part::servers && update.is_whole)
 		{
 			this->shared.servers.replace(whole, now);
-			this->has_servers = true;
+			this->known.has_servers = true;
 			this->record("servers_listed", {{"count", std::to_string(whole.size())}});
 		}
 		this->totals.set_servers(this->shared.servers.all().size());
@@ -161,6 +190,44 @@
 		this->shared.routes = std::make_shared<routing::route_table const>(std::move(published.value));
 		this->callers->set_limits(to_server_limits(this->shared.routes->limits()));
 		this->totals.set_configuration(version.count());
+		this->known.version = version;
+		this->known.configuration_text = std::move(published.text);
+	}
+
+	void traffic::take_configuration_text(std::string text)
+	{
+		handle_failure(
+			[&]() -> result<void>
+			{
+				BOOST_LEAF_AUTO(config, this->adapter.registry.read_configuration(text));
+				this->take(published_configuration{std::move(config), std::move(text)});
+				return {};
+			},
+			[&](failure const& error) { this->record("configuration_unreadable", {{"reason", describe(error)}}); });
+	}
+
+	void traffic::take_servers(std::vector<routing::registered_server> servers)
+	{
+		this->record("servers_taken_from_peer", {{"count", std::to_string(servers.size())}});
+		this->shared.servers.replace(servers, monotonic_now());
+		this->known.has_servers = true;
+	}
+
+	asio::awaitable<void> traffic::exchange_with_peers()
+	{
+		asio::steady_timer timer(this->thread.context());
+		while (true)
+		{
+			timer.expires_after(this->exchange.tick(this->known, monotonic_now()));
+			std::ignore = co_await timer.async_wait(token);
+		}
+	}
+
+	void traffic::set_seeds(std::vector<http::endpoint> const& seeds)
+	{
+		std::vector<std::string> addresses;
+		std::ranges::transform(seeds, std::back_inserter(addresses), http::to_string);
+		this->exchange.set_seeds(std::move(addresses));
 	}
 
 	void traffic::put(routing::registered_server const& entry)
@@ -239,7 +306,7 @@
 
 	bool traffic::is_ready() const
 	{
-		return this->shared.routes && this->has_servers && !this->is_draining;
+		return this->shared.routes && this->known.has_servers && !this->is_draining;
 	}
 
 	void traffic::record(std::string name, std::vector<decide::event_field> fields)
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -18,7 +18,6 @@
 #include <godwittrestle/gateway/protocols.hpp>
 #include <godwittrestle/gateway/settings.hpp>
 #include <godwittrestle/gateway/stream_joiner.hpp>
-#include <godwittrestle/http/client.hpp>
 #include <godwittrestle/http/server.hpp>
 #include <godwittrestle/routing.hpp>
 
@@ -32,6 +31,7 @@
 		std::shared_ptr<routing::route_table const> routes;
 		routing::directory servers;
 		std::map<service_id, routing::retry_budget> budgets;
+		routing::waiting_line line;
 		routing::retry_terms retries;
 		data_centre_id data_centre;
 		// Daemons that share the retry budget and the servers' connections, this one included.
@@ -55,6 +55,9 @@
 			return this->in_progress;
 		}
 
+		// Returns a uniform number from 0 up to but not including 1.
+		[[nodiscard]] double draw();
+
 		[[nodiscard]] connection_pool& connections() noexcept
 		{
 			return this->pool;
@@ -64,6 +67,13 @@
 		struct request_state;
 		struct answer_begun;
 
+		// A decode engine and the room that it keeps; no reservation where engines keep none.
+		struct decode_room
+		{
+			routing::server_pointer engine;
+			std::optional<std::string> reservation;
+		};
+
 		using state_pointer = std::shared_ptr<request_state>;
 		// The head of a server's answer, or why there is none.
 		using send_outcome = std::variant<answer_begun, routing::send_failure>;
@@ -71,6 +81,12 @@
 		[[nodiscard]] asio::awaitable<void> forward_plain(state_pointer state);
 		[[nodiscard]] asio::awaitable<void> forward_stream(state_pointer state);
 
+		// Waits for room at a decode engine. Returns nothing when there is none to be had, or the caller is gone.
+		[[nodiscard]] asio::awaitable<std::optional<decode_room>> reserve_room(state_pointer state);
+		// Asks the decode engines for room, best first.
+		[[nodiscard]] asio::awaitable<std::optional<decode_room>> try_reserve(
+			state_pointer state, std::vector<routing::server_pointer> engines);
+
 		// Sends the call to a server and waits for the head of its answer.
 		[[nodiscard]] asio::awaitable<send_outcome> send(
 			state_pointer state, routing::server_pointer server, send_terms terms, duration patience);
@@ -82,7 +98,7 @@
 			state_pointer state, routing::server_pointer server, duration patience);
 		// Sends one stream to its decode engine and passes its events on. Returns nothing when the stream is whole.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> run_stream(
-			state_pointer state, routing::stream_placement placement);
+			state_pointer state, routing::stream_placement placement, std::optional<std::string> reservation);
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> pass_events(
 			state_pointer state, answer_begun& answer, routing::server_pointer server, call_id call);
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> pass_whole(
@@ -96,10 +112,16 @@
 		[[nodiscard]] asio::awaitable<void> refuse(
 			state_pointer state, unsigned status, std::string reason, std::string remedy, bool come_back);
 		[[nodiscard]] asio::awaitable<void> give_up(state_pointer state);
-		[[nodiscard]] asio::awaitable<void> release(kv_source source);
+		// Calls a server about its own state: reservations and KV caches. Returns nothing when it did not answer.
+		[[nodiscard]] asio::awaitable<std::optional<http::response>> call_server(
+			routing::server_pointer server, http::request message, duration timeout);
+		// Gives room or a KV cache back that was not used.
+		[[nodiscard]] asio::awaitable<void> give_back(routing::server_pointer server, http::request message);
+		void release_later(routing::server_pointer const& server, http::request message);
+		[[nodiscard]] routing::placement_request placement_for(request_state const& state) const;
+		[[nodiscard]] std::optional<duration> longest_reservation(service_id const& service) const;
 
 		void record(request_state const& state, std::string name, std::vector<decide::event_field> fields);
-		[[nodiscard]] double draw();
 		[[nodiscard]] std::size_t connection_limit(routing::registered_server const& server) const;
 
 		asio::any_io_executor executor;
@@ -108,7 +130,6 @@
 		counters* totals;
 		event_log log;
 		connection_pool pool;
-		http::client plain_client;
 		std::mt19937_64 random;
 		std::size_t in_progress = 0;
 	};
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -25,6 +25,8 @@
 		// How long the caller will wait; nothing when it does not say.
 		std::optional<duration> time_left;
 		token_count prompt;
+		// The caller's estimate of the tokens that will be made; often far off.
+		token_count expected_output;
 		// The last event of a stream that the caller already has.
 		std::optional<std::string> last_event;
 	};
@@ -51,6 +53,8 @@
 		server_id server;
 		call_part part = call_part::whole;
 		std::optional<kv_source> source;
+		// The room that the engine keeps for the call.
+		std::optional<std::string> reservation;
 		std::optional<std::string> last_event;
 	};
 
@@ -75,10 +79,16 @@
 		std::function<answer_facts(http::response const&)> read_answer;
 		// Reads the handle of a prefilled prompt; nothing when the text names none.
 		std::function<std::optional<std::string>(std::string_view body)> read_handle;
+		// Returns the request that makes an engine keep a slot and room for so many tokens.
+		std::function<http::request(server_id const& server, token_count tokens, duration lifetime)> reserve;
+		// Reads the reservation's name; nothing when the text names none.
+		std::function<std::optional<std::string>(std::string_view body)> read_reservation;
+		// Returns the request that gives a reservation up.
+		std::function<http::request(server_id const& server, std::string const& reservation)> give_up_reservation;
 		// Returns the header that tells a caller when to come back.
 		std::function<http::header(duration)> retry_after;
 		// Returns the request that frees a prefilled prompt.
-		std::function<http::request(std::string const& handle)> release;
+		std::function<http::request(server_id const& server, std::string const& handle)> release;
 	};
 
 	// A configuration together with the text that it was read from, which other daemons may be given.
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -22,6 +22,8 @@
 		registry_part part = registry_part::configuration;
 		// True when the changes are the whole part; false when they are what changed.
 		bool is_whole = false;
+		// True when the registry can't be read any more; there are no changes then.
+		bool is_lost = false;
 		// True when the registry could not be read before this.
 		bool is_return = false;
 		std::vector<registry_change> changes;
--- a/packages/gateway/include/godwittrestle/gateway/traffic.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/traffic.hpp
@@ -9,7 +9,9 @@
 #include <godwittrestle/daemon/io_thread.hpp>
 #include <godwittrestle/gateway/application.hpp>
 #include <godwittrestle/gateway/counters.hpp>
+#include <godwittrestle/daemon/peer_link.hpp>
 #include <godwittrestle/gateway/event_log.hpp>
+#include <godwittrestle/gateway/fleet_exchange.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
 #include <godwittrestle/gateway/registry_follower.hpp>
 #include <godwittrestle/http/server.hpp>
@@ -46,7 +48,11 @@
 
 	  private:
 		void take(registry_update&& update);
+		void take_configuration_text(std::string text);
+		void take_servers(std::vector<routing::registered_server> servers);
+		[[nodiscard]] asio::awaitable<void> exchange_with_peers();
 		void take(published_configuration&& published);
+		void set_seeds(std::vector<http::endpoint> const& seeds);
 		void put(routing::registered_server const& entry);
 		[[nodiscard]] asio::awaitable<void> answer_readiness(http::request message, http::exchange& talk);
 		[[nodiscard]] asio::awaitable<void> answer_metrics(http::request message, http::exchange& talk);
@@ -65,10 +71,13 @@
 		shared_state shared;
 		counters totals;
 		forwarder forward;
+		daemon::ring_to_loop<wire::PeerMessage> peer_messages;
+		daemon::peer_link peers;
+		fleet_exchange exchange;
+		registry_knowledge known;
 		std::unique_ptr<http::server> callers;
 		std::unique_ptr<http::server> readiness;
 		std::unique_ptr<http::server> metrics;
-		bool has_servers = false;
 		bool is_draining = false;
 	};
 }
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/routing/placement.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <tuple>
 
@@ -13,13 +14,6 @@
 		// Weight of the share of failed calls against one running call.
 		constexpr double failure_weight = 4;
 
-		struct ranked_server
-		{
-			server_pointer server;
-			bool is_doubtful = false;
-			double work = 0;
-		};
-
 		bool is_doubtful(server_record const& server, time_point now)
 		{
 			return server.health.is_suspect(now) || server.load.oldest_unanswered(now) > longest_silence;
@@ -42,7 +36,7 @@
 		// Tokens that are to be prefilled on an engine before a new prompt, by all daemons.
 		double queued_tokens(server_record const& engine, time_point now)
 		{
-			return static_cast<double>(engine.load.own_tokens() + engine.load.others_tokens(now));
+			return static_cast<double>(engine.load.total(now).to_prefill);
 		}
 
 		duration time_for(double tokens, double tokens_per_ms)
@@ -67,24 +61,6 @@
 			}
 			return best;
 		}
-
-		server_pointer fewest_running(
-			std::vector<server_pointer> const& engines, random_draw const& draw, time_point now)
-		{
-			server_pointer best;
-			std::tuple<std::uint64_t, double, double> best_rank;
-			for (auto const& engine : engines)
-			{
-				std::tuple<std::uint64_t, double, double> const rank(
-					engine->load.running() + engine->load.others_running(now), queued_tokens(*engine, now), draw());
-				if (!best || rank < best_rank)
-				{
-					best = engine;
-					best_rank = rank;
-				}
-			}
-			return best;
-		}
 	}
 
 	server_pointer place_call(directory const& servers, placement_request const& request, random_draw const& draw,
@@ -95,7 +71,7 @@
 		std::tuple<double, double> best_rank;
 		for (auto const& server : candidates)
 		{
-			auto const running = static_cast<double>(server->load.running() + server->load.others_running(now));
+			auto const running = static_cast<double>(server->load.total(now).running);
 			auto const slots = static_cast<double>(std::max(1U, server->entry.slots));
 			auto const is_near = server->entry.data_centre == request.data_centre;
 			std::tuple<double, double> const rank(
@@ -109,29 +85,52 @@
 		return best;
 	}
 
-	std::optional<stream_placement> place_stream(directory const& servers, placement_request const& request,
+	std::vector<server_pointer> rank_decode_engines(directory const& servers, placement_request const& request,
+		random_draw const& draw, time_point now)
+	{
+		struct ranked_engine
+		{
+			std::tuple<std::uint64_t, double> rank;
+			server_pointer engine;
+		};
+
+		auto engines = usable(servers.candidates(request.service, server_role::decode, now), request, now);
+		std::erase_if(engines,
+			[&](server_pointer const& each)
+			{
+				auto const committed = each->load.total(now).committed;
+				auto const fits = committed == 0 || request.capacity.count() == 0 ||
+								  committed + request.needed.count() <= request.capacity.count();
+				return !fits || each->load.is_full(now);
+			});
+		std::vector<ranked_engine> ranked;
+		std::ranges::transform(engines, std::back_inserter(ranked),
+			[&](server_pointer const& each)
+			{
+				return ranked_engine{{each->load.total(now).committed, draw()}, each};
+			});
+		std::ranges::sort(ranked, {}, &ranked_engine::rank);
+		std::ranges::transform(ranked, engines.begin(), &ranked_engine::engine);
+		return engines;
+	}
+
+	stream_placement place_prefill(directory const& servers, placement_request const& request, server_pointer decode,
 		engine_speed const& speed, random_draw const& draw, time_point now)
 	{
 		auto const prompt = static_cast<double>(request.prompt.count());
-		auto const decoders = usable(servers.candidates(request.service, server_role::decode, now), request, now);
-		auto const direct = least_queued(decoders, draw, now);
-		if (!direct)
-		{
-			return std::nullopt;
-		}
-		auto const direct_time = time_for(queued_tokens(*direct, now) + prompt, speed.mixed_tokens_per_ms);
+		auto const direct_time = time_for(queued_tokens(*decode, now) + prompt, speed.mixed_tokens_per_ms);
 		auto const prefillers = usable(servers.candidates(request.service, server_role::prefill, now), request, now);
 		auto const prefill = request.may_split ? least_queued(prefillers, draw, now) : nullptr;
 		if (!prefill || is_doubtful(*prefill, now))
 		{
-			return stream_placement{nullptr, direct, direct_time};
+			return stream_placement{nullptr, std::move(decode), direct_time};
 		}
 		auto const split_time =
 			time_for(queued_tokens(*prefill, now) + prompt, speed.prefill_tokens_per_ms) + speed.transfer;
 		if (split_time > request.split_limit && direct_time < split_time)
 		{
-			return stream_placement{nullptr, direct, direct_time};
+			return stream_placement{nullptr, std::move(decode), direct_time};
 		}
-		return stream_placement{prefill, fewest_running(decoders, draw, now), split_time};
+		return stream_placement{prefill, std::move(decode), split_time};
 	}
 }
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -8,14 +8,27 @@
 	namespace
 	{
 		// What other daemons said of their load is no longer true after this.
-		constexpr duration others_lifetime = milliseconds(600);
+		constexpr duration others_lifetime = milliseconds(2500);
+		// A full server is not asked again before this.
+		constexpr duration full_pause = milliseconds(40);
 	}
 
-	call_id server_load::begin(token_count to_prefill, time_point now)
+	void server_load::note_full(time_point now) noexcept
+	{
+		this->full_until = now + full_pause;
+	}
+
+	bool server_load::is_full(time_point now) const noexcept
+	{
+		return now < this->full_until;
+	}
+
+	call_id server_load::begin(token_count to_prefill, token_count needed, time_point now)
 	{
 		call_id const call(++this->last_call);
-		this->calls.emplace(call, running_call{to_prefill.count(), now, false});
+		this->calls.emplace(call, running_call{to_prefill.count(), needed.count(), now, false});
 		this->tokens += to_prefill.count();
+		this->committed += needed.count();
 		return call;
 	}
 
@@ -34,7 +47,12 @@
 	void server_load::end(call_id call)
 	{
 		this->note_prefilled(call);
-		this->calls.erase(call);
+		auto const found = this->calls.find(call);
+		if (found != this->calls.end())
+		{
+			this->committed -= found->second.committed;
+			this->calls.erase(found);
+		}
 	}
 
 	duration server_load::oldest_unanswered(time_point now) const
@@ -50,20 +68,31 @@
 		return oldest;
 	}
 
-	void server_load::set_others(std::uint64_t running, std::uint64_t to_prefill, time_point now) noexcept
+	server_share server_load::own() const noexcept
+	{
+		return {this->calls.size(), this->tokens, this->committed};
+	}
+
+	server_share server_load::total(time_point now) const noexcept
 	{
-		this->others_calls = running;
-		this->others_to_prefill = to_prefill;
-		this->others_known_at = now;
+		auto sum = this->own();
+		for (auto const& told : this->others | std::views::values)
+		{
+			if (now - told.told_at <= others_lifetime)
+			{
+				sum += told.share;
+			}
+		}
+		return sum;
 	}
 
-	std::uint64_t server_load::others_running(time_point now) const noexcept
+	void server_load::set_share(instance_id const& daemon, server_share const& share, time_point now)
 	{
-		return now - this->others_known_at > others_lifetime ? 0 : this->others_calls;
+		this->others.insert_or_assign(daemon, told_share{share, now});
 	}
 
-	std::uint64_t server_load::others_tokens(time_point now) const noexcept
+	void server_load::drop_share(instance_id const& daemon)
 	{
-		return now - this->others_known_at > others_lifetime ? 0 : this->others_to_prefill;
+		this->others.erase(daemon);
 	}
 }
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -2,9 +2,11 @@
 
 #include <godwittrestle/routing/configuration.hpp>
 #include <godwittrestle/routing/directory.hpp>
+#include <godwittrestle/routing/fleet.hpp>
 #include <godwittrestle/routing/placement.hpp>
 #include <godwittrestle/routing/repeat_rules.hpp>
 #include <godwittrestle/routing/retry_budget.hpp>
 #include <godwittrestle/routing/server.hpp>
 #include <godwittrestle/routing/server_health.hpp>
 #include <godwittrestle/routing/server_load.hpp>
+#include <godwittrestle/routing/waiting_line.hpp>
--- a/packages/routing/include/godwittrestle/routing/configuration.hpp
+++ b/packages/routing/include/godwittrestle/routing/configuration.hpp
@@ -71,6 +71,8 @@
 		token_count kv_capacity;
 		// Time for which an engine keeps a prefilled KV cache that nobody fetches.
 		duration kv_retention{};
+		// Longest time for which an engine keeps room for a request that has not come yet; nothing when it keeps none.
+		std::optional<duration> longest_reservation;
 	};
 
 	struct service
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -42,6 +42,9 @@
 		data_centre_id data_centre;
 		// Tokens that have to be prefilled; 0 for plain calls.
 		token_count prompt;
+		// Tokens of memory that the stream will need at its decode engine, and that one engine has; 0 when not known.
+		token_count needed;
+		token_count capacity;
 		// Servers that have already failed or refused this call.
 		std::set<server_id> excluded;
 		// Time to the first event up to which the prefill engines are waited for.
@@ -55,10 +58,15 @@
 	[[nodiscard]] server_pointer place_call(directory const& servers, placement_request const& request,
 		random_draw const& draw, time_point now);
 
-	// Returns the engines for a stream. Prefill engines read the prompt as long as they would be done in time: a prompt
-	// that a decode engine reads by itself slows every stream on that engine down to a token for each of its pieces.
-	// Under a burst of long prompts, a decode engine that would begin earlier takes over. Nothing when no decode engine
-	// may get work.
-	[[nodiscard]] std::optional<stream_placement> place_stream(directory const& servers,
-		placement_request const& request, engine_speed const& speed, random_draw const& draw, time_point now);
+	// Returns the decode engines that a stream may get, best first: the one whose memory is least committed. Left out are
+	// engines that have no room for it, as far as this daemon knows of its own and the others' streams: an engine that
+	// takes streams which do not all fit preempts them later, and what they had read is read again.
+	[[nodiscard]] std::vector<server_pointer> rank_decode_engines(directory const& servers,
+		placement_request const& request, random_draw const& draw, time_point now);
+
+	// Returns who prefills for a decode engine. Prefill engines read the prompt as long as they would be done in time: a
+	// prompt that a decode engine reads by itself slows every stream on that engine down to a token for each of its
+	// pieces. Under a burst of long prompts, a decode engine that would begin earlier does it by itself.
+	[[nodiscard]] stream_placement place_prefill(directory const& servers, placement_request const& request,
+		server_pointer decode, engine_speed const& speed, random_draw const& draw, time_point now);
 }
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -8,52 +8,76 @@
 
 namespace godwittrestle::routing
 {
+	// The work that one daemon has on a backend server.
+	struct server_share
+	{
+		std::uint64_t running = 0;
+		// Tokens that wait to be prefilled.
+		std::uint64_t to_prefill = 0;
+		// Tokens of memory that its streams will need.
+		std::uint64_t committed = 0;
+
+		server_share& operator+=(server_share const& other) noexcept
+		{
+			this->running += other.running;
+			this->to_prefill += other.to_prefill;
+			this->committed += other.committed;
+			return *this;
+		}
+	};
+
 	// The work that is on a backend server: this daemon's own, exactly, and what other daemons last said of theirs.
 	class server_load
 	{
 	  public:
-		// Notes that a call with so many tokens to prefill (0 for a plain call) was sent. Returns the call's number.
-		call_id begin(token_count to_prefill, time_point now);
+		// Notes that a call was sent with so many tokens to prefill, which will need so much memory (both 0 for a plain
+		// call). Returns the call's number.
+		call_id begin(token_count to_prefill, token_count committed, time_point now);
 
 		// Notes that the call's prefill is done.
 		void note_prefilled(call_id call);
 
 		void end(call_id call);
 
-		// Calls that this daemon has on the server.
-		[[nodiscard]] std::size_t running() const noexcept
-		{
-			return this->calls.size();
-		}
+		// Notes that the server had no room just now.
+		void note_full(time_point now) noexcept;
 
-		// Tokens that this daemon waits for the server to prefill.
-		[[nodiscard]] std::uint64_t own_tokens() const noexcept
-		{
-			return this->tokens;
-		}
+		// Whether the server had no room a moment ago.
+		[[nodiscard]] bool is_full(time_point now) const noexcept;
+
+		// This daemon's own work.
+		[[nodiscard]] server_share own() const noexcept;
+
+		// The work of all daemons.
+		[[nodiscard]] server_share total(time_point now) const noexcept;
 
 		// Age of the oldest call that the server has not begun to answer; zero when there is none.
 		[[nodiscard]] duration oldest_unanswered(time_point now) const;
 
-		// Takes over what the other daemons have on the server. It counts until it is too old to be true.
-		void set_others(std::uint64_t running, std::uint64_t to_prefill, time_point now) noexcept;
-
-		[[nodiscard]] std::uint64_t others_running(time_point now) const noexcept;
-		[[nodiscard]] std::uint64_t others_tokens(time_point now) const noexcept;
+		// Takes over what another daemon said of its work here. It counts until it is too old to be true.
+		void set_share(instance_id const& daemon, server_share const& share, time_point now);
+		void drop_share(instance_id const& daemon);
 
 	  private:
 		struct running_call
 		{
 			std::uint64_t tokens = 0;
+			std::uint64_t committed = 0;
 			time_point since;
 			bool is_answered = false;
 		};
 
+		struct told_share
+		{
+			server_share share;
+			time_point told_at;
+		};
+
 		std::map<call_id, running_call> calls;
 		std::uint64_t tokens = 0;
+		std::uint64_t committed = 0;
 		std::uint64_t last_call = 0;
-		std::uint64_t others_calls = 0;
-		std::uint64_t others_to_prefill = 0;
-		time_point others_known_at;
+		std::map<instance_id, told_share> others;
+		time_point full_until;
 	};
 }
