Commit whole streams, order engines to the split that streams need, leave cleanly

Change: the whole expected output is committed and grows with what is made; the daemon with the smallest name orders an engine to the other role when the split that a stream needs carries a tenth more, and tells the others which engine is away; an instance that leaves takes nothing new after 2.5 s and ends its coroutines before what they refer to.

--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -74,7 +74,7 @@
 		{
 			return;
 		}
-		if (!is_current || !connection->is_reusable())
+		if (this->is_closed || !is_current || !connection->is_reusable())
 		{
 			connection->close();
 			return;
@@ -93,6 +93,12 @@
 		this->servers.erase(known);
 	}
 
+	void connection_pool::close()
+	{
+		this->is_closed = true;
+		this->servers.clear();
+	}
+
 	void connection_pool::sweep(time_point now)
 	{
 		for (auto& connections : this->servers | std::views::values)
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -13,6 +13,9 @@
 	{
 		// Notices go out this often even when nothing has changed.
 		constexpr duration quiet_interval = milliseconds(800);
+		// Shorter pauses are over before they are known.
+		constexpr duration least_pause_told = milliseconds(500);
+		constexpr duration longest_pause_taken = seconds(10);
 		constexpr duration query_interval = milliseconds(250);
 
 		wire::ListedServer to_wire(routing::registered_server const& server)
@@ -70,9 +73,14 @@
 	duration fleet_exchange::tick(registry_knowledge const& known, time_point now)
 	{
 		this->shared->daemons = this->members.size(now);
+		auto const live_now = this->members.live(now);
+		this->shared->is_first_daemon = !this->is_leaving && !known.is_lost &&
+			std::ranges::none_of(
+				live_now, [this](routing::fleet_member const& each) { return each.id < this->own_id; });
 		auto const notice = this->make_notice(known, now);
 		std::string shares;
 		std::ranges::for_each(notice.shares(), [&](auto const& each) { shares += each.SerializeAsString(); });
+		std::ranges::for_each(notice.pauses(), [&](auto const& each) { shares += each.server(); });
 		auto const is_due = shares != this->last_shares || now - this->last_notice_at >= quiet_interval;
 		if (is_due)
 		{
@@ -86,11 +94,10 @@
 			}
 		}
 		auto const lacks = known.is_lost || !known.has_servers || known.version == platform_version{};
-		auto const live = this->members.live(now);
-		if (lacks && !live.empty())
+		if (lacks && !live_now.empty())
 		{
-			auto const position = static_cast<std::size_t>(this->hooks.draw() * static_cast<double>(live.size()));
-			this->query(live[position].address, known, now);
+			auto const position = static_cast<std::size_t>(this->hooks.draw() * static_cast<double>(live_now.size()));
+			this->query(live_now[position].address, known, now);
 		}
 		return this->members.notice_interval(now);
 	}
@@ -156,6 +163,14 @@
 
 	void fleet_exchange::take_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now)
 	{
+		for (auto const& pause : notice.pauses())
+		{
+			if (auto const server = this->shared->servers.find(server_id(pause.server())))
+			{
+				auto const left = std::min(longest_pause_taken, duration(static_cast<duration::rep>(pause.left())));
+				server->load.note_full_until(now + left);
+			}
+		}
 		std::set<std::string_view> named;
 		for (auto const& share : notice.shares())
 		{
@@ -246,6 +261,13 @@
 				share.set_to_prefill(static_cast<std::uint32_t>(own.to_prefill));
 				share.set_committed(static_cast<std::uint32_t>(own.committed));
 			}
+			auto const paused_for = server->load.full_for(now);
+			if (this->shared->is_first_daemon && paused_for > least_pause_told)
+			{
+				auto& pause = *notice.add_pauses();
+				pause.set_server(id.str());
+				pause.set_left(static_cast<std::uint64_t>(paused_for.count()));
+			}
 		}
 		return notice;
 	}
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -50,9 +50,13 @@
 		constexpr duration longest_wait = milliseconds(2800);
 		// What may come between the end of the wait and the first event, besides the prefill.
 		constexpr duration in_time_margin = milliseconds(150);
+		// A prefill engine that rejects is most likely changing its role.
+		constexpr duration rejected_prefill_pause = milliseconds(1000);
 		constexpr std::size_t most_engines_asked = 4;
 		// Part of the expected output that is reserved besides the prompt: streams end at different times.
-		constexpr double reserved_part_of_output = 0.7;
+		constexpr double reserved_part_of_output = 1.0;
+		// Part of the expected output that a stream is taken to make at least after what it has made.
+		constexpr double least_part_to_come = 0.2;
 		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 		constexpr duration default_patience = seconds(60);
 		constexpr duration first_event_margin = milliseconds(700);
@@ -206,6 +210,7 @@
 		duration longest_gap{};
 		// How the last placement had the prompt prefilled, and what it predicted.
 		bool is_split = false;
+		std::uint64_t tokens_per_event = 0;
 		duration predicted_first_event{};
 		bool may_have_run = false;
 		bool is_caller_gone = false;
@@ -226,7 +231,9 @@
 		// Tokens of an engine's memory that the stream is expected to need.
 		[[nodiscard]] token_count needed_tokens() const
 		{
-			auto const output = static_cast<double>(this->call.expected_output.count()) * reserved_part_of_output;
+			auto const expected = static_cast<double>(this->call.expected_output.count()) * reserved_part_of_output;
+			auto const made = static_cast<double>(this->joiner.events() * this->tokens_per_event);
+			auto const output = std::max(expected, made + expected * least_part_to_come);
 			return this->call.prompt + token_count(static_cast<std::uint32_t>(output));
 		}
 
@@ -360,6 +367,9 @@
 
 	asio::awaitable<void> forwarder::forward_stream(state_pointer state)
 	{
+		auto const* const terms = state->routes->find_service(state->service);
+		state->tokens_per_event = terms != nullptr && terms->engine ? terms->engine->tokens_per_event : 0;
+		this->shared->demand[state->service].note_stream(state->call.prompt, state->call.expected_output);
 		routing::engine_speed const speed;
 		auto const draw_number = [this] { return this->draw(); };
 		while (true)
@@ -500,6 +510,10 @@
 			{
 				state->is_split_barred = true;
 				this->note_outcome(*state, *placement.prefill, *failure);
+				if (*failure == send_failure::not_run)
+				{
+					placement.prefill->load.note_full_until(monotonic_now() + rejected_prefill_pause);
+				}
 				placement.prefill = nullptr;
 			}
 			else
@@ -732,6 +746,7 @@
 				continue;
 			}
 			server->load.note_prefilled(call);
+			server->load.set_committed(call, state->needed_tokens());
 			state->note_event(monotonic_now());
 			if (is_repeatable)
 			{
@@ -821,6 +836,8 @@
 			{"status", std::to_string(answer.head.status)}, {"took_ms", milliseconds_text(now - state.started)}};
 		if (state.first_event_at)
 		{
+			this->shared->demand[state.service].note_duration(
+				state.call.expected_output, now - *state.first_event_at);
 			fields.push_back({"prompt_tokens", std::to_string(state.call.prompt.count())});
 			fields.push_back({"prefilled_apart", state.is_split ? "yes" : "no"});
 			fields.push_back({"predicted_ms", milliseconds_text(state.predicted_first_event)});
--- /dev/null
+++ b/packages/gateway/impl/role_orders.cpp
@@ -0,0 +1,129 @@
+#include <godwittrestle/gateway/role_orders.hpp>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/daemon/core_loop.hpp>
+#include <godwittrestle/gateway/wall_clock.hpp>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		using daemon::monotonic_now;
+
+		// Long enough for the others to be heard, and for an earlier one's orders to be over.
+		constexpr duration quiet_before_first = seconds(4);
+		constexpr duration between_orders = seconds(8);
+		// An engine lets its work run out, then takes this long to come back in its new role.
+		constexpr duration switch_time = milliseconds(6500);
+		constexpr duration order_timeout = milliseconds(400);
+		constexpr unsigned status_ok = 200;
+		constexpr unsigned status_accepted = 202;
+		// Fencing numbers are the second of the order and a part that is this daemon's own.
+		constexpr std::uint64_t fence_parts = 4096;
+	}
+
+	role_orders::role_orders(asio::any_io_executor on, instance_id own, shared_state& state, forwarder& sender,
+		call_protocol const& calls_protocol, event_log lines)
+		: executor(std::move(on))
+		, own_id(std::move(own))
+		, shared(&state)
+		, calls(&sender)
+		, protocol(&calls_protocol)
+		, log(std::move(lines))
+	{
+	}
+
+	asio::awaitable<void> role_orders::review()
+	{
+		if (!this->shared->routes || !this->may_order(monotonic_now()))
+		{
+			co_return;
+		}
+		auto const routes = this->shared->routes;
+		for (auto const& [id, service] : routes->services())
+		{
+			if (service.engine)
+			{
+				co_await this->review_service(id, service.engine->kv_capacity);
+			}
+		}
+	}
+
+	bool role_orders::may_order(time_point now)
+	{
+		if (!this->shared->is_first_daemon)
+		{
+			this->first_since.reset();
+			return false;
+		}
+		this->first_since = this->first_since.value_or(now);
+		auto const is_settled = now - *this->first_since >= quiet_before_first;
+		return is_settled && (!this->ordered_at || now - *this->ordered_at >= between_orders);
+	}
+
+	asio::awaitable<void> role_orders::review_service(service_id service, token_count capacity)
+	{
+		auto const now = monotonic_now();
+		auto const prefill = this->shared->servers.candidates(service, routing::server_role::prefill, now);
+		auto const decode = this->shared->servers.candidates(service, routing::server_role::decode, now);
+		routing::pool_sizes const pools{
+			static_cast<std::uint32_t>(prefill.size()), static_cast<std::uint32_t>(decode.size())};
+		routing::engine_speed const speed;
+		auto const change = routing::choose_role_change(pools, this->shared->demand[service], speed, capacity);
+		if (change == routing::role_change::none)
+		{
+			co_return;
+		}
+		auto const to_decode = change == routing::role_change::prefill_to_decode;
+		auto const& from = to_decode ? prefill : decode;
+		auto const least = std::ranges::min_element(from, {},
+			[now](routing::server_pointer const& each)
+			{
+				auto const load = each->load.total(now);
+				return std::pair(each->health.is_suspect(now), load.committed + load.to_prefill);
+			});
+		co_await this->order(*least, to_decode ? routing::server_role::decode : routing::server_role::prefill);
+	}
+
+	asio::awaitable<void> role_orders::order(routing::server_pointer engine, routing::server_role role)
+	{
+		this->ordered_at = monotonic_now();
+		auto ask = this->protocol->ask_report(engine->entry.id);
+		auto const answer = co_await this->calls->call_server(engine, std::move(ask), order_timeout);
+		auto const report = answer && answer->status == status_ok ? this->protocol->read_report(answer->body)
+																  : std::optional<engine_report>();
+		if (!report || report->is_busy)
+		{
+			co_return;
+		}
+		role_order wanted;
+		wanted.server = engine->entry.id;
+		wanted.role = role;
+		wanted.holder = this->own_id;
+		wanted.fence = this->next_fence();
+		wanted.orders_before = report->orders;
+		auto message = this->protocol->write_order(wanted);
+		engine->load.note_full_until(monotonic_now() + switch_time);
+		auto const reply = co_await this->calls->call_server(engine, std::move(message), order_timeout);
+		auto const is_taken = reply && (reply->status == status_accepted || reply->status == status_ok);
+		decide::record_event line;
+		line.timestamp = wall_clock_us();
+		line.name = "server_role_ordered";
+		line.fields = {{"server", engine->entry.id.str()}, {"role", std::string(routing::to_string(role))},
+			{"fence", std::to_string(wanted.fence)}, {"status", reply ? std::to_string(reply->status) : "none"},
+			{"taken", is_taken ? "yes" : "no"}};
+		this->log(std::move(line));
+	}
+
+	std::uint64_t role_orders::next_fence()
+	{
+		constexpr std::uint64_t microseconds_per_second = 1'000'000;
+		auto const own_part = std::hash<instance_id>{}(this->own_id) % fence_parts;
+		auto const next = wall_clock_us() / microseconds_per_second * fence_parts + own_part;
+		this->last_fence = std::max(next, this->last_fence + fence_parts);
+		return this->last_fence;
+	}
+}
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -25,6 +25,7 @@
 		constexpr duration house_keeping_interval = milliseconds(250);
 		// The platform's balancer needs this long to see that a daemon is no longer ready.
 		constexpr duration balancer_delay = milliseconds(2500);
+		constexpr duration role_review_interval = milliseconds(500);
 		constexpr duration drain_poll = milliseconds(50);
 		// What still runs this long before SIGKILL is broken off.
 		constexpr duration exit_margin = milliseconds(700);
@@ -49,11 +50,12 @@
 		, log(std::move(lines))
 		, dropped_lines(std::move(dropped))
 		, on_drained(std::move(drained))
-		, updates(update_ring_capacity, this->thread.context(),
+		, thread(std::make_unique<daemon::io_thread>())
+		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->take(std::move(update)); })
-		, shared{nullptr, routing::directory(given.servers), {}, {}, given.retries, given.data_centre, 1}
-		, forward(this->thread.context().get_executor(), this->shared, brought.calls, this->totals, this->log)
-		, peer_messages(peer_ring_capacity, this->thread.context(), [this](wire::PeerMessage&& message)
+		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, false, given.retries, given.data_centre, 1}
+		, forward(this->thread->context().get_executor(), this->shared, brought.calls, this->totals, this->log)
+		, peer_messages(peer_ring_capacity, this->thread->context(), [this](wire::PeerMessage&& message)
 			  { this->exchange.receive(message, this->known, monotonic_now()); })
 		, peers({given.peer_address, {}, {}, peer_ring_capacity},
 			  {[this](wire::PeerMessage message)
@@ -68,6 +70,8 @@
 				  [this](std::vector<routing::registered_server> servers) { this->take_servers(std::move(servers)); },
 				  [this] { return this->forward.draw(); }},
 			  this->log)
+		, orders(this->thread->context().get_executor(), given.instance, this->shared, this->forward,
+			  this->adapter.calls, this->log)
 	{
 		this->set_seeds(given.seeds);
 	}
@@ -75,11 +79,16 @@
 	traffic::~traffic()
 	{
 		this->stop();
+		this->callers.reset();
+		this->readiness.reset();
+		this->metrics.reset();
+		this->forward.connections().close();
+		this->thread.reset();
 	}
 
 	void traffic::start()
 	{
-		auto const executor = this->thread.context().get_executor();
+		auto const executor = this->thread->context().get_executor();
 		this->callers = std::make_unique<http::server>(executor, this->settings.caller_address,
 			to_server_limits(routing::caller_limits{}), [this](http::request message, http::exchange& talk)
 			{ return this->forward.serve(std::move(message), talk); });
@@ -92,10 +101,11 @@
 		this->callers->start();
 		this->readiness->start();
 		this->metrics->start();
-		asio::co_spawn(this->thread.context(), this->keep_house(), asio::detached);
-		asio::co_spawn(this->thread.context(), this->exchange_with_peers(), asio::detached);
+		asio::co_spawn(this->thread->context(), this->keep_house(), asio::detached);
+		asio::co_spawn(this->thread->context(), this->exchange_with_peers(), asio::detached);
+		asio::co_spawn(this->thread->context(), this->review_roles(), asio::detached);
 		this->peers.start();
-		this->thread.start();
+		this->thread->start();
 	}
 
 	void traffic::stop()
@@ -103,7 +113,7 @@
 		this->updates.close();
 		this->peer_messages.close();
 		this->peers.stop();
-		this->thread.stop();
+		this->thread->stop();
 	}
 
 	void traffic::push(registry_update update)
@@ -113,7 +123,7 @@
 
 	void traffic::apply(gateway_settings changed)
 	{
-		asio::post(this->thread.context(),
+		asio::post(this->thread->context(),
 			[this, changed = std::move(changed)]
 			{
 				this->settings = changed;
@@ -125,7 +135,7 @@
 
 	void traffic::drain()
 	{
-		asio::post(this->thread.context(),
+		asio::post(this->thread->context(),
 			[this]
 			{
 				if (std::exchange(this->is_draining, true))
@@ -135,7 +145,7 @@
 				this->record("draining", {{"running", std::to_string(this->forward.running())}});
 				this->callers->drain();
 				this->exchange.announce_leaving(this->known, monotonic_now());
-				asio::co_spawn(this->thread.context(), this->finish(), asio::detached);
+				asio::co_spawn(this->thread->context(), this->finish(), asio::detached);
 			});
 	}
 
@@ -215,7 +225,7 @@
 
 	asio::awaitable<void> traffic::exchange_with_peers()
 	{
-		asio::steady_timer timer(this->thread.context());
+		asio::steady_timer timer(this->thread->context());
 		while (true)
 		{
 			timer.expires_after(this->exchange.tick(this->known, monotonic_now()));
@@ -223,6 +233,17 @@
 		}
 	}
 
+	asio::awaitable<void> traffic::review_roles()
+	{
+		asio::steady_timer timer(this->thread->context());
+		while (true)
+		{
+			timer.expires_after(role_review_interval);
+			std::ignore = co_await timer.async_wait(token);
+			co_await this->orders.review();
+		}
+	}
+
 	void traffic::set_seeds(std::vector<http::endpoint> const& seeds)
 	{
 		std::vector<std::string> addresses;
@@ -270,7 +291,7 @@
 
 	asio::awaitable<void> traffic::keep_house()
 	{
-		asio::steady_timer timer(this->thread.context());
+		asio::steady_timer timer(this->thread->context());
 		while (true)
 		{
 			timer.expires_after(house_keeping_interval);
@@ -287,16 +308,16 @@
 
 	asio::awaitable<void> traffic::finish()
 	{
-		auto const began = monotonic_now();
-		auto const ends_at = began + this->settings.termination_grace - exit_margin;
-		asio::steady_timer timer(this->thread.context());
-		while (monotonic_now() < ends_at &&
-			   (monotonic_now() - began < balancer_delay || this->forward.running() > 0))
+		auto const ends_at = monotonic_now() + this->settings.termination_grace - exit_margin;
+		asio::steady_timer timer(this->thread->context(), balancer_delay);
+		std::ignore = co_await timer.async_wait(token);
+		// From here on nothing new is taken: what is running has the rest of the time.
+		this->callers->stop();
+		while (monotonic_now() < ends_at && this->forward.running() > 0)
 		{
 			timer.expires_after(drain_poll);
 			std::ignore = co_await timer.async_wait(token);
 		}
-		this->callers->stop();
 		// Answers on their way out.
 		timer.expires_after(drain_poll);
 		std::ignore = co_await timer.async_wait(token);
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -36,6 +36,9 @@
 		// Closes the connections of a server that is gone.
 		void forget(server_id const& server);
 
+		// Closes all idle connections; those in use are closed as they come back.
+		void close();
+
 		// Closes connections that were idle for too long or that the server has closed.
 		void sweep(time_point now);
 
@@ -60,5 +63,6 @@
 		asio::any_io_executor executor;
 		std::function<void()> on_connect;
 		std::map<server_id, server_connections> servers;
+		bool is_closed = false;
 	};
 }
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -32,6 +32,10 @@
 		routing::directory servers;
 		std::map<service_id, routing::retry_budget> budgets;
 		routing::waiting_line line;
+		// What the streams of each model service need.
+		std::map<service_id, routing::stream_demand> demand;
+		// Whether this daemon's name is the smallest of those that live.
+		bool is_first_daemon = false;
 		routing::retry_terms retries;
 		data_centre_id data_centre;
 		// Daemons that share the retry budget and the servers' connections, this one included.
@@ -49,6 +53,11 @@
 		// Serves one request; every way out has given its answer or broken the connection off.
 		[[nodiscard]] asio::awaitable<void> serve(http::request message, http::exchange& talk);
 
+		// Calls a server about its own state: reports, orders, reservations and KV caches. Returns nothing when it did not
+		// answer.
+		[[nodiscard]] asio::awaitable<std::optional<http::response>> call_server(
+			routing::server_pointer server, http::request message, duration timeout);
+
 		// Requests that are being served.
 		[[nodiscard]] std::size_t running() const noexcept
 		{
@@ -112,9 +121,6 @@
 		[[nodiscard]] asio::awaitable<void> refuse(
 			state_pointer state, unsigned status, std::string reason, std::string remedy, bool come_back);
 		[[nodiscard]] asio::awaitable<void> give_up(state_pointer state);
-		// Calls a server about its own state: reservations and KV caches. Returns nothing when it did not answer.
-		[[nodiscard]] asio::awaitable<std::optional<http::response>> call_server(
-			routing::server_pointer server, http::request message, duration timeout);
 		// Gives room or a KV cache back that was not used.
 		[[nodiscard]] asio::awaitable<void> give_back(routing::server_pointer server, http::request message);
 		void release_later(routing::server_pointer const& server, http::request message);
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -69,6 +69,27 @@
 		request_id attempt;
 	};
 
+	// What an engine says of itself.
+	struct engine_report
+	{
+		// An order is being carried out.
+		bool is_busy = false;
+		// Orders that the engine has accepted since its start.
+		std::uint64_t orders = 0;
+	};
+
+	// An order to an engine to change its role.
+	struct role_order
+	{
+		server_id server;
+		routing::server_role role = routing::server_role::decode;
+		instance_id holder;
+		// Engines that check it refuse an order with a lower number than they have seen.
+		std::uint64_t fence = 0;
+		// Orders that the engine must have accepted before; it refuses this one otherwise.
+		std::uint64_t orders_before = 0;
+	};
+
 	// How calls and answers are written and read. None of the hooks decides anything.
 	struct call_protocol
 	{
@@ -85,6 +106,9 @@
 		std::function<std::optional<std::string>(std::string_view body)> read_reservation;
 		// Returns the request that gives a reservation up.
 		std::function<http::request(server_id const& server, std::string const& reservation)> give_up_reservation;
+		std::function<http::request(server_id const& server)> ask_report;
+		std::function<std::optional<engine_report>(std::string_view body)> read_report;
+		std::function<http::request(role_order const& order)> write_order;
 		// Returns the header that tells a caller when to come back.
 		std::function<http::header(duration)> retry_after;
 		// Returns the request that frees a prefilled prompt.
--- a/packages/gateway/include/godwittrestle/gateway/traffic.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/traffic.hpp
@@ -14,6 +14,7 @@
 #include <godwittrestle/gateway/fleet_exchange.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
 #include <godwittrestle/gateway/registry_follower.hpp>
+#include <godwittrestle/gateway/role_orders.hpp>
 #include <godwittrestle/http/server.hpp>
 
 namespace godwittrestle::gateway
@@ -51,6 +52,7 @@
 		void take_configuration_text(std::string text);
 		void take_servers(std::vector<routing::registered_server> servers);
 		[[nodiscard]] asio::awaitable<void> exchange_with_peers();
+		[[nodiscard]] asio::awaitable<void> review_roles();
 		void take(published_configuration&& published);
 		void set_seeds(std::vector<http::endpoint> const& seeds);
 		void put(routing::registered_server const& entry);
@@ -66,7 +68,8 @@
 		event_log log;
 		std::function<std::uint64_t()> dropped_lines;
 		std::function<void()> on_drained;
-		daemon::io_thread thread;
+		// Ends before everything that its loop's coroutines refer to.
+		std::unique_ptr<daemon::io_thread> thread;
 		daemon::ring_to_loop<registry_update> updates;
 		shared_state shared;
 		counters totals;
@@ -74,6 +77,7 @@
 		daemon::ring_to_loop<wire::PeerMessage> peer_messages;
 		daemon::peer_link peers;
 		fleet_exchange exchange;
+		role_orders orders;
 		registry_knowledge known;
 		std::unique_ptr<http::server> callers;
 		std::unique_ptr<http::server> readiness;
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -119,7 +119,8 @@
 	{
 		auto const prompt = static_cast<double>(request.prompt.count());
 		auto const direct_time = time_for(queued_tokens(*decode, now) + prompt, speed.mixed_tokens_per_ms);
-		auto const prefillers = usable(servers.candidates(request.service, server_role::prefill, now), request, now);
+		auto prefillers = usable(servers.candidates(request.service, server_role::prefill, now), request, now);
+		std::erase_if(prefillers, [now](server_pointer const& each) { return each->load.is_full(now); });
 		auto const prefill = request.may_split ? least_queued(prefillers, draw, now) : nullptr;
 		if (!prefill || is_doubtful(*prefill, now))
 		{
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -15,7 +15,17 @@
 
 	void server_load::note_full(time_point now) noexcept
 	{
-		this->full_until = now + full_pause;
+		this->note_full_until(now + full_pause);
+	}
+
+	void server_load::note_full_until(time_point until) noexcept
+	{
+		this->full_until = std::max(this->full_until, until);
+	}
+
+	duration server_load::full_for(time_point now) const noexcept
+	{
+		return std::max(duration{}, this->full_until - now);
 	}
 
 	bool server_load::is_full(time_point now) const noexcept
@@ -32,6 +42,17 @@
 		return call;
 	}
 
+	void server_load::set_committed(call_id call, token_count needed)
+	{
+		auto const found = this->calls.find(call);
+		if (found == this->calls.end())
+		{
+			return;
+		}
+		this->committed = this->committed - found->second.committed + needed.count();
+		found->second.committed = needed.count();
+	}
+
 	void server_load::note_prefilled(call_id call)
 	{
 		auto const found = this->calls.find(call);
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -4,6 +4,7 @@
 #include <godwittrestle/routing/directory.hpp>
 #include <godwittrestle/routing/fleet.hpp>
 #include <godwittrestle/routing/placement.hpp>
+#include <godwittrestle/routing/pool_balance.hpp>
 #include <godwittrestle/routing/repeat_rules.hpp>
 #include <godwittrestle/routing/retry_budget.hpp>
 #include <godwittrestle/routing/server.hpp>
--- a/packages/routing/include/godwittrestle/routing/configuration.hpp
+++ b/packages/routing/include/godwittrestle/routing/configuration.hpp
@@ -69,6 +69,8 @@
 		std::uint32_t slots = 0;
 		// Tokens that an engine's memory holds.
 		token_count kv_capacity;
+		// Tokens that one event of a stream holds.
+		std::uint32_t tokens_per_event = 1;
 		// Time for which an engine keeps a prefilled KV cache that nobody fetches.
 		duration kv_retention{};
 		// Longest time for which an engine keeps room for a request that has not come yet; nothing when it keeps none.
@@ -117,6 +119,11 @@
 		// Returns a service's terms; nothing for a service that the configuration does not name.
 		[[nodiscard]] service const* find_service(service_id const& id) const;
 
+		[[nodiscard]] std::map<service_id, service> const& services() const noexcept
+		{
+			return this->config.services;
+		}
+
 		[[nodiscard]] platform_version version() const noexcept
 		{
 			return this->config.version;
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -34,6 +34,9 @@
 		// call). Returns the call's number.
 		call_id begin(token_count to_prefill, token_count committed, time_point now);
 
+		// Notes how much memory a running call will need by what is known now.
+		void set_committed(call_id call, token_count needed);
+
 		// Notes that the call's prefill is done.
 		void note_prefilled(call_id call);
 
@@ -42,6 +45,12 @@
 		// Notes that the server had no room just now.
 		void note_full(time_point now) noexcept;
 
+		// Notes that the server takes nothing before a time.
+		void note_full_until(time_point until) noexcept;
+
+		// How much longer the server takes nothing.
+		[[nodiscard]] duration full_for(time_point now) const noexcept;
+
 		// Whether the server had no room a moment ago.
 		[[nodiscard]] bool is_full(time_point now) const noexcept;
 
