--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -661,6 +661,12 @@
 
 	asio::awaitable<std::optional<send_failure>> forwarder::pass_whole(state_pointer state, answer_begun& answer)
 	{
+		if (state->is_head_sent)
+		{
+			// A stream is to go on, and its caller has the head of another server: no further answer fits.
+			answer.connection->close();
+			co_return send_failure::server_error;
+		}
 		auto const head_at = monotonic_now();
 		std::string body;
 		while (true)
