--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -81,7 +81,8 @@
 		std::string shares;
 		std::ranges::for_each(notice.shares(), [&](auto const& each) { shares += each.SerializeAsString(); });
 		std::ranges::for_each(notice.pauses(), [&](auto const& each) { shares += each.server(); });
-		auto const is_due = shares != this->last_shares || now - this->last_notice_at >= quiet_interval;
+		auto const is_due = shares != this->last_shares || live_now.empty() ||
+							now - this->last_notice_at >= quiet_interval;
 		if (is_due)
 		{
 			this->last_shares = std::move(shares);
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -842,8 +842,12 @@
 			{"status", std::to_string(answer.head.status)}, {"took_ms", milliseconds_text(now - state.started)}};
 		if (state.first_event_at)
 		{
-			this->shared->demand[state.service].note_duration(
-				state.call.expected_output, now - *state.first_event_at);
+			// What was held up says nothing about what a stream needs.
+			if (state.longest_gap <= state.chosen->longest_gap && !state.failure)
+			{
+				this->shared->demand[state.service].note_duration(
+					state.call.expected_output, now - *state.first_event_at);
+			}
 			fields.push_back({"prompt_tokens", std::to_string(state.call.prompt.count())});
 			fields.push_back({"prefilled_apart", state.is_split ? "yes" : "no"});
 			fields.push_back({"predicted_ms", milliseconds_text(state.predicted_first_event)});
--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -15,9 +15,11 @@
 
 		// Long enough for the others to be heard, and for an earlier one's orders to be over.
 		constexpr duration quiet_before_first = seconds(4);
-		constexpr duration between_orders = seconds(8);
-		// An engine lets its work run out, then takes this long to come back in its new role.
-		constexpr duration switch_time = milliseconds(6500);
+		constexpr duration between_orders = seconds(12);
+		// An engine lets its work run out before it changes its role, which may take this long in all.
+		constexpr duration longest_change = seconds(20);
+		// Told to the others again and again while the change goes on.
+		constexpr duration pause_at_a_time = milliseconds(1500);
 		constexpr duration order_timeout = milliseconds(400);
 		constexpr unsigned status_ok = 200;
 		constexpr unsigned status_accepted = 202;
@@ -38,6 +40,7 @@
 
 	asio::awaitable<void> role_orders::review()
 	{
+		this->pause_changing(monotonic_now());
 		if (!this->shared->routes || !this->may_order(monotonic_now()))
 		{
 			co_return;
@@ -106,9 +109,14 @@
 		wanted.fence = this->next_fence();
 		wanted.orders_before = report->orders;
 		auto message = this->protocol->write_order(wanted);
-		engine->load.note_full_until(monotonic_now() + switch_time);
+		engine->load.note_full_until(monotonic_now() + pause_at_a_time);
 		auto const reply = co_await this->calls->call_server(engine, std::move(message), order_timeout);
 		auto const is_taken = reply && (reply->status == status_accepted || reply->status == status_ok);
+		if (is_taken)
+		{
+			this->changing = engine;
+			this->wanted_role = role;
+		}
 		decide::record_event line;
 		line.timestamp = wall_clock_us();
 		line.name = "server_role_ordered";
@@ -118,6 +126,21 @@
 		this->log(std::move(line));
 	}
 
+	void role_orders::pause_changing(time_point now)
+	{
+		if (!this->changing)
+		{
+			return;
+		}
+		auto const is_done = this->changing->entry.role == this->wanted_role;
+		if (is_done || now - *this->ordered_at > longest_change)
+		{
+			this->changing.reset();
+			return;
+		}
+		this->changing->load.note_full_until(now + pause_at_a_time);
+	}
+
 	std::uint64_t role_orders::next_fence()
 	{
 		constexpr std::uint64_t microseconds_per_second = 1'000'000;
--- a/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
@@ -29,6 +29,8 @@
 		[[nodiscard]] bool may_order(time_point now);
 		[[nodiscard]] asio::awaitable<void> review_service(service_id service, token_count capacity);
 		[[nodiscard]] asio::awaitable<void> order(routing::server_pointer engine, routing::server_role role);
+		// Keeps work away from an engine that changes its role, until its entry says that it is done.
+		void pause_changing(time_point now);
 		[[nodiscard]] std::uint64_t next_fence();
 
 		asio::any_io_executor executor;
@@ -39,6 +41,9 @@
 		event_log log;
 		std::optional<time_point> first_since;
 		std::optional<time_point> ordered_at;
+		// The engine that is changing its role, and what it becomes.
+		routing::server_pointer changing;
+		routing::server_role wanted_role = routing::server_role::decode;
 		std::uint64_t last_fence = 0;
 	};
 }
--- a/packages/routing/impl/fleet.cpp
+++ b/packages/routing/impl/fleet.cpp
@@ -15,6 +15,8 @@
 		// Up to this many members are told each time.
 		constexpr std::size_t most_targets = 12;
 		constexpr duration seed_interval = seconds(1);
+		// While nobody was heard yet, as after a start.
+		constexpr duration first_seed_interval = milliseconds(150);
 		constexpr duration shortest_interval = milliseconds(100);
 		constexpr duration interval_per_member = milliseconds(10);
 		constexpr duration longest_interval = milliseconds(500);
@@ -92,7 +94,7 @@
 			std::swap(addresses[chosen], addresses[chosen + static_cast<std::size_t>(draw() * left)]);
 		}
 		addresses.resize(std::min(most_targets, addresses.size()));
-		if (now - this->seeds_told_at >= seed_interval)
+		if (now - this->seeds_told_at >= (addresses.empty() ? first_seed_interval : seed_interval))
 		{
 			this->seeds_told_at = now;
 			std::ranges::copy_if(this->seeds, std::back_inserter(addresses),
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -128,7 +128,8 @@
 		}
 		auto const split_time =
 			time_for(queued_tokens(*prefill, now) + prompt, speed.prefill_tokens_per_ms) + speed.transfer;
-		if (split_time > request.split_limit && direct_time < split_time)
+		auto const is_idle = decode->load.total(now).running == 0;
+		if (is_idle && split_time > request.split_limit && direct_time < split_time)
 		{
 			return stream_placement{nullptr, std::move(decode), direct_time};
 		}
--- a/packages/routing/impl/pool_balance.cpp
+++ b/packages/routing/impl/pool_balance.cpp
@@ -13,7 +13,7 @@
 		// Part of the decode engines' memory that streams can fill.
 		constexpr double decode_use = 0.85;
 		// How much more another split must carry.
-		constexpr double least_gain = 1.1;
+		constexpr double least_gain = 1.15;
 
 		double smooth(double average, double sample, std::uint32_t count)
 		{
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -66,7 +66,7 @@
 
 	// Returns who prefills for a decode engine. Prefill engines read the prompt as long as they would be done in time: a
 	// prompt that a decode engine reads by itself slows every stream on that engine down to a token for each of its
-	// pieces. Under a burst of long prompts, a decode engine that would begin earlier does it by itself.
+	// pieces. Under a burst of long prompts, a decode engine that is idle and would begin earlier does it by itself.
 	[[nodiscard]] stream_placement place_prefill(directory const& servers, placement_request const& request,
 		server_pointer decode, engine_speed const& speed, random_draw const& draw, time_point now);
 }
