--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -18,8 +18,14 @@
 	{
 		auto adapter = platform::make_adapter(settings_path);
 		BOOST_LEAF_AUTO(settings, adapter.read_settings());
-		gateway::application application(std::move(settings), std::move(adapter));
-		return application.run();
+		int code = EXIT_SUCCESS;
+		{
+			gateway::application application(std::move(settings), std::move(adapter));
+			code = application.run();
+		}
+		// Everything is closed and the log is flushed. Static destructors of libraries have waited for seconds here, in
+		// which the instance could already serve again.
+		std::quick_exit(code);
 	}
 
 	int run(daemon::command_line line)
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -52,6 +52,10 @@
 		constexpr duration in_time_margin = milliseconds(150);
 		// A prefill engine that rejects is most likely changing its role.
 		constexpr duration rejected_prefill_pause = milliseconds(1000);
+		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines only.
+		constexpr duration time_to_hear_others = seconds(3);
+		constexpr std::uint32_t unheard_daemons = 4;
+		constexpr duration rejected_decode_pause = milliseconds(300);
 		constexpr std::size_t most_engines_asked = 4;
 		// Part of the expected output that is reserved besides the prompt: streams end at different times.
 		constexpr double reserved_part_of_output = 1.0;
@@ -274,6 +278,7 @@
 		, log(std::move(lines))
 		, pool(on, [this] { this->totals->count_connection(); })
 		, random(std::random_device{}())
+		, started(monotonic_now())
 	{
 	}
 
@@ -421,6 +426,11 @@
 		request.needed = state.needed_tokens();
 		auto const* const terms = state.routes->find_service(state.service);
 		request.capacity = terms != nullptr && terms->engine ? terms->engine->kv_capacity : token_count{};
+		auto const is_alone = this->shared->daemons == 1 && monotonic_now() - this->started < time_to_hear_others;
+		if (is_alone)
+		{
+			request.capacity = token_count(request.capacity.count() / unheard_daemons);
+		}
 		return request;
 	}
 
@@ -441,6 +451,7 @@
 		auto& line = this->shared->line;
 		auto const ticket = line.enter(waiting);
 		std::optional<decode_room> room;
+		auto has_waited = false;
 		asio::steady_timer pause(this->executor);
 		while (!state->is_caller_gone && !state->is_out_of_time())
 		{
@@ -451,16 +462,25 @@
 					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
 				room = co_await this->try_reserve(state, std::move(engines));
 			}
+			if (room && has_waited)
+			{
+				line.note_grant(monotonic_now());
+			}
 			auto const has_engines =
 				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
-			if (room || !has_engines || now > gives_up_at)
+			if (room || !has_engines || line.is_hopeless(ticket, gives_up_at, now))
 			{
 				break;
 			}
+			has_waited = true;
 			pause.expires_after(line_poll);
 			std::ignore = co_await pause.async_wait(wait_token);
 		}
 		line.leave(ticket);
+		if (line.size() == 0)
+		{
+			line.note_idle();
+		}
 		co_return room;
 	}
 
@@ -836,6 +856,15 @@
 		{
 			return;
 		}
+		if (failure == send_failure::wrong_server)
+		{
+			server.is_replaced = true;
+		}
+		if (failure == send_failure::not_run && server.entry.role == routing::server_role::decode)
+		{
+			// It kept room and rejects all the same: most likely it is changing its role, or has no handle.
+			server.load.note_full_until(monotonic_now() + rejected_decode_pause);
+		}
 		state.may_have_run = state.may_have_run || !routing::is_proved_not_run(failure);
 		server.health.note(to_call_outcome(failure), monotonic_now());
 		this->totals->count_send(routing::to_string(server.entry.role), routing::to_string(failure));
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -28,7 +28,7 @@
 		constexpr duration role_review_interval = milliseconds(500);
 		constexpr duration drain_poll = milliseconds(50);
 		// What still runs this long before SIGKILL is broken off.
-		constexpr duration exit_margin = milliseconds(700);
+		constexpr duration exit_margin = milliseconds(1000);
 		constexpr unsigned not_ready = 503;
 		constexpr unsigned not_found = 404;
 
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -137,6 +137,7 @@
 		event_log log;
 		connection_pool pool;
 		std::mt19937_64 random;
+		time_point started;
 		std::size_t in_progress = 0;
 	};
 }
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -85,7 +85,8 @@
 		std::vector<server_pointer> missing;
 		for (auto const& known : this->servers | std::views::values)
 		{
-			if (known->entry.service != service || known->entry.role != role || known->entry.leaving)
+			if (known->entry.service != service || known->entry.role != role || known->entry.leaving ||
+				known->is_replaced)
 			{
 				continue;
 			}
--- a/packages/routing/impl/waiting_line.cpp
+++ b/packages/routing/impl/waiting_line.cpp
@@ -7,6 +7,8 @@
 {
 	namespace
 	{
+		constexpr int grants_averaged = 6;
+
 		// Smaller goes first.
 		std::tuple<bool, std::uint32_t, time_point> rank(waiting_stream const& stream, time_point now)
 		{
@@ -27,6 +29,39 @@
 		this->waiting.erase(ticket);
 	}
 
+	void waiting_line::note_grant(time_point now)
+	{
+		if (this->last_grant)
+		{
+			this->grant_interval += (now - *this->last_grant - this->grant_interval) / grants_averaged;
+		}
+		this->last_grant = now;
+	}
+
+	void waiting_line::note_idle() noexcept
+	{
+		this->last_grant.reset();
+	}
+
+	bool waiting_line::is_hopeless(line_ticket ticket, time_point leaves_at, time_point now) const
+	{
+		auto const stream = this->waiting.find(ticket);
+		if (stream == this->waiting.end() || now >= leaves_at)
+		{
+			return true;
+		}
+		auto const turn_at = now + static_cast<duration::rep>(this->ahead(ticket, now)) * this->grant_interval;
+		auto const is_late = stream->second.in_time_until < now;
+		return turn_at > (is_late ? leaves_at : stream->second.in_time_until);
+	}
+
+	std::size_t waiting_line::ahead(line_ticket ticket, time_point now) const
+	{
+		auto const own = std::tuple_cat(rank(this->waiting.at(ticket), now), std::tuple(ticket));
+		return static_cast<std::size_t>(std::ranges::count_if(this->waiting, [&](auto const& item)
+			{ return std::tuple_cat(rank(item.second, now), std::tuple(item.first)) < own; }));
+	}
+
 	bool waiting_line::is_next(line_ticket ticket, time_point now) const
 	{
 		auto const first = std::ranges::min_element(this->waiting, {},
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -24,6 +24,9 @@
 		// Set once its entry is gone from the registry: until when it may still get work that no other server can take.
 		std::optional<time_point> missing_until;
 
+		// Another server has answered at its address: it is gone, whatever the registry still says.
+		bool is_replaced = false;
+
 		// Whether the registry lists it as ready.
 		[[nodiscard]] bool is_ready() const noexcept
 		{
--- a/packages/routing/include/godwittrestle/routing/waiting_line.hpp
+++ b/packages/routing/include/godwittrestle/routing/waiting_line.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include <godwittrestle/base/strong_type.hpp>
 #include <godwittrestle/base/units.hpp>
@@ -32,13 +33,30 @@
 		// Whether a stream is the first of the line.
 		[[nodiscard]] bool is_next(line_ticket ticket, time_point now) const;
 
+		// Notes that the first of the line got room after it had to wait.
+		void note_grant(time_point now);
+
+		// Notes that the line is empty, so that the next grant tells nothing about how fast it moves.
+		void note_idle() noexcept;
+
+		// Whether a stream should be refused now, since its turn would come too late: one that can still begin in time
+		// when it would not be, a late one when its caller would have left. Answers bursts that last: who can't be served
+		// is told at once and can come back when there is room.
+		[[nodiscard]] bool is_hopeless(line_ticket ticket, time_point leaves_at, time_point now) const;
+
 		[[nodiscard]] std::size_t size() const noexcept
 		{
 			return this->waiting.size();
 		}
 
 	  private:
+		[[nodiscard]] std::size_t ahead(line_ticket ticket, time_point now) const;
+
 		std::map<line_ticket, waiting_stream> waiting;
+		std::optional<time_point> last_grant;
+		// Time between two grants while streams wait.
+		duration grant_interval = usual_grant_interval;
+		static constexpr duration usual_grant_interval = milliseconds(150);
 		std::uint64_t last_ticket = 0;
 	};
 }
