--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -52,7 +52,8 @@
 		constexpr duration in_time_margin = milliseconds(150);
 		// A prefill engine that rejects is most likely changing its role.
 		constexpr duration rejected_prefill_pause = milliseconds(1000);
-		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines only.
+		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines
+		// only.
 		constexpr duration time_to_hear_others = seconds(3);
 		constexpr std::uint32_t unheard_daemons = 4;
 		constexpr duration rejected_decode_pause = milliseconds(300);
@@ -392,7 +393,8 @@
 			}
 			auto request = this->placement_for(*state);
 			request.may_split = !state->is_split_barred && !state->joiner.last_event();
-			request.split_limit = state->chosen->objective / split_part_of_objective;
+			request.split_limit =
+				this->is_new() ? state->chosen->timeout : state->chosen->objective / split_part_of_objective;
 			auto placement = routing::place_prefill(
 				this->shared->servers, request, room->engine, speed, draw_number, monotonic_now());
 			auto const is_split = placement.prefill != nullptr;
@@ -426,14 +428,18 @@
 		request.needed = state.needed_tokens();
 		auto const* const terms = state.routes->find_service(state.service);
 		request.capacity = terms != nullptr && terms->engine ? terms->engine->kv_capacity : token_count{};
-		auto const is_alone = this->shared->daemons == 1 && monotonic_now() - this->started < time_to_hear_others;
-		if (is_alone)
+		if (this->is_new())
 		{
-			request.capacity = token_count(request.capacity.count() / unheard_daemons);
+			request.own_capacity = token_count(request.capacity.count() / unheard_daemons);
 		}
 		return request;
 	}
 
+	bool forwarder::is_new() const
+	{
+		return monotonic_now() - this->started < time_to_hear_others;
+	}
+
 	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::reserve_room(state_pointer state)
 	{
 		routing::engine_speed const speed;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -125,6 +125,8 @@
 		[[nodiscard]] asio::awaitable<void> give_back(routing::server_pointer server, http::request message);
 		void release_later(routing::server_pointer const& server, http::request message);
 		[[nodiscard]] routing::placement_request placement_for(request_state const& state) const;
+		// Whether the daemon has started so lately that it may not know where the others' work is.
+		[[nodiscard]] bool is_new() const;
 		[[nodiscard]] std::optional<duration> longest_reservation(service_id const& service) const;
 
 		void record(request_state const& state, std::string name, std::vector<decide::event_field> fields);
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -104,7 +104,10 @@
 				auto const committed = each->load.total(now).committed;
 				auto const fits = committed == 0 || request.capacity.count() == 0 ||
 								  committed + request.needed.count() <= request.capacity.count();
-				return !fits || each->load.is_full(now);
+				auto const own = each->load.own().committed;
+				auto const is_within_own = own == 0 || request.own_capacity.count() == 0 ||
+										   own + request.needed.count() <= request.own_capacity.count();
+				return !fits || !is_within_own || each->load.is_full(now);
 			});
 		std::vector<ranked_engine> ranked;
 		std::ranges::transform(engines, std::back_inserter(ranked),
--- a/packages/routing/impl/waiting_line.cpp
+++ b/packages/routing/impl/waiting_line.cpp
@@ -58,8 +58,8 @@
 	std::size_t waiting_line::ahead(line_ticket ticket, time_point now) const
 	{
 		auto const own = std::tuple_cat(rank(this->waiting.at(ticket), now), std::tuple(ticket));
-		return static_cast<std::size_t>(std::ranges::count_if(this->waiting, [&](auto const& item)
-			{ return std::tuple_cat(rank(item.second, now), std::tuple(item.first)) < own; }));
+		return static_cast<std::size_t>(std::ranges::count_if(this->waiting,
+			[&](auto const& item) { return std::tuple_cat(rank(item.second, now), std::tuple(item.first)) < own; }));
 	}
 
 	bool waiting_line::is_next(line_ticket ticket, time_point now) const
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -45,6 +45,8 @@
 		// Tokens of memory that the stream will need at its decode engine, and that one engine has; 0 when not known.
 		token_count needed;
 		token_count capacity;
+		// Tokens of one engine that this daemon alone may commit; 0 for all of them.
+		token_count own_capacity;
 		// Servers that have already failed or refused this call.
 		std::set<server_id> excluded;
 		// Time to the first event up to which the prefill engines are waited for.
--- a/packages/routing/include/godwittrestle/routing/waiting_line.hpp
+++ b/packages/routing/include/godwittrestle/routing/waiting_line.hpp
@@ -40,8 +40,8 @@
 		void note_idle() noexcept;
 
 		// Whether a stream should be refused now, since its turn would come too late: one that can still begin in time
-		// when it would not be, a late one when its caller would have left. Answers bursts that last: who can't be served
-		// is told at once and can come back when there is room.
+		// when it would not be, a late one when its caller would have left. Answers bursts that last: who can't be
+		// served is told at once and can come back when there is room.
 		[[nodiscard]] bool is_hopeless(line_ticket ticket, time_point leaves_at, time_point now) const;
 
 		[[nodiscard]] std::size_t size() const noexcept
--- a/tests/unit/placement.test.cpp
+++ b/tests/unit/placement.test.cpp
@@ -127,6 +127,32 @@
 	REQUIRE(shared.prefill);
 }
 
+TEST_CASE("daemons that start together and have not heard each other do not fill the engines", "[placement]")
+{
+	constexpr std::uint32_t daemons = 4;
+	auto request = make_request();
+	request.own_capacity = token_count(request.capacity.count() / daemons);
+	std::map<server_id, std::uint64_t> committed;
+	for (std::uint32_t daemon = 0; daemon < daemons; ++daemon)
+	{
+		auto const servers = make_engines();
+		while (true)
+		{
+			auto const engines = routing::rank_decode_engines(servers, request, constant_draw(), at_ms(10));
+			if (engines.empty())
+			{
+				break;
+			}
+			engines.front()->load.begin({}, request.needed, at_ms(10));
+			committed[engines.front()->entry.id] += request.needed.count();
+		}
+	}
+	for (auto const& [engine, tokens] : committed)
+	{
+		REQUIRE(tokens <= request.capacity.count());
+	}
+}
+
 TEST_CASE("without prefill engines the decode engine reads the prompt", "[placement]")
 {
 	routing::directory servers;
--- a/tests/unit/waiting_line.test.cpp
+++ b/tests/unit/waiting_line.test.cpp
@@ -51,6 +51,36 @@
 	REQUIRE(in_time == begun);
 }
 
+TEST_CASE("who can't begin in time is refused at once, the others are not", "[line]")
+{
+	routing::waiting_line line;
+	// The line moves once in 300 ms.
+	for (int grant = 0; grant < 40; ++grant)
+	{
+		line.note_grant(at_ms(300 * grant));
+	}
+	auto const now = at_ms(12'000);
+	auto const leaves_at = now + milliseconds(2800);
+	std::vector<routing::line_ticket> tickets;
+	for (int arrival = 0; arrival < 6; ++arrival)
+	{
+		tickets.push_back(line.enter({now + milliseconds(700), 1, now}));
+	}
+	// Turns come after 0, 300 and 600 ms; the others would be late.
+	std::vector<bool> refused;
+	std::ranges::transform(tickets, std::back_inserter(refused),
+		[&](routing::line_ticket each) { return line.is_hopeless(each, leaves_at, now); });
+	REQUIRE(refused == std::vector<bool>{false, false, false, true, true, true});
+}
+
+TEST_CASE("a late stream waits until its caller would leave", "[line]")
+{
+	routing::waiting_line line;
+	auto const late = line.enter({at_ms(0), 1, at_ms(0)});
+	REQUIRE_FALSE(line.is_hopeless(late, at_ms(2800), at_ms(1000)));
+	REQUIRE(line.is_hopeless(late, at_ms(2800), at_ms(2800)));
+}
+
 TEST_CASE("more urgent streams go first among those in time", "[line]")
 {
 	routing::waiting_line line;
