--- /dev/null
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -0,0 +1,238 @@
+#include <godwittrestle/gateway/forwarder.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <godwittrestle/gateway/wall_clock.hpp>
+
+#include "forwarder_state.hpp"
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		constexpr unsigned first_server_error = 500;
+		// Statuses that promise that a request did not run.
+		constexpr std::array<unsigned, 4> promising_statuses{408, 421, 429, 503};
+		constexpr duration rejected_decode_pause = milliseconds(300);
+
+		routing::call_outcome to_call_outcome(send_failure failure) noexcept
+		{
+			switch (failure)
+			{
+				case send_failure::not_run:
+					return routing::call_outcome::rejected;
+				case send_failure::server_error:
+					return routing::call_outcome::failed;
+				case send_failure::silent:
+					return routing::call_outcome::silent;
+				case send_failure::not_sent:
+				case send_failure::wrong_server:
+				case send_failure::broken:
+					return routing::call_outcome::broken;
+			}
+			return routing::call_outcome::broken;
+		}
+	}
+
+	asio::awaitable<std::optional<send_failure>> forwarder::pass_whole(state_pointer state, answer_begun& answer)
+	{
+		if (state->is_head_sent)
+		{
+			// A stream is to go on, and its caller has the head of another server: no further answer fits.
+			answer.connection->close();
+			co_return send_failure::server_error;
+		}
+		auto const head_at = monotonic_now();
+		std::string body;
+		while (true)
+		{
+			auto piece = co_await answer.connection->read_piece(state->time_left());
+			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
+			{
+				answer.connection->close();
+				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
+			}
+			auto& text = std::get<std::string>(piece);
+			auto const is_end = text.empty();
+			body += text;
+			if (is_end && !state->is_head_sent)
+			{
+				break;
+			}
+			if (body.size() > held_answer_bytes || (is_end && state->is_head_sent))
+			{
+				auto is_taken = true;
+				if (!std::exchange(state->is_head_sent, true))
+				{
+					http::response head;
+					head.status = answer.head.status;
+					head.headers = http::end_to_end_headers(answer.head.headers);
+					is_taken = co_await state->talk->begin_stream(std::move(head));
+				}
+				if (is_taken && !body.empty())
+				{
+					is_taken = co_await state->talk->write(std::exchange(body, {}));
+				}
+				if (is_taken && is_end)
+				{
+					is_taken = co_await state->talk->end_stream();
+				}
+				if (is_end || !is_taken)
+				{
+					co_return std::nullopt;
+				}
+			}
+		}
+		http::response whole;
+		whole.status = answer.head.status;
+		whole.headers = http::end_to_end_headers(answer.head.headers);
+		whole.body = std::move(body);
+		auto const is_promise = std::ranges::find(promising_statuses, whole.status) != promising_statuses.end();
+		if (whole.status >= first_server_error || is_promise)
+		{
+			if (!is_promise)
+			{
+				state->server_failure = std::move(whole);
+			}
+			co_return send_failure::server_error;
+		}
+		this->totals->observe_first_byte(routing::to_string(state->chosen->kind), head_at - state->started);
+		if (!state->is_caller_gone)
+		{
+			std::ignore = co_await state->talk->reply(std::move(whole));
+		}
+		co_return std::nullopt;
+	}
+
+	void forwarder::note_outcome(request_state& state, routing::server_record& server, send_failure failure)
+	{
+		state.connection = nullptr;
+		state.failure = failure;
+		state.excluded.insert(server.entry.id);
+		if (failure == send_failure::not_sent)
+		{
+			state.sent_to.erase(server.entry.id);
+		}
+		if (state.is_caller_gone)
+		{
+			return;
+		}
+		if (failure == send_failure::wrong_server)
+		{
+			server.is_replaced = true;
+		}
+		if (failure == send_failure::not_run && server.entry.role == routing::server_role::decode)
+		{
+			// It kept room and rejects all the same: most likely it is changing its role, or has no handle.
+			server.load.note_full_until(monotonic_now() + rejected_decode_pause);
+		}
+		state.may_have_run = state.may_have_run || !routing::is_proved_not_run(failure);
+		server.health.note(to_call_outcome(failure), monotonic_now());
+		this->totals->count_send(routing::to_string(server.entry.role), routing::to_string(failure));
+		this->record(state, "request_send_failed",
+			{{"server", server.entry.id.str()}, {"failure", std::string(routing::to_string(failure))},
+				{"servers_tried", std::to_string(state.path.size())},
+				{"left_ms", milliseconds_text(state.time_left())}});
+	}
+
+	void forwarder::note_served(request_state& state, routing::server_record& server, answer_begun& answer)
+	{
+		state.connection = nullptr;
+		auto const now = monotonic_now();
+		server.health.note(routing::call_outcome::served, now);
+		auto const outcome = state.is_caller_gone ? "caller_gone" : "served";
+		this->totals->count_send(routing::to_string(server.entry.role), "served");
+		this->totals->count_request(routing::to_string(state.chosen->kind), outcome);
+		std::vector<decide::event_field> fields{{"route", state.chosen->name},
+			{"servers", fmt::format("{}", fmt::join(state.path, ","))}, {"status", std::to_string(answer.head.status)},
+			{"took_ms", milliseconds_text(now - state.started)}};
+		if (state.first_event_at)
+		{
+			// What was held up says nothing about what a stream needs.
+			if (state.longest_gap <= state.chosen->longest_gap && !state.failure)
+			{
+				this->shared->demand[state.service].note_duration(
+					state.call.expected_output, now - *state.first_event_at);
+			}
+			fields.push_back({"prompt_tokens", std::to_string(state.call.prompt.count())});
+			fields.push_back({"prefilled_apart", state.is_split ? "yes" : "no"});
+			fields.push_back({"predicted_ms", milliseconds_text(state.predicted_first_event)});
+			fields.push_back({"first_event_ms", milliseconds_text(*state.first_event_at - state.started)});
+			fields.push_back({"longest_gap_ms", milliseconds_text(state.longest_gap)});
+		}
+		this->record(state, state.is_caller_gone ? "request_abandoned" : "request_served", std::move(fields));
+	}
+
+	asio::awaitable<void> forwarder::give_up(state_pointer state)
+	{
+		if (state->is_caller_gone)
+		{
+			this->totals->count_request(routing::to_string(state->chosen->kind), "caller_gone");
+			this->record(*state, "request_abandoned",
+				{{"route", state->chosen->name}, {"servers", fmt::format("{}", fmt::join(state->path, ","))}});
+			co_return;
+		}
+		if (state->is_head_sent)
+		{
+			// The answer is begun and can't be made whole: the connection is broken off.
+			this->totals->count_request(routing::to_string(state->chosen->kind), "failed");
+			this->record(*state, "request_broken_off",
+				{{"route", state->chosen->name}, {"servers", fmt::format("{}", fmt::join(state->path, ","))},
+					{"events", std::to_string(state->joiner.events())}});
+			co_return;
+		}
+		if (state->server_failure && !state->is_out_of_time())
+		{
+			auto const status = state->server_failure->status;
+			this->totals->count_request(routing::to_string(state->chosen->kind), "passed_on_failure");
+			this->record(*state, "request_failure_passed_on",
+				{{"route", state->chosen->name}, {"servers", fmt::format("{}", fmt::join(state->path, ","))},
+					{"status", std::to_string(status)}});
+			std::ignore = co_await state->talk->reply(std::move(*state->server_failure));
+			co_return;
+		}
+		auto const status = routing::status_of_failure(state->may_have_run, state->is_out_of_time());
+		auto const reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
+		co_await this->refuse(state, status, reason,
+			status == unavailable ? "come back after Retry-After"
+								  : "the request may have run: check before repeating it",
+			status == unavailable);
+	}
+
+	asio::awaitable<void> forwarder::refuse(
+		state_pointer state, unsigned status, std::string reason, std::string remedy, bool come_back)
+	{
+		auto const kind = state->chosen == nullptr ? "none" : routing::to_string(state->chosen->kind);
+		this->totals->count_request(kind, status == unavailable ? "refused" : "failed");
+		this->record(*state, "request_refused",
+			{{"status", std::to_string(status)}, {"reason", reason},
+				{"route", state->chosen == nullptr ? "" : state->chosen->name},
+				{"servers", fmt::format("{}", fmt::join(state->path, ","))},
+				{"configuration", state->routes ? std::to_string(state->routes->version().count()) : "none"},
+				{"took_ms", milliseconds_text(monotonic_now() - state->started)}});
+		auto answer = http::make_error(status, "refused", reason, remedy);
+		if (come_back)
+		{
+			answer.headers.push_back(
+				this->protocol.retry_after(routing::retry_after(state->time_left(), this->draw())));
+		}
+		if (!state->is_caller_gone)
+		{
+			std::ignore = co_await state->talk->reply(std::move(answer));
+		}
+	}
+
+	void forwarder::record(request_state const& state, std::string name, std::vector<decide::event_field> fields)
+	{
+		decide::record_event line;
+		line.timestamp = wall_clock_us();
+		line.name = std::move(name);
+		line.request = state.call.attempt;
+		line.fields = std::move(fields);
+		this->log(std::move(line));
+	}
+}
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -253,7 +253,7 @@
 
 	void traffic::put(routing::registered_server const& entry)
 	{
-		if (!this->shared.servers.put(entry, monotonic_now()))
+		if (!this->shared.servers.put(entry))
 		{
 			return;
 		}
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -6,7 +6,7 @@
 
 namespace godwittrestle::routing
 {
-	bool directory::put(registered_server const& entry, time_point /*now*/)
+	bool directory::put(registered_server const& entry)
 	{
 		auto& known = this->servers[entry.id];
 		auto const is_restart = known && known->entry.started != entry.started;
@@ -40,7 +40,7 @@
 		for (auto const& entry : entries)
 		{
 			named.insert(entry.id);
-			this->put(entry, now);
+			this->put(entry);
 		}
 		for (auto const& id : this->servers | std::views::keys)
 		{
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -58,7 +58,7 @@
 		}
 
 		// Takes one entry over. Returns true when it is new or differs from what was known.
-		bool put(registered_server const& entry, time_point now);
+		bool put(registered_server const& entry);
 
 		// Notes that an entry was removed.
 		void remove(server_id const& id, time_point now);
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -68,7 +68,7 @@
 			server.service = service_id("s");
 			server.address = std::move(address);
 			server.role = role;
-			this->shared.servers.put(server, time_point(seconds(1)));
+			this->shared.servers.put(server);
 		}
 
 		// Sends one request and returns all that comes back until the connection closes.
--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -18,18 +18,18 @@
 {
 	routing::directory servers;
 	auto entry = make_server("d1", server_role::decode);
-	servers.put(entry, at_ms(0));
+	servers.put(entry);
 	REQUIRE(count_candidates(servers, at_ms(1)) == 1);
 	entry.leaving = true;
-	REQUIRE(servers.put(entry, at_ms(2)));
+	REQUIRE(servers.put(entry));
 	REQUIRE(count_candidates(servers, at_ms(3)) == 0);
 }
 
 TEST_CASE("a server whose entry is removed is a last resort for a short while only", "[directory]")
 {
 	routing::directory servers;
-	servers.put(make_server("d1", server_role::decode), at_ms(0));
-	servers.put(make_server("d2", server_role::decode), at_ms(0));
+	servers.put(make_server("d1", server_role::decode));
+	servers.put(make_server("d2", server_role::decode));
 	servers.remove(server_id("d1"), at_ms(100));
 	REQUIRE(count_candidates(servers, at_ms(101)) == 1);
 	servers.remove(server_id("d2"), at_ms(100));
@@ -42,7 +42,7 @@
 TEST_CASE("entries that lapsed during an outage of the registry have time to come back", "[directory]")
 {
 	routing::directory servers;
-	servers.put(make_server("d1", server_role::decode), at_ms(0));
+	servers.put(make_server("d1", server_role::decode));
 	servers.note_registry_return(at_ms(10'000));
 	servers.replace({}, at_ms(10'000));
 	REQUIRE(count_candidates(servers, at_ms(12'200)) == 1);
@@ -53,11 +53,11 @@
 {
 	routing::directory servers;
 	auto entry = make_server("d1", server_role::decode);
-	servers.put(entry, at_ms(0));
+	servers.put(entry);
 	auto const before = servers.find(entry.id);
 	before->load.begin(token_count(10), token_count(10), at_ms(1));
 	entry.started = incarnation(2);
-	REQUIRE(servers.put(entry, at_ms(2)));
+	REQUIRE(servers.put(entry));
 	REQUIRE(servers.find(entry.id) != before);
 	REQUIRE(servers.find(entry.id)->load.own().running == 0);
 }
@@ -66,6 +66,6 @@
 {
 	routing::directory servers;
 	auto const entry = make_server("d1", server_role::decode);
-	REQUIRE(servers.put(entry, at_ms(0)));
-	REQUIRE_FALSE(servers.put(entry, at_ms(1)));
+	REQUIRE(servers.put(entry));
+	REQUIRE_FALSE(servers.put(entry));
 }
--- a/tests/unit/placement.test.cpp
+++ b/tests/unit/placement.test.cpp
@@ -28,11 +28,11 @@
 		routing::directory servers;
 		for (auto const* name : {"p1", "p2", "p3", "p4"})
 		{
-			servers.put(make_server(name, server_role::prefill), at_ms(0));
+			servers.put(make_server(name, server_role::prefill));
 		}
 		for (auto const* name : {"d1", "d2", "d3", "d4", "d5"})
 		{
-			servers.put(make_server(name, server_role::decode), at_ms(0));
+			servers.put(make_server(name, server_role::decode));
 		}
 		return servers;
 	}
@@ -41,8 +41,8 @@
 TEST_CASE("a plain call goes to the server with the least work, near ones first", "[placement]")
 {
 	routing::directory servers;
-	servers.put(make_server("far", server_role::plain, "desk", "south"), at_ms(0));
-	servers.put(make_server("near", server_role::plain, "desk", "north"), at_ms(0));
+	servers.put(make_server("far", server_role::plain, "desk", "south"));
+	servers.put(make_server("near", server_role::plain, "desk", "north"));
 	auto const request = make_request("desk");
 	REQUIRE(routing::place_call(servers, request, constant_draw(), at_ms(1))->entry.id == server_id("near"));
 	servers.find(server_id("near"))->load.begin({}, {}, at_ms(1));
@@ -52,8 +52,8 @@
 TEST_CASE("a server that leaves calls unanswered gets no more while another can take them", "[placement]")
 {
 	routing::directory servers;
-	servers.put(make_server("dark", server_role::plain, "desk"), at_ms(0));
-	servers.put(make_server("busy", server_role::plain, "desk"), at_ms(0));
+	servers.put(make_server("dark", server_role::plain, "desk"));
+	servers.put(make_server("busy", server_role::plain, "desk"));
 	servers.find(server_id("dark"))->load.begin({}, {}, at_ms(0));
 	for (int call = 0; call < 5; ++call)
 	{
@@ -156,7 +156,7 @@
 TEST_CASE("without prefill engines the decode engine reads the prompt", "[placement]")
 {
 	routing::directory servers;
-	servers.put(make_server("d1", server_role::decode), at_ms(0));
+	servers.put(make_server("d1", server_role::decode));
 	auto const decode = servers.find(server_id("d1"));
 	auto const placed =
 		routing::place_prefill(servers, make_request(), decode, routing::engine_speed{}, constant_draw(), at_ms(1));
