--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -26,8 +26,6 @@
 	inline constexpr std::size_t small_body_bytes = 65'536;
 	// Larger answers are passed on piece by piece instead of being held until they are whole.
 	inline constexpr std::size_t held_answer_bytes = 262'144;
-	// Part of the expected output that is reserved besides the prompt: streams end at different times.
-	inline constexpr double reserved_part_of_output = 1.0;
 	// Part of the expected output that a stream is taken to make at least after what it has made.
 	inline constexpr double least_part_to_come = 0.2;
 	inline constexpr duration default_patience = seconds(60);
@@ -175,7 +173,7 @@
 		// Tokens of an engine's memory that the stream is expected to need.
 		[[nodiscard]] token_count needed_tokens() const
 		{
-			auto const expected = static_cast<double>(this->call.expected_output.count()) * reserved_part_of_output;
+			auto const expected = static_cast<double>(this->call.expected_output.count());
 			auto const made = static_cast<double>(this->joiner.events() * this->tokens_per_event);
 			auto const output = std::max(expected, made + expected * least_part_to_come);
 			return this->call.prompt + token_count(static_cast<std::uint32_t>(output));
