--- a/tests/unit/waiting_line.test.cpp
+++ b/tests/unit/waiting_line.test.cpp
@@ -57,15 +57,12 @@
 	// The line moves once in 300 ms.
 	for (int grant = 0; grant < 40; ++grant)
 	{
-		line.note_grant(at_ms(300 * grant));
+		line.note_grant(at_ms(300L * grant));
 	}
 	auto const now = at_ms(12'000);
 	auto const leaves_at = now + milliseconds(2800);
-	std::vector<routing::line_ticket> tickets;
-	for (int arrival = 0; arrival < 6; ++arrival)
-	{
-		tickets.push_back(line.enter({now + milliseconds(700), 1, now}));
-	}
+	std::vector<routing::line_ticket> tickets(6);
+	std::ranges::generate(tickets, [&] { return line.enter({now + milliseconds(700), 1, now}); });
 	// Turns come after 0, 300 and 600 ms; the others would be late.
 	std::vector<bool> refused;
 	std::ranges::transform(tickets, std::back_inserter(refused),
