--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -6,9 +6,9 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/base/digest.hpp>
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
-#include <godwittrestle/platform/adapter.hpp>
 
 #include "scripted_server.hpp"
 
@@ -24,8 +24,45 @@
 	using ending = scripted_server::ending;
 
 	constexpr auto token = asio::as_tuple(asio::use_awaitable);
-	std::string const echo = "X-Request-Attempt-Id: r1\r\n";
-	std::string const seal = "X-Server-Seal: s1\r\n";
+	std::string const echo = "Attempt: r1\r\n";
+	std::string const seal = "Server-Mac: s1\r\n";
+
+	// A protocol with names of its own: the gateway knows none.
+	gateway::call_protocol make_protocol()
+	{
+		gateway::call_protocol protocol;
+		protocol.read_call = [](http::request const& message)
+		{
+			gateway::caller_call call;
+			call.attempt = request_id(message.find_header("Attempt"));
+			call.time_left = milliseconds(parse_number(message.find_header("Time-Left-Ms")).value());
+			return call;
+		};
+		protocol.write_call = [](http::request const& from, gateway::send_terms const& terms)
+		{
+			http::request message{from.method, from.target, http::end_to_end_headers(from.headers), from.body};
+			message.headers.push_back({"For-Server", terms.server.str()});
+			if (terms.last_event)
+			{
+				message.headers.push_back({"Last-Event-Id", *terms.last_event});
+			}
+			return message;
+		};
+		protocol.read_answer = [](http::response const& answer)
+		{
+			constexpr unsigned misdirected = 421;
+			gateway::answer_facts facts;
+			facts.is_not_run = !answer.find_header("Not-Run").empty();
+			facts.is_wrong_server = answer.status == misdirected;
+			facts.attempt = request_id(answer.find_header("Attempt"));
+			return facts;
+		};
+		protocol.retry_after = [](duration wait)
+		{
+			return http::header{"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())};
+		};
+		return protocol;
+	}
 
 	routing::route make_route(call_kind kind, std::uint32_t max_servers, bool resumable)
 	{
@@ -48,7 +85,7 @@
 	{
 	  public:
 		explicit scene(routing::route route)
-			: forward(this->loop.get_executor(), this->shared, platform::make_call_protocol(), this->totals,
+			: forward(this->loop.get_executor(), this->shared, make_protocol(), this->totals,
 				  [](decide::record_event const&) {})
 			, front(this->loop.get_executor(), {"127.0.0.1", 0}, {}, [this](http::request message, http::exchange& talk)
 				  { return this->forward.serve(std::move(message), talk); })
@@ -74,8 +111,8 @@
 		// Sends one request and returns all that comes back until the connection closes.
 		[[nodiscard]] std::string ask(std::string const& method = "POST")
 		{
-			auto const text = fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nX-Request-Attempt-Id: r1\r\n"
-										  "X-Deadline-Ms: 1400\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+			auto const text = fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\n"
+										  "Time-Left-Ms: 1400\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
 				method);
 			return run_to_end(this->loop, this->exchange(text));
 		}
@@ -121,9 +158,9 @@
 	scene.add("a", server.address());
 	auto const answer = scene.ask();
 	REQUIRE(answer.starts_with("HTTP/1.1 201"));
-	REQUIRE(answer.find("X-Server-Seal: s1") != std::string::npos);
+	REQUIRE(answer.find("Server-Mac: s1") != std::string::npos);
 	REQUIRE(answer.ends_with("\r\n\r\ndone"));
-	REQUIRE(server.received().front().find("X-Expect-Instance: a") != std::string::npos);
+	REQUIRE(server.received().front().find("For-Server: a") != std::string::npos);
 }
 
 TEST_CASE("a booking whose answer is lost is sent once and never said not to have run", "[gateway]")
@@ -163,7 +200,7 @@
 		scene.add("a", refused_address(scene.loop));
 	}
 	scripted_server full(
-		scene.loop, http_answer("503 Service Unavailable", echo + "X-Not-Executed: 1\r\n", ""), ending::closes);
+		scene.loop, http_answer("503 Service Unavailable", echo + "Not-Run: 1\r\n", ""), ending::closes);
 	SECTION("the server says that it did not run it")
 	{
 		scene.add("a", full.address());
@@ -198,7 +235,7 @@
 TEST_CASE("an answer to an earlier request is passed over", "[gateway]")
 {
 	scene scene(make_route(call_kind::non_idempotent, 1, false));
-	auto const stray = http_answer("200 OK", "X-Request-Attempt-Id: r0\r\n" + seal, "not yours");
+	auto const stray = http_answer("200 OK", "Attempt: r0\r\n" + seal, "not yours");
 	auto const own = http_answer("200 OK", echo + seal, "yours");
 	scripted_server server(scene.loop, stray + own, ending::stays_silent);
 	scene.add("a", server.address());
