Read the time of day in one place

The gateway had written the daemon's function again; both take it from one header of the daemon package now.

--- a/packages/daemon/impl/application.cpp
+++ b/packages/daemon/impl/application.cpp
@@ -12,6 +12,7 @@
 #include <godwittrestle/daemon/peer_link.hpp>
 #include <godwittrestle/daemon/platform_link.hpp>
 #include <godwittrestle/daemon/telemetry.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::daemon
 {
@@ -22,12 +23,6 @@
 		// Answers on their way out when the core has left get this long.
 		constexpr duration flush_time = milliseconds(200);
 
-		std::uint64_t wall_clock_us()
-		{
-			auto const reading = std::chrono::system_clock::now().time_since_epoch();
-			return static_cast<std::uint64_t>(std::chrono::duration_cast<duration>(reading).count());
-		}
-
 		decide::core_settings make_core_settings(daemon_settings const& settings, incarnation started)
 		{
 			decide::core_settings core;
--- a/packages/gateway/include/godwittrestle/gateway/wall_clock.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/wall_clock.hpp
@@ -5,9 +5,10 @@
 
 #include <godwittrestle/base/units.hpp>
 
-namespace godwittrestle::gateway
+namespace godwittrestle::daemon
 {
-	// Returns the time of day in microseconds since 1970, for log lines only: it may jump.
+	// Returns the time of day in microseconds since 1970, for log lines and
+	// incarnations only: it may jump.
 	[[nodiscard]] inline std::uint64_t wall_clock_us()
 	{
 		auto const reading = std::chrono::system_clock::now().time_since_epoch();
--- a/packages/gateway/impl/application.cpp
+++ b/packages/gateway/impl/application.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <godwittrestle/daemon/telemetry.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 #include <godwittrestle/gateway/registry_follower.hpp>
 #include <godwittrestle/gateway/traffic.hpp>
-#include <godwittrestle/gateway/wall_clock.hpp>
 
 namespace godwittrestle::gateway
 {
@@ -120,7 +120,7 @@
 		void record(std::string name, std::vector<decide::event_field> fields)
 		{
 			decide::record_event line;
-			line.timestamp = wall_clock_us();
+			line.timestamp = daemon::wall_clock_us();
 			line.name = std::move(name);
 			line.fields = std::move(fields);
 			this->events.record(std::move(line));
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <utility>
 
-#include <godwittrestle/gateway/wall_clock.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::gateway
 {
@@ -151,7 +151,7 @@
 		if (size != size_before)
 		{
 			decide::record_event line;
-			line.timestamp = wall_clock_us();
+			line.timestamp = daemon::wall_clock_us();
 			line.name = "peer_count_changed";
 			line.fields = {{"peer", sender.str()}, {"daemons", std::to_string(size)}};
 			this->log(std::move(line));
@@ -298,7 +298,7 @@
 		wire::PeerMessage message;
 		message.set_from(this->own_id.str());
 		message.set_incarnation(this->own_started.count());
-		message.set_timestamp(wall_clock_us());
+		message.set_timestamp(daemon::wall_clock_us());
 		return message;
 	}
 }
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -6,7 +6,7 @@
 
 #include <fmt/format.h>
 
-#include <godwittrestle/gateway/wall_clock.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 
 #include "forwarder_state.hpp"
 
@@ -229,7 +229,7 @@
 	void forwarder::record(request_state const& state, std::string name, std::vector<decide::event_field> fields)
 	{
 		decide::record_event line;
-		line.timestamp = wall_clock_us();
+		line.timestamp = daemon::wall_clock_us();
 		line.name = std::move(name);
 		line.request = state.call.attempt;
 		line.fields = std::move(fields);
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -10,7 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <godwittrestle/gateway/wall_clock.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::gateway
 {
@@ -170,7 +170,7 @@
 			return;
 		}
 		decide::record_event line;
-		line.timestamp = wall_clock_us();
+		line.timestamp = daemon::wall_clock_us();
 		line.name = "registry_regained";
 		line.fields = {{"part", name_of(state.part)}, {"failed_calls", std::to_string(state.failures)}};
 		this->log(std::move(line));
@@ -192,7 +192,7 @@
 			return;
 		}
 		decide::record_event line;
-		line.timestamp = wall_clock_us();
+		line.timestamp = daemon::wall_clock_us();
 		line.name = "registry_lost";
 		line.fields = {
 			{"part", name_of(state.part)}, {"reason", std::move(reason)}, {"revision", std::to_string(state.revision)}};
@@ -204,7 +204,7 @@
 		for (auto const& fault : reply.faults)
 		{
 			decide::record_event line;
-			line.timestamp = wall_clock_us();
+			line.timestamp = daemon::wall_clock_us();
 			line.name = "registry_entry_unreadable";
 			line.detail = fault;
 			this->log(std::move(line));
--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 
 #include <godwittrestle/daemon/core_loop.hpp>
-#include <godwittrestle/gateway/wall_clock.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::gateway
 {
@@ -118,7 +118,7 @@
 			this->wanted_role = role;
 		}
 		decide::record_event line;
-		line.timestamp = wall_clock_us();
+		line.timestamp = daemon::wall_clock_us();
 		line.name = "server_role_ordered";
 		line.fields = {{"server", engine->entry.id.str()}, {"role", std::string(routing::to_string(role))},
 			{"fence", std::to_string(wanted.fence)}, {"status", reply ? std::to_string(reply->status) : "none"},
@@ -145,7 +145,7 @@
 	{
 		constexpr std::uint64_t microseconds_per_second = 1'000'000;
 		auto const own_part = std::hash<instance_id>{}(this->own_id) % fence_parts;
-		auto const next = wall_clock_us() / microseconds_per_second * fence_parts + own_part;
+		auto const next = daemon::wall_clock_us() / microseconds_per_second * fence_parts + own_part;
 		this->last_fence = std::max(next, this->last_fence + fence_parts);
 		return this->last_fence;
 	}
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -11,7 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <godwittrestle/daemon/core_loop.hpp>
-#include <godwittrestle/gateway/wall_clock.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::gateway
 {
@@ -64,7 +64,7 @@
 					  std::ignore = this->peer_messages.try_push(message);
 				  },
 				  [](instance_id const&) {}})
-		, exchange(given.instance, incarnation(wall_clock_us()), http::to_string(given.peer_address), this->shared,
+		, exchange(given.instance, incarnation(daemon::wall_clock_us()), http::to_string(given.peer_address), this->shared,
 			  {[this](decide::send_peer message) { this->peers.push(std::move(message)); },
 				  [this](std::string text) { this->take_configuration_text(std::move(text)); },
 				  [this](std::vector<routing::registered_server> servers) { this->take_servers(std::move(servers)); },
@@ -333,7 +333,7 @@
 	void traffic::record(std::string name, std::vector<decide::event_field> fields)
 	{
 		decide::record_event line;
-		line.timestamp = wall_clock_us();
+		line.timestamp = daemon::wall_clock_us();
 		line.name = std::move(name);
 		line.fields = std::move(fields);
 		this->log(std::move(line));
