Predict a stream's output; resumed streams fetch their prompt

Cause: callers' estimates of the output are right at the median but spread widely.

Changes: - routing/output_estimate lies between the estimate and the average, as near to either as ended streams have shown; capped by the caller's limit. - a stream that goes on at another engine names the engine that has read its prompt, so that the KV cache is fetched instead of read again. - streams that lost their engine go first in the waiting line, and are no longer refused for being older than a new stream may wait. - 421 from the server that was meant is a wrong role, not a replaced server: it was left out for good after a role change. - the log tells where a stream was placed (request_placed) and why a broken stream was not sent again.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -182,10 +182,12 @@
 				}
 				continue;
 			}
-			if (facts.is_wrong_server || facts.is_not_run)
+			if (facts.is_misdirected || facts.is_not_run)
 			{
 				std::ignore = co_await connection->read_rest(drain_body_timeout, small_body_bytes);
-				co_return facts.is_wrong_server ? send_failure::wrong_server : send_failure::not_run;
+				// The right server in another role is only a server that did not run the call.
+				auto const is_other = facts.is_misdirected && facts.server != entry.id;
+				co_return is_other ? send_failure::wrong_server : send_failure::not_run;
 			}
 			co_return answer_begun{std::move(answer), std::move(pooled)};
 		}
@@ -197,10 +199,12 @@
 	{
 		if (state.is_caller_gone || state.is_out_of_time() || !routing::may_send_again(*state.chosen, failure))
 		{
+			state.not_repeated = "must_not_be_repeated";
 			return false;
 		}
 		if (state.sent_to.size() >= state.chosen->max_servers)
 		{
+			state.not_repeated = "most_servers_tried";
 			return false;
 		}
 		if (failure == send_failure::not_sent)
@@ -208,7 +212,9 @@
 			return true;
 		}
 		auto& budget = this->shared->budgets[state.service];
-		return budget.try_spend(this->shared->retries, this->shared->daemons, monotonic_now());
+		auto const is_granted = budget.try_spend(this->shared->retries, this->shared->daemons, monotonic_now());
+		state.not_repeated = is_granted ? "no_room" : "retry_budget_spent";
+		return is_granted;
 	}
 
 	asio::awaitable<std::optional<http::response>> forwarder::call_server(
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -155,9 +155,14 @@
 			// What was held up says nothing about what a stream needs.
 			if (state.longest_gap <= state.chosen->longest_gap && !state.failure)
 			{
-				this->shared->demand[state.service].note_duration(
-					state.call.expected_output, now - *state.first_event_at);
+				this->shared->demand[state.service].note_duration(state.made_tokens(), now - *state.first_event_at);
 			}
+			if (!state.is_caller_gone && !state.call.last_event)
+			{
+				this->shared->outputs[state.service].note_outcome(state.call.expected_output, state.made_tokens());
+			}
+			fields.push_back({"estimated_tokens", std::to_string(state.call.expected_output.count())});
+			fields.push_back({"made_tokens", std::to_string(state.made_tokens().count())});
 			fields.push_back({"prompt_tokens", std::to_string(state.call.prompt.count())});
 			fields.push_back({"prefilled_apart", state.is_split ? "yes" : "no"});
 			fields.push_back({"predicted_ms", milliseconds_text(state.predicted_first_event)});
@@ -182,7 +187,9 @@
 			this->totals->count_request(routing::to_string(state->chosen->kind), "failed");
 			this->record(*state, "request_broken_off",
 				{{"route", state->chosen->name}, {"servers", fmt::format("{}", fmt::join(state->path, ","))},
-					{"events", std::to_string(state->joiner.events())}});
+					{"events", std::to_string(state->joiner.events())},
+					{"failure", state->failure ? std::string(routing::to_string(*state->failure)) : "no_server"},
+					{"not_repeated", std::string(state->not_repeated)}});
 			co_return;
 		}
 		if (state->server_failure && !state->is_out_of_time())
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -26,8 +26,6 @@
 	inline constexpr std::size_t small_body_bytes = 65'536;
 	// Larger answers are passed on piece by piece instead of being held until they are whole.
 	inline constexpr std::size_t held_answer_bytes = 262'144;
-	// Part of the expected output that a stream is taken to make at least after what it has made.
-	inline constexpr double least_part_to_come = 0.2;
 	inline constexpr duration default_patience = seconds(60);
 
 	// Keeps a call in a server's load until it ends.
@@ -142,6 +140,8 @@
 		std::set<server_id> excluded;
 		std::vector<std::string> path;
 		std::optional<send_failure> failure;
+		// Why the call was not sent again after its last failure.
+		std::string_view not_repeated;
 		// A failure that a server answered itself, to be passed on when nothing better comes.
 		std::optional<http::response> server_failure;
 		stream_joiner joiner{std::nullopt};
@@ -150,6 +150,8 @@
 		std::optional<time_point> first_event_at;
 		time_point last_event_at;
 		duration longest_gap{};
+		// Address of the engine that has read the prompt, and may still keep it when the stream has to go on elsewhere.
+		std::optional<std::string> prompt_kept_at;
 		// How the last placement had the prompt prefilled, and what it predicted.
 		bool is_split = false;
 		std::uint64_t tokens_per_event = 0;
@@ -170,13 +172,10 @@
 			return this->time_left() < least_time;
 		}
 
-		// Tokens of an engine's memory that the stream is expected to need.
-		[[nodiscard]] token_count needed_tokens() const
+		// Tokens that the stream has made since this daemon began it.
+		[[nodiscard]] token_count made_tokens() const
 		{
-			auto const expected = static_cast<double>(this->call.expected_output.count());
-			auto const made = static_cast<double>(this->joiner.events() * this->tokens_per_event);
-			auto const output = std::max(expected, made + expected * least_part_to_come);
-			return this->call.prompt + token_count(static_cast<std::uint32_t>(output));
+			return token_count(static_cast<std::uint32_t>(this->joiner.events() * this->tokens_per_event));
 		}
 
 		void note_event(time_point now)
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -41,7 +41,10 @@
 	{
 		auto const* const terms = state->routes->find_service(state->service);
 		state->tokens_per_event = terms != nullptr && terms->engine ? terms->engine->tokens_per_event : 0;
-		this->shared->demand[state->service].note_stream(state->call.prompt, state->call.expected_output);
+		auto& outputs = this->shared->outputs[state->service];
+		outputs.note_hint(state->call.expected_output);
+		this->shared->demand[state->service].note_stream(
+			state->call.prompt, outputs.predict(state->call.expected_output, state->call.most_output));
 		routing::engine_speed const speed;
 		auto const draw_number = [this]
 		{
@@ -61,6 +64,7 @@
 			auto placement = routing::place_prefill(
 				this->shared->servers, request, room->engine, speed, draw_number, monotonic_now());
 			auto const is_split = placement.prefill != nullptr;
+			this->record_placement(*state, placement, room->reservation.has_value());
 			auto const failure = co_await this->run_stream(state, std::move(placement), room->reservation);
 			if (!failure)
 			{
@@ -81,6 +85,29 @@
 		co_await this->give_up(state);
 	}
 
+	void forwarder::record_placement(
+		request_state const& state, routing::stream_placement const& placement, bool is_reserved)
+	{
+		auto const now = monotonic_now();
+		auto const all = placement.decode->load.total(now);
+		this->record(state, "request_placed",
+			{{"decode", placement.decode->entry.id.str()},
+				{"prefill", placement.prefill ? placement.prefill->entry.id.str() : ""},
+				{"reserved", is_reserved ? "yes" : "no"},
+				{"needed_tokens", std::to_string(this->needed_tokens(state).count())},
+				{"committed_tokens", std::to_string(all.committed)},
+				{"own_committed_tokens", std::to_string(placement.decode->load.own().committed)},
+				{"running", std::to_string(all.running)}, {"waited_ms", milliseconds_text(now - state.started)},
+				{"predicted_ms", milliseconds_text(placement.first_event)}});
+	}
+
+	token_count forwarder::needed_tokens(request_state const& state) const
+	{
+		auto const& call = state.call;
+		auto const& outputs = this->shared->outputs[state.service];
+		return call.prompt + outputs.predict(call.expected_output, call.most_output, state.made_tokens());
+	}
+
 	routing::placement_request forwarder::placement_for(request_state const& state) const
 	{
 		routing::placement_request request;
@@ -88,7 +115,7 @@
 		request.data_centre = this->shared->data_centre;
 		request.excluded = state.excluded;
 		request.prompt = state.call.prompt;
-		request.needed = state.needed_tokens();
+		request.needed = this->needed_tokens(state);
 		auto const* const terms = state.routes->find_service(state.service);
 		request.capacity = terms != nullptr && terms->engine ? terms->engine->kv_capacity : token_count{};
 		if (this->is_new())
@@ -112,7 +139,9 @@
 		waiting.arrived = state->started;
 		waiting.in_time_until = state->started + state->chosen->objective - prefill_time - in_time_margin;
 		waiting.priority = state->chosen->priority;
-		auto const gives_up_at = state->started + std::min(longest_wait, state->chosen->timeout / 2);
+		waiting.has_begun = state->first_event_at.has_value();
+		auto const silent_since = waiting.has_begun ? state->last_event_at : state->started;
+		auto const gives_up_at = silent_since + std::min(longest_wait, state->chosen->timeout / 2);
 		auto const draw_number = [this]
 		{
 			return this->draw();
@@ -161,7 +190,7 @@
 		{
 			co_return engines.empty() ? std::nullopt : std::optional<decode_room>({engines.front(), std::nullopt});
 		}
-		auto const tokens = state->needed_tokens();
+		auto const tokens = this->needed_tokens(*state);
 		for (auto const& engine : engines | std::views::take(most_engines_asked))
 		{
 			auto message = this->protocol.reserve(engine->entry.id, tokens, *limit);
@@ -204,7 +233,7 @@
 		terms.reservation = reservation;
 		// The engine's memory is committed from here on, so that the prompt is not read for nothing.
 		auto const own_tokens = placement.prefill ? token_count{} : state->call.prompt;
-		load_guard const guard(placement.decode, own_tokens, state->needed_tokens());
+		load_guard const guard(placement.decode, own_tokens, this->needed_tokens(*state));
 		state->is_split = placement.prefill != nullptr;
 		state->predicted_first_event = placement.first_event;
 		if (placement.prefill)
@@ -224,8 +253,13 @@
 			else
 			{
 				terms.source = std::move(std::get<kv_source>(source));
+				state->prompt_kept_at = placement.prefill->entry.address;
 			}
 		}
+		if (!terms.source)
+		{
+			terms.fetch_from = state->prompt_kept_at;
+		}
 		auto const prefilled_by = placement.prefill;
 		auto const source = terms.source;
 		auto const give_back_all = [&]
@@ -333,7 +367,7 @@
 				continue;
 			}
 			server->load.note_prefilled(call);
-			server->load.set_committed(call, state->needed_tokens());
+			server->load.set_committed(call, this->needed_tokens(*state));
 			state->note_event(monotonic_now());
 			if (is_repeatable)
 			{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -34,6 +34,7 @@
 		routing::waiting_line line;
 		// What the streams of each model service need.
 		std::map<service_id, routing::stream_demand> demand;
+		std::map<service_id, routing::output_estimate> outputs;
 		// Whether this daemon's name is the smallest of those that live.
 		bool is_first_daemon = false;
 		routing::retry_terms retries;
@@ -124,7 +125,10 @@
 		// Gives room or a KV cache back that was not used.
 		[[nodiscard]] asio::awaitable<void> give_back(routing::server_pointer server, http::request message);
 		void release_later(routing::server_pointer const& server, http::request message);
+		// Tokens of an engine's memory that a stream is expected to need.
+		[[nodiscard]] token_count needed_tokens(request_state const& state) const;
 		[[nodiscard]] routing::placement_request placement_for(request_state const& state) const;
+		void record_placement(request_state const& state, routing::stream_placement const& placement, bool is_reserved);
 		// Whether the daemon has started so lately that it may not know where the others' work is.
 		[[nodiscard]] bool is_new() const;
 		[[nodiscard]] std::optional<duration> longest_reservation(service_id const& service) const;
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -27,6 +27,8 @@
 		token_count prompt;
 		// The caller's estimate of the tokens that will be made; often far off.
 		token_count expected_output;
+		// The most tokens that the caller wants; 0 when it does not say.
+		token_count most_output;
 		// The last event of a stream that the caller already has.
 		std::optional<std::string> last_event;
 	};
@@ -53,6 +55,9 @@
 		server_id server;
 		call_part part = call_part::whole;
 		std::optional<kv_source> source;
+		// Address of an engine that has read the prompt and may still keep it: the server fetches from there what it
+		// does not keep itself.
+		std::optional<std::string> fetch_from;
 		// The room that the engine keeps for the call.
 		std::optional<std::string> reservation;
 		std::optional<std::string> last_event;
@@ -63,8 +68,10 @@
 	{
 		// The server did not run the call and never will.
 		bool is_not_run = false;
-		// Another server has the address, and did not run the call.
-		bool is_wrong_server = false;
+		// The server did not run the call since it is not the one that was meant, or not in the role that was meant.
+		bool is_misdirected = false;
+		// The server that answered; empty when the answer does not say.
+		server_id server;
 		// The id of the caller's attempt that is answered; empty when the answer names none.
 		request_id attempt;
 	};
--- a/packages/routing/impl/waiting_line.cpp
+++ b/packages/routing/impl/waiting_line.cpp
@@ -10,10 +10,10 @@
 		constexpr int grants_averaged = 6;
 
 		// Smaller goes first.
-		std::tuple<bool, std::uint32_t, time_point> rank(waiting_stream const& stream, time_point now)
+		std::tuple<bool, bool, std::uint32_t, time_point> rank(waiting_stream const& stream, time_point now)
 		{
-			auto const is_late = stream.in_time_until < now;
-			return {is_late, stream.priority, is_late ? stream.arrived : stream.in_time_until};
+			auto const is_late = stream.has_begun || stream.in_time_until < now;
+			return {!stream.has_begun, is_late, stream.priority, is_late ? stream.arrived : stream.in_time_until};
 		}
 	}
 
@@ -51,7 +51,7 @@
 			return true;
 		}
 		auto const turn_at = now + static_cast<duration::rep>(this->ahead(ticket, now)) * this->grant_interval;
-		auto const is_late = stream->second.in_time_until < now;
+		auto const is_late = stream->second.has_begun || stream->second.in_time_until < now;
 		return turn_at > (is_late ? leaves_at : stream->second.in_time_until);
 	}
 
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -3,6 +3,7 @@
 #include <godwittrestle/routing/configuration.hpp>
 #include <godwittrestle/routing/directory.hpp>
 #include <godwittrestle/routing/fleet.hpp>
+#include <godwittrestle/routing/output_estimate.hpp>
 #include <godwittrestle/routing/placement.hpp>
 #include <godwittrestle/routing/pool_balance.hpp>
 #include <godwittrestle/routing/repeat_rules.hpp>
--- a/packages/routing/include/godwittrestle/routing/waiting_line.hpp
+++ b/packages/routing/include/godwittrestle/routing/waiting_line.hpp
@@ -19,11 +19,14 @@
 		// 0 is the most urgent.
 		std::uint32_t priority = 0;
 		time_point arrived;
+		// It had begun at an engine that broke off: what was read and made is lost unless it goes on soon.
+		bool has_begun = false;
 	};
 
 	// The order in which streams get room when decode engines are full. Answers bursts on top of a nearly full pool:
 	// streams that can still begin in time go first, the one with the least time left before the others, so that a
-	// burst does not make everybody late; those that are late get what is left, oldest first.
+	// burst does not make everybody late; those that are late get what is left, oldest first. Streams that have begun
+	// and lost their engine go before all others: answers an engine that crashes in the burst.
 	class waiting_line
 	{
 	  public:
@@ -40,8 +43,8 @@
 		void note_idle() noexcept;
 
 		// Whether a stream should be refused now, since its turn would come too late: one that can still begin in time
-		// when it would not be, a late one when its caller would have left. Answers bursts that last: who can't be
-		// served is told at once and can come back when there is room.
+		// when it would not be, one that is late or has begun when its caller would have left. Answers bursts that
+		// last: who can't be served is told at once and can come back when there is room.
 		[[nodiscard]] bool is_hopeless(line_ticket ticket, time_point leaves_at, time_point now) const;
 
 		[[nodiscard]] std::size_t size() const noexcept
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -46,6 +46,18 @@
 			{
 				message.headers.push_back({"Last-Event-Id", *terms.last_event});
 			}
+			if (terms.part == gateway::call_part::prefill)
+			{
+				message.headers.push_back({"Only-Prefill", "1"});
+			}
+			if (terms.source)
+			{
+				message.headers.push_back({"Take", terms.source->handle});
+			}
+			if (terms.fetch_from)
+			{
+				message.headers.push_back({"Fetch-From", *terms.fetch_from});
+			}
 			return message;
 		};
 		protocol.read_answer = [](http::response const& answer)
@@ -53,10 +65,15 @@
 			constexpr unsigned misdirected = 421;
 			gateway::answer_facts facts;
 			facts.is_not_run = !answer.find_header("Not-Run").empty();
-			facts.is_wrong_server = answer.status == misdirected;
+			facts.is_misdirected = answer.status == misdirected;
+			facts.server = server_id(answer.find_header("Answered-By"));
 			facts.attempt = request_id(answer.find_header("Attempt"));
 			return facts;
 		};
+		protocol.read_handle = [](std::string_view body)
+		{
+			return std::optional<std::string>(body);
+		};
 		protocol.retry_after = [](duration wait)
 		{
 			return http::header{"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())};
@@ -259,6 +276,34 @@
 	REQUIRE(goes_on.received().front().find("Last-Event-Id: 1\r\n") != std::string::npos);
 }
 
+TEST_CASE("a stream that goes on elsewhere fetches its prompt from the engine that has read it", "[gateway]")
+{
+	scene scene(make_route(call_kind::streaming, 2, true));
+	scripted_server prefills(scene.loop, http_answer("200 OK", echo, "h1"), ending::stays_silent);
+	scripted_server breaks(scene.loop, stream_answer("id: 1\ndata: x\n\n", false), ending::closes);
+	scripted_server goes_on(scene.loop, stream_answer("id: 2\ndata: y\n\n", true), ending::closes);
+	scene.add("p", prefills.address(), server_role::prefill);
+	scene.add("a", breaks.address(), server_role::decode);
+	scene.add("b", goes_on.address(), server_role::decode);
+	scene.shared.servers.find(server_id("b"))->load.set_share(instance_id("o"), {1, 0, 100}, daemon::monotonic_now());
+	REQUIRE(is_whole_stream(scene.ask()));
+	REQUIRE(prefills.received().size() == 1);
+	REQUIRE(breaks.received().front().find("Take: h1\r\n") != std::string::npos);
+	auto const& resumed = goes_on.received().front();
+	REQUIRE(resumed.find("Take: ") == std::string::npos);
+	REQUIRE(resumed.find("Fetch-From: " + prefills.address() + "\r\n") != std::string::npos);
+}
+
+TEST_CASE("a server that answers for itself but in another role is not taken for gone", "[gateway]")
+{
+	scene scene(make_route(call_kind::non_idempotent, 1, false));
+	scripted_server server(
+		scene.loop, http_answer("421 Misdirected Request", "Answered-By: a\r\n", ""), ending::closes);
+	scene.add("a", server.address());
+	REQUIRE(scene.ask().starts_with("HTTP/1.1 503"));
+	REQUIRE_FALSE(scene.shared.servers.find(server_id("a"))->is_replaced);
+}
+
 TEST_CASE("a begun stream gets no second answer when it can't go on", "[gateway]")
 {
 	scene scene(make_route(call_kind::streaming, 2, true));
--- a/tests/unit/waiting_line.test.cpp
+++ b/tests/unit/waiting_line.test.cpp
@@ -51,6 +51,18 @@
 	REQUIRE(in_time == begun);
 }
 
+TEST_CASE("a stream that lost its engine goes on before new ones begin, and is not refused for being late", "[line]")
+{
+	routing::waiting_line line;
+	auto const pressed = line.enter({at_ms(4100), 1, at_ms(4000)});
+	routing::waiting_stream begun{at_ms(700), 1, at_ms(0), true};
+	auto const resumed = line.enter(begun);
+	REQUIRE(line.is_next(resumed, at_ms(4050)));
+	REQUIRE_FALSE(line.is_next(pressed, at_ms(4050)));
+	REQUIRE_FALSE(line.is_hopeless(resumed, at_ms(6500), at_ms(4050)));
+	REQUIRE(line.is_hopeless(resumed, at_ms(6500), at_ms(6500)));
+}
+
 TEST_CASE("who can't begin in time is refused at once, the others are not", "[line]")
 {
 	routing::waiting_line line;
