Reserve a part of what a stream will still make

Cause: an engine's streams are at different ages, so when one is at its longest others have ended; room for the whole output of each leaves a quarter of the memory empty. Change: a stream needs its prompt, what it has made and 0.6 of what is to come, both for the reservation and for what other daemons are told.

--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -28,6 +28,8 @@
 		constexpr duration time_to_hear_others = seconds(3);
 		constexpr std::uint32_t unheard_daemons = 4;
 		constexpr std::size_t most_engines_asked = 4;
+		// Streams of one engine do not all reach their end at once: when one is at its longest, others have ended.
+		constexpr double part_to_come_at_once = 0.6;
 		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 		constexpr duration first_event_margin = milliseconds(700);
 		constexpr duration prefill_margin = milliseconds(500);
@@ -105,7 +107,9 @@
 	{
 		auto const& call = state.call;
 		auto const& outputs = this->shared->outputs[state.service];
-		return call.prompt + outputs.predict(call.expected_output, call.most_output, state.made_tokens());
+		auto const made = state.made_tokens();
+		auto const to_come = outputs.predict(call.expected_output, call.most_output, made) - made;
+		return call.prompt + made + token_count(static_cast<std::uint32_t>(to_come.count() * part_to_come_at_once));
 	}
 
 	routing::placement_request forwarder::placement_for(request_state const& state) const
