Follow the registry with one list and one watch

Change: the configuration and the servers are listed and watched together, and a watch waits as long as the platform's bound of calm allows; after a failure a short one finds out whether the registry is back. An outage counts as over also after one call that was silent for the whole wait, since entries may have lapsed meanwhile. Tests: contract tests of the follower (pages, lost history, refusals, a lost answer, nonsense) against a scripted registry.

--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::gateway
@@ -17,25 +18,21 @@
 	namespace
 	{
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
-		// A connection can go silent for good: a watch is kept short enough for that to be found soon.
-		constexpr duration watch_wait = milliseconds(1500);
 		constexpr duration watch_margin = milliseconds(600);
+		// After a failure it is found out soon whether the registry answers again.
+		constexpr duration watch_wait_after_failure = milliseconds(300);
 		constexpr duration list_timeout = milliseconds(900);
 		constexpr duration first_pause = milliseconds(100);
 		constexpr duration longest_pause = milliseconds(800);
 		constexpr std::uint32_t most_doublings = 3;
 		// After this many calls without an answer the registry counts as away.
 		constexpr std::uint32_t failures_of_outage = 2;
-
-		std::string name_of(registry_part part)
-		{
-			return part == registry_part::configuration ? "configuration" : "servers";
-		}
 	}
 
 	registry_follower::registry_follower(
-		http::endpoint target, registry_protocol calls, registry_sink take, event_log lines)
+		http::endpoint target, duration wait, registry_protocol calls, registry_sink take, event_log lines)
 		: where(std::move(target))
+		, watch_wait(wait)
 		, protocol(std::move(calls))
 		, sink(std::move(take))
 		, log(std::move(lines))
@@ -45,9 +42,7 @@
 
 	void registry_follower::start()
 	{
-		auto& loop = this->thread.context();
-		asio::co_spawn(loop, this->follow(registry_part::configuration), asio::detached);
-		asio::co_spawn(loop, this->follow(registry_part::servers), asio::detached);
+		asio::co_spawn(this->thread.context(), this->follow(), asio::detached);
 		this->thread.start();
 	}
 
@@ -56,38 +51,35 @@
 		this->thread.stop();
 	}
 
-	asio::awaitable<void> registry_follower::follow(registry_part part)
+	asio::awaitable<void> registry_follower::follow()
 	{
-		part_state state;
-		state.part = part;
 		while (true)
 		{
-			auto const is_listed = co_await this->list(state);
-			while (is_listed && co_await this->watch(state))
+			auto const is_listed = co_await this->list();
+			while (is_listed && co_await this->watch())
 			{
 			}
 		}
 	}
 
-	asio::awaitable<bool> registry_follower::list(part_state& state)
+	asio::awaitable<bool> registry_follower::list()
 	{
 		registry_update update;
-		update.part = state.part;
 		update.is_whole = true;
 		std::optional<std::uint64_t> first_revision;
 		std::string after;
 		while (true)
 		{
-			auto message = this->protocol.list(state.part, after);
-			auto const answer = co_await this->call(state, std::move(message), list_timeout);
+			auto message = this->protocol.list(after);
+			auto const answer = co_await this->call(std::move(message), list_timeout);
 			auto reply = answer ? this->protocol.read_list(*answer) : registry_reply{};
 			if (answer && reply.status != registry_status::answered)
 			{
-				this->note_failure(state, "answered with status " + std::to_string(answer->status));
+				this->note_failure("answered with status " + std::to_string(answer->status));
 			}
 			if (reply.status != registry_status::answered)
 			{
-				co_await this->pause(state);
+				co_await this->pause();
 				co_return false;
 			}
 			this->report_faults(reply);
@@ -99,27 +91,28 @@
 			}
 			after = *reply.next_page;
 		}
-		state.revision = *first_revision;
-		update.is_return = state.failures >= failures_of_outage;
-		this->note_answer(state);
+		this->revision = *first_revision;
+		update.is_return = this->was_away();
+		this->note_answer();
 		this->sink(std::move(update));
 		co_return true;
 	}
 
-	asio::awaitable<bool> registry_follower::watch(part_state& state)
+	asio::awaitable<bool> registry_follower::watch()
 	{
-		auto message = this->protocol.watch(state.part, state.revision, watch_wait);
-		auto const answer = co_await this->call(state, std::move(message), watch_wait + watch_margin);
+		auto const wait = this->failures > 0 ? std::min(watch_wait_after_failure, this->watch_wait) : this->watch_wait;
+		auto message = this->protocol.watch(this->revision, wait);
+		auto const answer = co_await this->call(std::move(message), wait + watch_margin);
 		if (!answer)
 		{
-			co_await this->pause(state);
+			co_await this->pause();
 			co_return true;
 		}
 		auto reply = this->protocol.read_changes(*answer);
 		if (reply.status == registry_status::refused || reply.status == registry_status::malformed)
 		{
-			this->note_failure(state, "answered with status " + std::to_string(answer->status));
-			co_await this->pause(state);
+			this->note_failure("answered with status " + std::to_string(answer->status));
+			co_await this->pause();
 			co_return true;
 		}
 		if (reply.status == registry_status::history_lost)
@@ -127,12 +120,11 @@
 			co_return false;
 		}
 		this->report_faults(reply);
-		state.revision = std::max(state.revision, reply.revision);
+		this->revision = std::max(this->revision, reply.revision);
 		registry_update update;
-		update.part = state.part;
-		update.is_return = state.failures >= failures_of_outage;
+		update.is_return = this->was_away();
 		update.changes = std::move(reply.changes);
-		this->note_answer(state);
+		this->note_answer();
 		if (!update.changes.empty() || update.is_return)
 		{
 			this->sink(std::move(update));
@@ -140,62 +132,67 @@
 		co_return true;
 	}
 
-	asio::awaitable<std::optional<http::response>> registry_follower::call(
-		part_state& state, http::request message, duration timeout)
+	asio::awaitable<std::optional<http::response>> registry_follower::call(http::request message, duration timeout)
 	{
 		http::call_options options;
 		options.timeout = timeout;
-		options.fresh_connection = state.failures > 0;
+		options.fresh_connection = this->failures > 0;
 		http::endpoint const target = this->where;
 		auto outcome = co_await this->client.call(target, std::move(message), options);
 		if (auto* const answer = std::get_if<http::response>(&outcome))
 		{
 			co_return std::move(*answer);
 		}
-		this->note_failure(state, "no answer");
+		this->note_failure("no answer");
 		co_return std::nullopt;
 	}
 
-	asio::awaitable<void> registry_follower::pause(part_state& state)
+	asio::awaitable<void> registry_follower::pause()
 	{
-		auto const doublings = std::min(state.failures, most_doublings);
+		auto const doublings = std::min(this->failures, most_doublings);
 		asio::steady_timer timer(this->thread.context(), std::min(longest_pause, first_pause * (1U << doublings)));
 		std::ignore = co_await timer.async_wait(token);
 	}
 
-	void registry_follower::note_answer(part_state& state)
+	bool registry_follower::was_away() const
+	{
+		auto const longest_silence = this->watch_wait + watch_margin;
+		auto const silence = daemon::monotonic_now() - this->last_answer_at;
+		return this->failures >= failures_of_outage || (this->failures > 0 && silence >= longest_silence);
+	}
+
+	void registry_follower::note_answer()
 	{
-		if (state.failures == 0)
+		this->last_answer_at = daemon::monotonic_now();
+		if (this->failures == 0)
 		{
 			return;
 		}
 		decide::record_event line;
 		line.timestamp = daemon::wall_clock_us();
 		line.name = "registry_regained";
-		line.fields = {{"part", name_of(state.part)}, {"failed_calls", std::to_string(state.failures)}};
+		line.fields = {{"failed_calls", std::to_string(this->failures)}};
 		this->log(std::move(line));
-		state.failures = 0;
+		this->failures = 0;
 	}
 
-	void registry_follower::note_failure(part_state& state, std::string reason)
+	void registry_follower::note_failure(std::string reason)
 	{
-		++state.failures;
-		if (state.failures == failures_of_outage)
+		++this->failures;
+		if (this->failures == failures_of_outage)
 		{
 			registry_update update;
-			update.part = state.part;
 			update.is_lost = true;
 			this->sink(std::move(update));
 		}
-		if (state.failures > 1)
+		if (this->failures > 1)
 		{
 			return;
 		}
 		decide::record_event line;
 		line.timestamp = daemon::wall_clock_us();
 		line.name = "registry_lost";
-		line.fields = {
-			{"part", name_of(state.part)}, {"reason", std::move(reason)}, {"revision", std::to_string(state.revision)}};
+		line.fields = {{"reason", std::move(reason)}, {"revision", std::to_string(this->revision)}};
 		this->log(std::move(line));
 	}
 
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -152,10 +152,7 @@
 	void traffic::take(registry_update&& update)
 	{
 		auto const now = monotonic_now();
-		if (update.part == registry_part::servers)
-		{
-			this->known.is_lost = update.is_lost;
-		}
+		this->known.is_lost = update.is_lost;
 		if (update.is_return)
 		{
 			this->shared.servers.note_registry_return(now);
@@ -177,7 +174,7 @@
 				this->record("server_entry_removed", {{"server", removed->server.str()}});
 			}
 		}
-		if (update.part == registry_part::servers && update.is_whole)
+		if (update.is_whole)
 		{
 			this->shared.servers.replace(whole, now);
 			this->known.has_servers = true;
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -136,16 +136,10 @@
 
 	using registry_change = std::variant<published_configuration, routing::registered_server, server_removed>;
 
-	enum class registry_part
-	{
-		configuration,
-		servers,
-	};
-
 	enum class registry_status
 	{
 		answered,
-		// The changes asked for are no longer kept: the part has to be read as a whole.
+		// The changes asked for are no longer kept: everything has to be listed again.
 		history_lost,
 		// The registry answered that it will not serve this daemon now.
 		refused,
@@ -170,9 +164,9 @@
 	struct registry_protocol
 	{
 		// after: the key after which the page begins; empty for the first page.
-		std::function<http::request(registry_part, std::string const& after)> list;
+		std::function<http::request(std::string const& after)> list;
 		// wait: how long the registry may hold the call back until there is a change after the revision.
-		std::function<http::request(registry_part, std::uint64_t revision, duration wait)> watch;
+		std::function<http::request(std::uint64_t revision, duration wait)> watch;
 		std::function<registry_reply(http::response const&)> read_list;
 		std::function<registry_reply(http::response const&)> read_changes;
 		// Reads a configuration's text as another daemon passed it on.
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -19,8 +19,7 @@
 	// What the follower has learnt.
 	struct registry_update
 	{
-		registry_part part = registry_part::configuration;
-		// True when the changes are the whole part; false when they are what changed.
+		// True when the changes are all that the registry holds; false when they are what changed.
 		bool is_whole = false;
 		// True when the registry can't be read any more; there are no changes then.
 		bool is_lost = false;
@@ -32,44 +31,46 @@
 	// Takes what was learnt; called on the follower's thread.
 	using registry_sink = std::function<void(registry_update)>;
 
-	// The thread that follows the platform's registry: it lists each part once, waits for changes from then on, and
-	// lists it again when the registry has lost the history in between. A call that stays unanswered is given up and
-	// made again on a new connection.
+	// The thread that follows the platform's registry: it lists everything once, waits for changes from then on, and
+	// lists everything again when the registry has lost the history in between. A call that stays unanswered is given
+	// up and made again on a new connection.
 	class registry_follower
 	{
 	  public:
-		registry_follower(http::endpoint where, registry_protocol protocol, registry_sink sink, event_log log);
+		// watch_wait: how long the registry holds a call back while nothing changes; a connection that has gone silent
+		// is found so late.
+		registry_follower(
+			http::endpoint where, duration watch_wait, registry_protocol protocol, registry_sink sink, event_log log);
 
 		void start();
 		void stop();
 
 	  private:
-		// What one part's loop remembers between calls.
-		struct part_state
-		{
-			registry_part part = registry_part::configuration;
-			std::uint64_t revision = 0;
-			std::uint32_t failures = 0;
-		};
+		[[nodiscard]] asio::awaitable<void> follow();
+		// Lists everything. Returns false when the registry did not answer.
+		[[nodiscard]] asio::awaitable<bool> list();
+		// Waits for changes once. Returns false when everything has to be listed again.
+		[[nodiscard]] asio::awaitable<bool> watch();
+		[[nodiscard]] asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
+		[[nodiscard]] asio::awaitable<void> pause();
 
-		[[nodiscard]] asio::awaitable<void> follow(registry_part part);
-		// Lists a part. Returns false when the registry did not answer.
-		[[nodiscard]] asio::awaitable<bool> list(part_state& state);
-		// Waits for changes once. Returns false when the part has to be listed again.
-		[[nodiscard]] asio::awaitable<bool> watch(part_state& state);
-		[[nodiscard]] asio::awaitable<std::optional<http::response>> call(
-			part_state& state, http::request message, duration timeout);
-		[[nodiscard]] asio::awaitable<void> pause(part_state& state);
-
-		void note_answer(part_state& state);
-		void note_failure(part_state& state, std::string reason);
+		// Whether the registry could not be read for so long that entries may have lapsed meanwhile.
+		[[nodiscard]] bool was_away() const;
+		void note_answer();
+		void note_failure(std::string reason);
 		void report_faults(registry_reply const& reply);
 
 		http::endpoint where;
+		duration watch_wait;
 		registry_protocol protocol;
 		registry_sink sink;
 		event_log log;
 		daemon::io_thread thread;
 		http::client client;
+		// Up to which revision the changes are known.
+		std::uint64_t revision = 0;
+		// Calls without an answer since the last one that was answered.
+		std::uint32_t failures = 0;
+		time_point last_answer_at;
 	};
 }
--- a/packages/gateway/include/godwittrestle/gateway/settings.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/settings.hpp
@@ -30,6 +30,8 @@
 		std::vector<http::endpoint> seeds;
 		routing::retry_terms retries;
 		routing::directory_terms servers;
+		// How long the registry may hold a call back while nothing changes.
+		duration registry_wait = seconds(3);
 		// Time between SIGTERM and SIGKILL.
 		duration termination_grace = seconds(8);
 		std::string log_level = "INFO";
--- /dev/null
+++ b/tests/contract/registry_follower.test.cpp
@@ -0,0 +1,298 @@
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <godwittrestle/base/digest.hpp>
+#include <godwittrestle/gateway/registry_follower.hpp>
+
+#include "scripted_server.hpp"
+
+using namespace godwittrestle;
+using namespace godwittrestle::testing;
+
+namespace
+{
+	namespace asio = boost::asio;
+	using asio::ip::tcp;
+
+	constexpr auto token = asio::as_tuple(asio::use_awaitable);
+	constexpr unsigned status_ok = 200;
+	constexpr unsigned status_gone = 410;
+
+	// A registry that answers each call with the next text of its script; an empty text is no answer at all, and so is
+	// everything after the last one.
+	class scripted_registry
+	{
+	  public:
+		explicit scripted_registry(std::deque<std::string> texts)
+			: acceptor(this->loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+			, script(std::move(texts))
+			, runner([this] { this->run(); })
+		{
+		}
+
+		~scripted_registry()
+		{
+			this->loop.stop();
+			this->runner.join();
+		}
+
+		scripted_registry(scripted_registry const&) = delete;
+		scripted_registry& operator=(scripted_registry const&) = delete;
+		scripted_registry(scripted_registry&&) = delete;
+		scripted_registry& operator=(scripted_registry&&) = delete;
+
+		[[nodiscard]] http::endpoint where() const
+		{
+			return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+		}
+
+		[[nodiscard]] std::vector<std::string> calls()
+		{
+			std::scoped_lock const lock(this->mutex);
+			return this->targets;
+		}
+
+	  private:
+		void run()
+		{
+			asio::co_spawn(this->loop, this->accept(), asio::detached);
+			this->loop.run();
+		}
+
+		asio::awaitable<void> accept()
+		{
+			while (true)
+			{
+				auto [error, socket] = co_await this->acceptor.async_accept(token);
+				if (error)
+				{
+					co_return;
+				}
+				asio::co_spawn(this->loop, this->serve(std::move(socket)), asio::detached);
+			}
+		}
+
+		asio::awaitable<void> serve(tcp::socket socket)
+		{
+			std::string received;
+			while (true)
+			{
+				auto [error, size] =
+					co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", token);
+				if (error)
+				{
+					co_return;
+				}
+				auto const answer = this->next(received.substr(0, received.find(" HTTP/")));
+				received.erase(0, size);
+				if (answer.empty())
+				{
+					continue;
+				}
+				std::ignore = co_await asio::async_write(socket, asio::buffer(answer), token);
+			}
+		}
+
+		std::string next(std::string target)
+		{
+			std::scoped_lock const lock(this->mutex);
+			this->targets.push_back(std::move(target));
+			if (this->script.empty())
+			{
+				return {};
+			}
+			auto text = std::move(this->script.front());
+			this->script.pop_front();
+			return text;
+		}
+
+		asio::io_context loop{1};
+		tcp::acceptor acceptor;
+		std::mutex mutex;
+		std::deque<std::string> script;
+		std::vector<std::string> targets;
+		std::thread runner;
+	};
+
+	// Bodies are "REVISION" or "REVISION NEXT_PAGE"; each answer holds one server, named like its revision.
+	gateway::registry_reply read_reply(http::response const& answer)
+	{
+		gateway::registry_reply reply;
+		if (answer.status != status_ok)
+		{
+			reply.status = answer.status == status_gone ? gateway::registry_status::history_lost
+														: gateway::registry_status::refused;
+			return reply;
+		}
+		auto const space = std::min(answer.body.find(' '), answer.body.size());
+		auto const revision = parse_number(answer.body.substr(0, space));
+		if (!revision)
+		{
+			return reply;
+		}
+		reply.status = gateway::registry_status::answered;
+		reply.revision = *revision;
+		routing::registered_server server;
+		server.id = server_id(answer.body.substr(0, space));
+		reply.changes.emplace_back(server);
+		if (space < answer.body.size())
+		{
+			reply.next_page = answer.body.substr(space + 1);
+		}
+		return reply;
+	}
+
+	gateway::registry_protocol make_protocol()
+	{
+		gateway::registry_protocol protocol;
+		protocol.list = [](std::string const& after)
+		{
+			http::request message;
+			message.target = "/list?" + after;
+			return message;
+		};
+		protocol.watch = [](std::uint64_t revision, duration)
+		{
+			http::request message;
+			message.target = fmt::format("/watch?{}", revision);
+			return message;
+		};
+		protocol.read_list = read_reply;
+		protocol.read_changes = read_reply;
+		return protocol;
+	}
+
+	std::string answer_of(std::string const& body)
+	{
+		return http_answer("200 OK", "", body);
+	}
+
+	// A follower of a scripted registry; what it learns is waited for.
+	class scene
+	{
+	  public:
+		explicit scene(std::deque<std::string> script)
+			: registry(std::move(script))
+			, follower(
+				  this->registry.where(), milliseconds(150), make_protocol(), [this](gateway::registry_update update)
+				  { this->take(std::move(update)); }, [](decide::record_event const&) {})
+		{
+			this->follower.start();
+		}
+
+		~scene()
+		{
+			this->follower.stop();
+		}
+
+		scene(scene const&) = delete;
+		scene& operator=(scene const&) = delete;
+		scene(scene&&) = delete;
+		scene& operator=(scene&&) = delete;
+
+		// Waits for the next thing that the follower tells; fails by exception after a generous time.
+		gateway::registry_update next()
+		{
+			std::unique_lock lock(this->mutex);
+			auto const is_there =
+				this->arrived.wait_for(lock, std::chrono::seconds(60), [this] { return !this->updates.empty(); });
+			if (!is_there)
+			{
+				throw std::runtime_error("the follower told nothing");
+			}
+			auto update = std::move(this->updates.front());
+			this->updates.pop_front();
+			return update;
+		}
+
+		scripted_registry registry;
+
+	  private:
+		void take(gateway::registry_update update)
+		{
+			{
+				std::scoped_lock const lock(this->mutex);
+				this->updates.push_back(std::move(update));
+			}
+			this->arrived.notify_one();
+		}
+
+		std::mutex mutex;
+		std::condition_variable arrived;
+		std::deque<gateway::registry_update> updates;
+		gateway::registry_follower follower;
+	};
+
+	std::vector<std::string> names(gateway::registry_update const& update)
+	{
+		std::vector<std::string> found;
+		std::ranges::transform(update.changes, std::back_inserter(found),
+			[](auto const& each) { return std::get<routing::registered_server>(each).id.str(); });
+		return found;
+	}
+}
+
+TEST_CASE("a list is read page by page, changes follow from the first page's revision", "[registry]")
+{
+	scene scene({answer_of("5 k1"), answer_of("7"), answer_of("8")});
+	auto const all = scene.next();
+	REQUIRE(all.is_whole);
+	REQUIRE(names(all) == std::vector<std::string>{"5", "7"});
+	auto const change = scene.next();
+	REQUIRE_FALSE(change.is_whole);
+	REQUIRE(names(change) == std::vector<std::string>{"8"});
+	auto const calls = scene.registry.calls();
+	REQUIRE(calls[0] == "GET /list?");
+	REQUIRE(calls[1] == "GET /list?k1");
+	REQUIRE(calls[2] == "GET /watch?5");
+}
+
+TEST_CASE("everything is listed again when the registry has lost the changes", "[registry]")
+{
+	scene scene({answer_of("5"), http_answer("410 Gone", "", ""), answer_of("9")});
+	REQUIRE(scene.next().is_whole);
+	auto const again = scene.next();
+	REQUIRE(again.is_whole);
+	REQUIRE_FALSE(again.is_return);
+	REQUIRE(names(again) == std::vector<std::string>{"9"});
+}
+
+TEST_CASE("a registry that refuses is told as lost once, and as back when it answers", "[registry]")
+{
+	auto const refusal = http_answer("503 Service Unavailable", "", "");
+	scene scene({answer_of("5"), refusal, refusal, refusal, answer_of("6")});
+	REQUIRE(scene.next().is_whole);
+	REQUIRE(scene.next().is_lost);
+	auto const back = scene.next();
+	REQUIRE(back.is_return);
+	REQUIRE_FALSE(back.is_lost);
+	REQUIRE(names(back) == std::vector<std::string>{"6"});
+	// Changes made meanwhile are asked for.
+	REQUIRE(scene.registry.calls().at(4) == "GET /watch?5");
+}
+
+TEST_CASE("a lost answer is asked for again on a new connection, and counts as a time away", "[registry]")
+{
+	scene scene({answer_of("5"), "", answer_of("6")});
+	REQUIRE(scene.next().is_whole);
+	auto const change = scene.next();
+	REQUIRE(names(change) == std::vector<std::string>{"6"});
+	REQUIRE(change.is_return);
+}
+
+TEST_CASE("an answer that makes no sense is no change", "[registry]")
+{
+	scene scene({answer_of("nonsense"), answer_of("4"), answer_of("nonsense"), answer_of("5")});
+	REQUIRE(names(scene.next()) == std::vector<std::string>{"4"});
+	REQUIRE(names(scene.next()) == std::vector<std::string>{"5"});
+}
