Give an engine a stream only while it keeps a margin

Cause: the rooms that streams are promised cover 0.6 of what they will still make; beyond that they grow into what is free, and when nothing is, one of them is preempted and read again. Change: after a reservation the daemon takes a second one of 0.08 of the engine's memory and drops it at once; without it the engine counts as full. The decisions on room moved to a file of their own.

--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -1,12 +1,8 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
-#include <ranges>
-#include <tuple>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "forwarder_state.hpp"
 
 namespace godwittrestle::gateway
@@ -14,23 +10,8 @@
 	namespace
 	{
 		constexpr unsigned status_ok = 200;
-		constexpr duration reservation_timeout = milliseconds(200);
-		// Streams that wait for room look again after this.
-		constexpr duration line_poll = milliseconds(25);
-		// Callers leave a stream that has not begun soon after this.
-		constexpr duration longest_wait = milliseconds(2800);
-		// What may come between the end of the wait and the first event, besides the prefill.
-		constexpr duration in_time_margin = milliseconds(150);
 		// A prefill engine that rejects is most likely changing its role.
 		constexpr duration rejected_prefill_pause = milliseconds(1000);
-		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines
-		// only.
-		constexpr duration time_to_hear_others = seconds(3);
-		constexpr std::uint32_t unheard_daemons = 4;
-		constexpr std::size_t most_engines_asked = 4;
-		// Streams of one engine do not all reach their end at once: when one is at its longest, others have ended.
-		constexpr double part_to_come_at_once = 0.6;
-		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 		constexpr duration first_event_margin = milliseconds(700);
 		constexpr duration prefill_margin = milliseconds(500);
 		// Part of the objective up to which prefill engines are waited for.
@@ -103,133 +84,6 @@
 				{"predicted_ms", milliseconds_text(placement.first_event)}});
 	}
 
-	token_count forwarder::needed_tokens(request_state const& state) const
-	{
-		auto const& call = state.call;
-		auto const& outputs = this->shared->outputs[state.service];
-		auto const made = state.made_tokens();
-		auto const to_come = outputs.predict(call.expected_output, call.most_output, made) - made;
-		return call.prompt + made + token_count(static_cast<std::uint32_t>(to_come.count() * part_to_come_at_once));
-	}
-
-	routing::placement_request forwarder::placement_for(request_state const& state) const
-	{
-		routing::placement_request request;
-		request.service = state.service;
-		request.data_centre = this->shared->data_centre;
-		request.excluded = state.excluded;
-		request.prompt = state.call.prompt;
-		request.needed = this->needed_tokens(state);
-		auto const* const terms = state.routes->find_service(state.service);
-		request.capacity = terms != nullptr && terms->engine ? terms->engine->kv_capacity : token_count{};
-		if (this->is_new())
-		{
-			request.own_capacity = token_count(request.capacity.count() / unheard_daemons);
-		}
-		return request;
-	}
-
-	bool forwarder::is_new() const
-	{
-		return monotonic_now() - this->started < time_to_hear_others;
-	}
-
-	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::reserve_room(state_pointer state)
-	{
-		routing::engine_speed const speed;
-		auto const prefill_ms = static_cast<double>(state->call.prompt.count()) / speed.prefill_tokens_per_ms;
-		auto const prefill_time = duration(static_cast<duration::rep>(prefill_ms * 1000));
-		routing::waiting_stream waiting;
-		waiting.arrived = state->started;
-		waiting.in_time_until = state->started + state->chosen->objective - prefill_time - in_time_margin;
-		waiting.priority = state->chosen->priority;
-		waiting.has_begun = state->first_event_at.has_value();
-		auto const silent_since = waiting.has_begun ? state->last_event_at : state->started;
-		auto const gives_up_at = silent_since + std::min(longest_wait, state->chosen->timeout / 2);
-		auto const draw_number = [this]
-		{
-			return this->draw();
-		};
-		auto& line = this->shared->line;
-		auto const ticket = line.enter(waiting);
-		std::optional<decode_room> room;
-		auto has_waited = false;
-		asio::steady_timer pause(this->executor);
-		while (!state->is_caller_gone && !state->is_out_of_time())
-		{
-			auto const now = monotonic_now();
-			if (line.is_next(ticket, now))
-			{
-				auto engines =
-					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
-				room = co_await this->try_reserve(state, std::move(engines));
-			}
-			if (room && has_waited)
-			{
-				line.note_grant(monotonic_now());
-			}
-			auto const has_engines =
-				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
-			if (room || !has_engines || line.is_hopeless(ticket, gives_up_at, now))
-			{
-				break;
-			}
-			has_waited = true;
-			pause.expires_after(line_poll);
-			std::ignore = co_await pause.async_wait(wait_token);
-		}
-		line.leave(ticket);
-		if (line.size() == 0)
-		{
-			line.note_idle();
-		}
-		co_return room;
-	}
-
-	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::try_reserve(
-		state_pointer state, std::vector<routing::server_pointer> engines)
-	{
-		auto const limit = this->longest_reservation(state->service);
-		if (!limit)
-		{
-			co_return engines.empty() ? std::nullopt : std::optional<decode_room>({engines.front(), std::nullopt});
-		}
-		auto const tokens = this->needed_tokens(*state);
-		for (auto const& engine : engines | std::views::take(most_engines_asked))
-		{
-			auto message = this->protocol.reserve(engine->entry.id, tokens, *limit);
-			auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
-			auto const now = monotonic_now();
-			if (!answer)
-			{
-				engine->health.note(routing::call_outcome::silent, now);
-				this->totals->count_send("reserve", "silent");
-				continue;
-			}
-			auto reservation =
-				answer->status == status_ok ? this->protocol.read_reservation(answer->body) : std::nullopt;
-			this->totals->count_send("reserve", reservation ? "served" : "rejected");
-			if (!reservation)
-			{
-				engine->load.note_full(now);
-				continue;
-			}
-			if (state->is_caller_gone)
-			{
-				this->release_later(engine, this->protocol.give_up_reservation(engine->entry.id, *reservation));
-				co_return std::nullopt;
-			}
-			co_return decode_room{engine, std::move(reservation)};
-		}
-		co_return std::nullopt;
-	}
-
-	std::optional<duration> forwarder::longest_reservation(service_id const& service) const
-	{
-		auto const* const terms = this->shared->routes->find_service(service);
-		return terms == nullptr || !terms->engine ? std::nullopt : terms->engine->longest_reservation;
-	}
-
 	asio::awaitable<std::optional<send_failure>> forwarder::run_stream(
 		state_pointer state, routing::stream_placement placement, std::optional<std::string> reservation)
 	{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -97,11 +97,13 @@
 		[[nodiscard]] asio::awaitable<std::optional<decode_room>> try_reserve(
 			state_pointer state, std::vector<routing::server_pointer> engines);
 
+		// Asks one engine to keep room. Returns the reservation's name; nothing when the engine did not keep it.
+		[[nodiscard]] asio::awaitable<std::optional<std::string>> take_room(
+			routing::server_pointer engine, token_count tokens, duration lifetime);
+
 		// Sends the call to a server and waits for the head of its answer.
 		[[nodiscard]] asio::awaitable<send_outcome> send(
 			state_pointer state, routing::server_pointer server, send_terms terms, duration patience);
-		[[nodiscard]] asio::awaitable<send_outcome> await_answer(
-			state_pointer state, routing::server_pointer server, http::upstream_pointer connection, duration patience);
 
 		// Has the prompt prefilled. Returns the handle, or why there is none.
 		[[nodiscard]] asio::awaitable<std::variant<kv_source, routing::send_failure>> prefill(
