Move several engines of a large pool at once

Cause: one engine more or less changes what a pool of 60 carries by 2%, under the 15% that a change has to gain, so large pools kept a split that did not fit. Change: the best split is compared with the present one, and up to an eighth of the engines moves at a time.

--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/gateway/role_orders.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 #include <fmt/format.h>
 
@@ -75,25 +76,29 @@
 		routing::pool_sizes const pools{
 			static_cast<std::uint32_t>(prefill.size()), static_cast<std::uint32_t>(decode.size())};
 		routing::engine_speed const speed;
-		auto const change = routing::choose_role_change(pools, this->shared->demand[service], speed, capacity);
-		if (change == routing::role_change::none)
+		auto const plan = routing::choose_role_change(pools, this->shared->demand[service], speed, capacity);
+		if (plan.change == routing::role_change::none)
 		{
 			co_return;
 		}
-		auto const to_decode = change == routing::role_change::prefill_to_decode;
-		auto const& from = to_decode ? prefill : decode;
-		auto const least = std::ranges::min_element(from, {},
+		this->ordered_at = now;
+		auto const to_decode = plan.change == routing::role_change::prefill_to_decode;
+		auto engines = to_decode ? prefill : decode;
+		std::ranges::sort(engines, {},
 			[now](routing::server_pointer const& each)
 			{
 				auto const load = each->load.total(now);
 				return std::pair(each->health.is_suspect(now), load.committed + load.to_prefill);
 			});
-		co_await this->order(*least, to_decode ? routing::server_role::decode : routing::server_role::prefill);
+		auto const role = to_decode ? routing::server_role::decode : routing::server_role::prefill;
+		for (auto const& engine : engines | std::views::take(plan.engines))
+		{
+			co_await this->order(engine, role);
+		}
 	}
 
 	asio::awaitable<void> role_orders::order(routing::server_pointer engine, routing::server_role role)
 	{
-		this->ordered_at = monotonic_now();
 		auto ask = this->protocol->ask_report(engine->entry.id);
 		auto const answer = co_await this->calls->call_server(engine, std::move(ask), order_timeout);
 		auto const report = answer && answer->status == status_ok ? this->protocol->read_report(answer->body)
@@ -114,8 +119,7 @@
 		auto const is_taken = reply && (reply->status == status_accepted || reply->status == status_ok);
 		if (is_taken)
 		{
-			this->changing = engine;
-			this->wanted_role = role;
+			this->changing.push_back({engine, role});
 		}
 		decide::record_event line;
 		line.timestamp = daemon::wall_clock_us();
@@ -128,17 +132,12 @@
 
 	void role_orders::pause_changing(time_point now)
 	{
-		if (!this->changing)
-		{
-			return;
-		}
-		auto const is_done = this->changing->entry.role == this->wanted_role;
-		if (is_done || now - *this->ordered_at > longest_change)
+		std::erase_if(this->changing, [&](role_change_order const& each)
+			{ return each.engine->entry.role == each.role || now - *this->ordered_at > longest_change; });
+		for (auto const& each : this->changing)
 		{
-			this->changing.reset();
-			return;
+			each.engine->load.note_full_until(now + pause_at_a_time);
 		}
-		this->changing->load.note_full_until(now + pause_at_a_time);
 	}
 
 	std::uint64_t role_orders::next_fence()
--- a/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -13,9 +14,9 @@
 
 namespace godwittrestle::gateway
 {
-	// Orders model engines to change their role, one at a time. Only one daemon does: the one with the smallest name of
-	// those that it hears. Where two believe to be that one, the engine's own count of orders and the fencing number
-	// let one through.
+	// Orders model engines to change their role, a part of them at a time. Only one daemon does: the one with the
+	// smallest name of those that it hears. Where two believe to be that one, the engine's own count of orders and the
+	// fencing number let one through.
 	class role_orders
 	{
 	  public:
@@ -26,10 +27,17 @@
 		[[nodiscard]] asio::awaitable<void> review();
 
 	  private:
+		// An engine that is changing its role, and what it becomes.
+		struct role_change_order
+		{
+			routing::server_pointer engine;
+			routing::server_role role = routing::server_role::decode;
+		};
+
 		[[nodiscard]] bool may_order(time_point now);
 		[[nodiscard]] asio::awaitable<void> review_service(service_id service, token_count capacity);
 		[[nodiscard]] asio::awaitable<void> order(routing::server_pointer engine, routing::server_role role);
-		// Keeps work away from an engine that changes its role, until its entry says that it is done.
+		// Keeps work away from engines that change their role, until their entries say that they are done.
 		void pause_changing(time_point now);
 		[[nodiscard]] std::uint64_t next_fence();
 
@@ -41,9 +49,8 @@
 		event_log log;
 		std::optional<time_point> first_since;
 		std::optional<time_point> ordered_at;
-		// The engine that is changing its role, and what it becomes.
-		routing::server_pointer changing;
-		routing::server_role wanted_role = routing::server_role::decode;
+		// Engines that are changing their role.
+		std::vector<role_change_order> changing;
 		std::uint64_t last_fence = 0;
 	};
 }
--- a/packages/routing/impl/pool_balance.cpp
+++ b/packages/routing/impl/pool_balance.cpp
@@ -1,12 +1,13 @@
 #include <godwittrestle/routing/pool_balance.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace godwittrestle::routing
 {
 	namespace
 	{
-		constexpr std::uint32_t least_streams = 10;
+		constexpr std::uint32_t least_streams = 6;
 		constexpr double newest_weight = 0.05;
 		// Prefill engines are used only so far, since prompts arrive unevenly and the first event must be in time.
 		constexpr double prefill_use = 0.6;
@@ -14,6 +15,8 @@
 		constexpr double decode_use = 0.85;
 		// How much more another split must carry.
 		constexpr double least_gain = 1.15;
+		// One of so many engines changes its role at a time.
+		constexpr std::uint32_t pool_parts_at_once = 8;
 
 		double smooth(double average, double sample, std::uint32_t count)
 		{
@@ -60,26 +63,28 @@
 		return this->output_tokens * this->token_ms * held / std::max<std::uint32_t>(1, capacity.count());
 	}
 
-	role_change choose_role_change(
+	role_plan choose_role_change(
 		pool_sizes const& pools, stream_demand const& demand, engine_speed const& speed, token_count capacity)
 	{
-		if (!demand.is_known() || capacity.count() == 0)
+		auto const all = pools.prefill + pools.decode;
+		if (!demand.is_known() || capacity.count() == 0 || pools.prefill == 0 || pools.decode == 0 || all <= 2)
 		{
-			return role_change::none;
+			return {};
 		}
 		auto const prefill_ms = std::max(1.0, demand.prefill_ms(speed));
 		auto const decode_ms = std::max(1.0, demand.decode_ms(capacity));
-		auto const needed = least_gain * carried(pools, prefill_ms, decode_ms);
-		pool_sizes const more_decode{pools.prefill - 1, pools.decode + 1};
-		if (pools.prefill > 1 && carried(more_decode, prefill_ms, decode_ms) > needed)
+		auto const carries = [&](std::uint32_t prefill)
 		{
-			return role_change::prefill_to_decode;
-		}
-		pool_sizes const more_prefill{pools.prefill + 1, pools.decode - 1};
-		if (pools.decode > 1 && carried(more_prefill, prefill_ms, decode_ms) > needed)
+			return carried({prefill, all - prefill}, prefill_ms, decode_ms);
+		};
+		auto const best = std::ranges::max(std::views::iota(1U, all), {}, carries);
+		if (carries(best) <= least_gain * carries(pools.prefill))
 		{
-			return role_change::decode_to_prefill;
+			return {};
 		}
-		return role_change::none;
+		auto const to_decode = best < pools.prefill;
+		auto const wanted = to_decode ? pools.prefill - best : best - pools.prefill;
+		return {to_decode ? role_change::prefill_to_decode : role_change::decode_to_prefill,
+			std::min(wanted, std::max(1U, all / pool_parts_at_once))};
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/pool_balance.hpp
+++ b/packages/routing/include/godwittrestle/routing/pool_balance.hpp
@@ -53,9 +53,19 @@
 		decode_to_prefill,
 	};
 
-	// Decides whether an engine should change its role. Answers a pool whose split does not fit its streams: one side
+	// How many engines should change their role, and into which.
+	struct role_plan
+	{
+		role_change change = role_change::none;
+		std::uint32_t engines = 0;
+
+		[[nodiscard]] bool operator==(role_plan const&) const = default;
+	};
+
+	// Decides whether engines should change their role. Answers a pool whose split does not fit its streams: one side
 	// full while the other is idle. The split follows what a stream needs of each side, not how many there are just
-	// now, so that a burst alone moves nothing; an engine is moved only when the other split carries clearly more.
-	[[nodiscard]] role_change choose_role_change(
+	// now, so that a burst alone moves nothing; engines are moved only when the best split carries clearly more, and a
+	// part of them at a time, since one that changes serves nobody meanwhile.
+	[[nodiscard]] role_plan choose_role_change(
 		pool_sizes const& pools, stream_demand const& demand, engine_speed const& speed, token_count capacity);
 }
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -10,6 +10,7 @@
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
 
+#include "scripted_calls.hpp"
 #include "scripted_server.hpp"
 
 using namespace godwittrestle;
@@ -74,6 +75,18 @@
 		{
 			return std::optional<std::string>(body);
 		};
+		protocol.reserve = [](server_id const&, token_count tokens, duration)
+		{
+			return http::request{"POST", fmt::format("/reserve/{}", tokens.count()), {}, ""};
+		};
+		protocol.read_reservation = [](std::string_view body)
+		{
+			return std::optional<std::string>(body);
+		};
+		protocol.give_up_reservation = [](server_id const&, std::string const& reservation)
+		{
+			return http::request{"DELETE", "/reserved/" + reservation, {}, ""};
+		};
 		protocol.retry_after = [](duration wait)
 		{
 			return http::header{"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())};
@@ -101,7 +114,7 @@
 	class scene
 	{
 	  public:
-		explicit scene(routing::route route)
+		explicit scene(routing::route route, routing::service service = {})
 			: forward(this->loop.get_executor(), this->shared, make_protocol(), this->totals,
 				  [](decide::record_event const&) {})
 			, front(this->loop.get_executor(), {"127.0.0.1", 0}, {}, [this](http::request message, http::exchange& talk)
@@ -110,6 +123,7 @@
 			routing::configuration config;
 			config.version = platform_version(1);
 			config.routes = {std::move(route)};
+			config.services = {{service_id("s"), std::move(service)}};
 			this->shared.routes = std::make_shared<routing::route_table const>(std::move(config));
 			this->shared.retries = {0.2, seconds(10), 50};
 			this->front.start();
@@ -294,6 +308,31 @@
 	REQUIRE(resumed.find("Fetch-From: " + prefills.address() + "\r\n") != std::string::npos);
 }
 
+TEST_CASE("an engine without a margin besides the stream's own need gets no stream", "[gateway]")
+{
+	routing::service service;
+	service.engine = routing::engine_terms{};
+	service.engine->kv_capacity = token_count(1000);
+	service.engine->longest_reservation = seconds(1);
+	scene scene(make_route(call_kind::streaming, 2, true), service);
+	auto const kept = [](std::string const& name)
+	{
+		return http_answer("200 OK", "", name);
+	};
+	auto const full = http_answer("503 Service Unavailable", "", "");
+	scripted_calls engine({kept("h1"), full, kept("dropped"), full, full});
+	scene.add("a", http::to_string(engine.where()), server_role::decode);
+	REQUIRE(scene.ask().starts_with("HTTP/1.1 503"));
+	auto const calls = engine.calls();
+	REQUIRE(calls.size() >= 3);
+	REQUIRE(calls[0] == "POST /reserve/0");
+	REQUIRE(calls[1] == "POST /reserve/80");
+	REQUIRE(calls[2] == "DELETE /reserved/h1");
+	// Nothing but reservations was sent.
+	REQUIRE(
+		std::ranges::none_of(calls, [](std::string const& each) { return each.find("/x/y") != std::string::npos; }));
+}
+
 TEST_CASE("a server that answers for itself but in another role is not taken for gone", "[gateway]")
 {
 	scene scene(make_route(call_kind::non_idempotent, 1, false));
--- a/tests/contract/registry_follower.test.cpp
+++ b/tests/contract/registry_follower.test.cpp
@@ -4,16 +4,12 @@
 #include <deque>
 #include <mutex>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
 #include <godwittrestle/base/digest.hpp>
 #include <godwittrestle/gateway/registry_follower.hpp>
 
+#include "scripted_calls.hpp"
 #include "scripted_server.hpp"
 
 using namespace godwittrestle;
@@ -21,109 +17,9 @@
 
 namespace
 {
-	namespace asio = boost::asio;
-	using asio::ip::tcp;
-
-	constexpr auto token = asio::as_tuple(asio::use_awaitable);
 	constexpr unsigned status_ok = 200;
 	constexpr unsigned status_gone = 410;
 
-	// A registry that answers each call with the next text of its script; an empty text is no answer at all, and so is
-	// everything after the last one.
-	class scripted_registry
-	{
-	  public:
-		explicit scripted_registry(std::deque<std::string> texts)
-			: acceptor(this->loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-			, script(std::move(texts))
-			, runner([this] { this->run(); })
-		{
-		}
-
-		~scripted_registry()
-		{
-			this->loop.stop();
-			this->runner.join();
-		}
-
-		scripted_registry(scripted_registry const&) = delete;
-		scripted_registry& operator=(scripted_registry const&) = delete;
-		scripted_registry(scripted_registry&&) = delete;
-		scripted_registry& operator=(scripted_registry&&) = delete;
-
-		[[nodiscard]] http::endpoint where() const
-		{
-			return {"127.0.0.1", this->acceptor.local_endpoint().port()};
-		}
-
-		[[nodiscard]] std::vector<std::string> calls()
-		{
-			std::scoped_lock const lock(this->mutex);
-			return this->targets;
-		}
-
-	  private:
-		void run()
-		{
-			asio::co_spawn(this->loop, this->accept(), asio::detached);
-			this->loop.run();
-		}
-
-		asio::awaitable<void> accept()
-		{
-			while (true)
-			{
-				auto [error, socket] = co_await this->acceptor.async_accept(token);
-				if (error)
-				{
-					co_return;
-				}
-				asio::co_spawn(this->loop, this->serve(std::move(socket)), asio::detached);
-			}
-		}
-
-		asio::awaitable<void> serve(tcp::socket socket)
-		{
-			std::string received;
-			while (true)
-			{
-				auto [error, size] =
-					co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", token);
-				if (error)
-				{
-					co_return;
-				}
-				auto const answer = this->next(received.substr(0, received.find(" HTTP/")));
-				received.erase(0, size);
-				if (answer.empty())
-				{
-					continue;
-				}
-				std::ignore = co_await asio::async_write(socket, asio::buffer(answer), token);
-			}
-		}
-
-		std::string next(std::string target)
-		{
-			std::scoped_lock const lock(this->mutex);
-			this->targets.push_back(std::move(target));
-			if (this->script.empty())
-			{
-				return {};
-			}
-			auto text = std::move(this->script.front());
-			this->script.pop_front();
-			return text;
-		}
-
-		asio::io_context loop{1};
-		tcp::acceptor acceptor;
-		std::mutex mutex;
-		std::deque<std::string> script;
-		std::vector<std::string> targets;
-		std::thread runner;
-	};
-
 	// Bodies are "REVISION" or "REVISION NEXT_PAGE"; each answer holds one server, named like its revision.
 	gateway::registry_reply read_reply(http::response const& answer)
 	{
@@ -215,7 +111,7 @@
 			return update;
 		}
 
-		scripted_registry registry;
+		scripted_calls registry;
 
 	  private:
 		void take(gateway::registry_update update)
--- a/tests/unit/pool_balance.test.cpp
+++ b/tests/unit/pool_balance.test.cpp
@@ -22,7 +22,7 @@
 		return demand;
 	}
 
-	role_change choose(std::uint32_t prefill, std::uint32_t decode, routing::stream_demand const& demand)
+	routing::role_plan choose(std::uint32_t prefill, std::uint32_t decode, routing::stream_demand const& demand)
 	{
 		return routing::choose_role_change({prefill, decode}, demand, routing::engine_speed{}, capacity);
 	}
@@ -30,19 +30,28 @@
 
 TEST_CASE("an engine moves to the side that limits what the pool carries", "[balance]")
 {
-	REQUIRE(choose(4, 5, make_demand()) == role_change::prefill_to_decode);
-	REQUIRE(choose(1, 8, make_demand()) == role_change::decode_to_prefill);
+	REQUIRE(choose(4, 5, make_demand()) == routing::role_plan{role_change::prefill_to_decode, 1});
+	REQUIRE(choose(1, 8, make_demand()) == routing::role_plan{role_change::decode_to_prefill, 1});
 }
 
 TEST_CASE("a split that fits stays, also after an engine is lost", "[balance]")
 {
-	REQUIRE(choose(3, 6, make_demand()) == role_change::none);
-	REQUIRE(choose(3, 5, make_demand()) == role_change::none);
-	REQUIRE(choose(2, 6, make_demand()) != role_change::prefill_to_decode);
+	REQUIRE(choose(3, 6, make_demand()) == routing::role_plan{});
+	REQUIRE(choose(3, 5, make_demand()) == routing::role_plan{});
+	REQUIRE(choose(2, 6, make_demand()).change != role_change::prefill_to_decode);
 }
 
 TEST_CASE("the last engine of a side stays, and nothing moves before streams are known", "[balance]")
 {
-	REQUIRE(choose(1, 1, make_demand()) == role_change::none);
-	REQUIRE(choose(4, 5, make_demand(3)) == role_change::none);
+	REQUIRE(choose(1, 1, make_demand()) == routing::role_plan{});
+	REQUIRE(choose(4, 5, make_demand(3)) == routing::role_plan{});
+}
+
+TEST_CASE("a large pool moves several engines at once, though one alone would gain little", "[balance]")
+{
+	auto const plan = choose(30, 30, make_demand());
+	REQUIRE(plan.change == role_change::prefill_to_decode);
+	REQUIRE(plan.engines == 7);
+	// Near the best split the last few are not worth it.
+	REQUIRE(choose(21, 39, make_demand()) == routing::role_plan{});
 }
