Late streams get what others leave over; gather registry changes

Cause: a stream that is late already took room that one in time at another daemon needed; each daemon ranks only its own line. Each server that started woke every daemon's watch. Change: a late stream is placed only where a fifth of the engine stays free, so that the engine's memory ranks the lines of all daemons. Answers of the registry that follow one another at once are fetched together, up to 0.8 s apart.

--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -29,8 +29,10 @@
 		constexpr std::size_t most_engines_asked = 4;
 		// Streams of one engine do not all reach their end at once: when one is at its longest, others have ended.
 		constexpr double part_to_come_at_once = 0.6;
-		// Part of an engine's memory that has to be free besides what a new stream needs.
+		// Part of an engine's memory that has to be free besides what a new stream needs. One that is late already gets
+		// only what those that can be in time, at all daemons, leave over.
 		constexpr double margin_part_of_engine = 0.08;
+		constexpr double margin_part_for_late = 0.2;
 	}
 
 	token_count forwarder::needed_tokens(request_state const& state) const
@@ -92,7 +94,9 @@
 			{
 				auto engines =
 					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
-				room = co_await this->try_reserve(state, std::move(engines));
+				auto const is_late = !waiting.has_begun && now > waiting.in_time_until;
+				room = co_await this->try_reserve(
+					state, std::move(engines), is_late ? margin_part_for_late : margin_part_of_engine);
 			}
 			if (room && has_waited)
 			{
@@ -117,7 +121,7 @@
 	}
 
 	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::try_reserve(
-		state_pointer state, std::vector<routing::server_pointer> engines)
+		state_pointer state, std::vector<routing::server_pointer> engines, double margin_part)
 	{
 		auto const lifetime = this->longest_reservation(state->service);
 		if (!lifetime)
@@ -125,8 +129,8 @@
 			co_return engines.empty() ? std::nullopt : std::optional<decode_room>({engines.front(), std::nullopt});
 		}
 		auto const needed = this->needed_tokens(*state);
-		auto const margin = token_count(
-			static_cast<std::uint32_t>(this->placement_for(*state).capacity.count() * margin_part_of_engine));
+		auto const margin =
+			token_count(static_cast<std::uint32_t>(this->placement_for(*state).capacity.count() * margin_part));
 		for (auto const& engine : engines | std::views::take(most_engines_asked))
 		{
 			auto reservation = co_await this->take_room(engine, needed, *lifetime);
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -21,6 +21,10 @@
 		constexpr duration watch_margin = milliseconds(600);
 		// After a failure it is found out soon whether the registry answers again.
 		constexpr duration watch_wait_after_failure = milliseconds(300);
+		// Changes that come close together, as when many servers start, are fetched together: each answer with changes
+		// that follows at once on another lengthens the pause before the next call.
+		constexpr duration gathering_step = milliseconds(200);
+		constexpr std::uint32_t most_gathering_steps = 4;
 		constexpr duration list_timeout = milliseconds(900);
 		constexpr duration first_pause = milliseconds(100);
 		constexpr duration longest_pause = milliseconds(800);
@@ -125,10 +129,16 @@
 		update.is_return = this->was_away();
 		update.changes = std::move(reply.changes);
 		this->note_answer();
-		if (!update.changes.empty() || update.is_return)
+		auto const has_changes = !update.changes.empty();
+		if (has_changes || update.is_return)
 		{
 			this->sink(std::move(update));
 		}
+		this->changes_in_row = has_changes ? std::min(this->changes_in_row + 1, most_gathering_steps) : 0;
+		if (has_changes)
+		{
+			co_await this->sleep(this->changes_in_row * gathering_step);
+		}
 		co_return true;
 	}
 
@@ -150,7 +160,12 @@
 	asio::awaitable<void> registry_follower::pause()
 	{
 		auto const doublings = std::min(this->failures, most_doublings);
-		asio::steady_timer timer(this->thread.context(), std::min(longest_pause, first_pause * (1U << doublings)));
+		co_await this->sleep(std::min(longest_pause, first_pause * (1U << doublings)));
+	}
+
+	asio::awaitable<void> registry_follower::sleep(duration time)
+	{
+		asio::steady_timer timer(this->thread.context(), time);
 		std::ignore = co_await timer.async_wait(token);
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -52,7 +52,9 @@
 		// Waits for changes once. Returns false when everything has to be listed again.
 		[[nodiscard]] asio::awaitable<bool> watch();
 		[[nodiscard]] asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
+		// Waits after a failure, longer after each further one.
 		[[nodiscard]] asio::awaitable<void> pause();
+		[[nodiscard]] asio::awaitable<void> sleep(duration time);
 
 		// Whether the registry could not be read for so long that entries may have lapsed meanwhile.
 		[[nodiscard]] bool was_away() const;
@@ -72,5 +74,7 @@
 		// Calls without an answer since the last one that was answered.
 		std::uint32_t failures = 0;
 		time_point last_answer_at;
+		// Watches in a row that have brought changes.
+		std::uint32_t changes_in_row = 0;
 	};
 }
