--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -106,8 +106,10 @@
 				break;
 			}
 			load_guard const guard(server, token_count{}, token_count{});
-			auto const patience =
-				state->chosen->is_repeatable() ? routing::answer_patience(*state->chosen) : default_patience;
+			// The last server that may be asked is waited for to the end: nothing is gained by giving it up.
+			auto const is_last = state->sent_to.size() + 1 >= state->chosen->max_servers;
+			auto const patience = state->chosen->is_repeatable() && !is_last ? routing::answer_patience(*state->chosen)
+																			 : default_patience;
 			send_terms terms;
 			auto outcome = co_await this->send(state, server, std::move(terms), patience);
 			std::optional<send_failure> failure;
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -6,10 +6,10 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
-#include <godwittrestle/base/digest.hpp>
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
 
+#include "plain_protocol.hpp"
 #include "scripted_calls.hpp"
 #include "scripted_server.hpp"
 
@@ -28,94 +28,12 @@
 	std::string const echo = "Attempt: r1\r\n";
 	std::string const seal = "Server-Mac: s1\r\n";
 
-	// A protocol with names of its own: the gateway knows none.
-	gateway::call_protocol make_protocol()
-	{
-		gateway::call_protocol protocol;
-		protocol.read_call = [](http::request const& message)
-		{
-			gateway::caller_call call;
-			call.attempt = request_id(message.find_header("Attempt"));
-			call.time_left = milliseconds(parse_number(message.find_header("Time-Left-Ms")).value());
-			return call;
-		};
-		protocol.write_call = [](http::request const& from, gateway::send_terms const& terms)
-		{
-			http::request message{from.method, from.target, http::end_to_end_headers(from.headers), from.body};
-			message.headers.push_back({"For-Server", terms.server.str()});
-			if (terms.last_event)
-			{
-				message.headers.push_back({"Last-Event-Id", *terms.last_event});
-			}
-			if (terms.part == gateway::call_part::prefill)
-			{
-				message.headers.push_back({"Only-Prefill", "1"});
-			}
-			if (terms.source)
-			{
-				message.headers.push_back({"Take", terms.source->handle});
-			}
-			if (terms.fetch_from)
-			{
-				message.headers.push_back({"Fetch-From", *terms.fetch_from});
-			}
-			return message;
-		};
-		protocol.read_answer = [](http::response const& answer)
-		{
-			constexpr unsigned misdirected = 421;
-			gateway::answer_facts facts;
-			facts.is_not_run = !answer.find_header("Not-Run").empty();
-			facts.is_misdirected = answer.status == misdirected;
-			facts.server = server_id(answer.find_header("Answered-By"));
-			facts.attempt = request_id(answer.find_header("Attempt"));
-			return facts;
-		};
-		protocol.read_handle = [](std::string_view body)
-		{
-			return std::optional<std::string>(body);
-		};
-		protocol.reserve = [](server_id const&, token_count tokens, duration)
-		{
-			return http::request{"POST", fmt::format("/reserve/{}", tokens.count()), {}, ""};
-		};
-		protocol.read_reservation = [](std::string_view body)
-		{
-			return std::optional<std::string>(body);
-		};
-		protocol.give_up_reservation = [](server_id const&, std::string const& reservation)
-		{
-			return http::request{"DELETE", "/reserved/" + reservation, {}, ""};
-		};
-		protocol.retry_after = [](duration wait)
-		{
-			return http::header{"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())};
-		};
-		return protocol;
-	}
-
-	routing::route make_route(call_kind kind, std::uint32_t max_servers, bool resumable)
-	{
-		routing::route made;
-		made.name = "r";
-		made.host = "a.example";
-		made.prefix = "/x/";
-		made.kind = kind;
-		made.timeout = milliseconds(1500);
-		made.objective = milliseconds(100);
-		made.longest_gap = milliseconds(100);
-		made.max_servers = max_servers;
-		made.resumable = resumable;
-		made.targets = {{service_id("s"), 1}};
-		return made;
-	}
-
 	// A forwarder behind a listening socket, with the servers that a test adds.
 	class scene
 	{
 	  public:
 		explicit scene(routing::route route, routing::service service = {})
-			: forward(this->loop.get_executor(), this->shared, make_protocol(), this->totals,
+			: forward(this->loop.get_executor(), this->shared, make_plain_protocol(), this->totals,
 				  [](decide::record_event const&) {})
 			, front(this->loop.get_executor(), {"127.0.0.1", 0}, {}, [this](http::request message, http::exchange& talk)
 				  { return this->forward.serve(std::move(message), talk); })
@@ -142,10 +60,34 @@
 		// Sends one request and returns all that comes back until the connection closes.
 		[[nodiscard]] std::string ask(std::string const& method = "POST")
 		{
-			auto const text = fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\n"
-										  "Time-Left-Ms: 1400\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
-				method);
-			return run_to_end(this->loop, this->exchange(text));
+			return run_to_end(this->loop, this->exchange(request_text(method, milliseconds(1400))));
+		}
+
+		// Sends one request without a limit of its own and closes the connection once a condition holds.
+		template <typename Condition>
+		void ask_and_leave(Condition condition)
+		{
+			tcp::socket socket(this->loop);
+			socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->front.port()));
+			asio::write(socket, asio::buffer(request_text("POST", seconds(1000))));
+			this->run_until(condition);
+			socket.close();
+		}
+
+		// Runs the loop until a condition holds; fails by exception after a generous time.
+		template <typename Condition>
+		void run_until(Condition condition)
+		{
+			auto const ends_at = daemon::monotonic_now() + seconds(60);
+			this->loop.restart();
+			while (!condition())
+			{
+				if (daemon::monotonic_now() > ends_at)
+				{
+					throw std::runtime_error("what was waited for did not come");
+				}
+				this->loop.run_for(std::chrono::milliseconds(5));
+			}
 		}
 
 		asio::io_context loop{1};
@@ -155,6 +97,13 @@
 		http::server front;
 
 	  private:
+		static std::string request_text(std::string const& method, duration time_left)
+		{
+			return fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\n"
+							   "Time-Left-Ms: {}\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+				method, std::chrono::floor<std::chrono::milliseconds>(time_left).count());
+		}
+
 		asio::awaitable<std::string> exchange(std::string text)
 		{
 			tcp::socket socket(this->loop);
@@ -314,7 +263,11 @@
 	service.engine = routing::engine_terms{};
 	service.engine->kv_capacity = token_count(1000);
 	service.engine->longest_reservation = seconds(1);
-	scene scene(make_route(call_kind::streaming, 2, true), service);
+	auto route = make_route(call_kind::streaming, 2, true);
+	// A stream that is late already leaves more to the others.
+	auto const is_late = GENERATE(false, true);
+	route.objective = is_late ? milliseconds(100) : milliseconds(1000);
+	scene scene(route, service);
 	auto const kept = [](std::string const& name)
 	{
 		return http_answer("200 OK", "", name);
@@ -326,7 +279,7 @@
 	auto const calls = engine.calls();
 	REQUIRE(calls.size() >= 3);
 	REQUIRE(calls[0] == "POST /reserve/0");
-	REQUIRE(calls[1] == "POST /reserve/80");
+	REQUIRE(calls[1] == (is_late ? "POST /reserve/200" : "POST /reserve/80"));
 	REQUIRE(calls[2] == "DELETE /reserved/h1");
 	// Nothing but reservations was sent.
 	REQUIRE(
@@ -343,6 +296,21 @@
 	REQUIRE_FALSE(scene.shared.servers.find(server_id("a"))->is_replaced);
 }
 
+TEST_CASE("a caller that leaves stops the server's work", "[gateway]")
+{
+	auto const kind = GENERATE(call_kind::idempotent, call_kind::streaming);
+	auto route = make_route(kind, 1, true);
+	// Longer than the test waits: nothing but the caller's leaving ends the work.
+	route.timeout = seconds(1000);
+	scene scene(route);
+	scripted_calls server({});
+	scene.add(
+		"a", http::to_string(server.where()), kind == call_kind::streaming ? server_role::decode : server_role::plain);
+	scene.ask_and_leave([&] { return !server.calls().empty(); });
+	scene.run_until([&] { return server.closed() > 0 && scene.forward.running() == 0; });
+	REQUIRE(server.calls().size() == 1);
+}
+
 TEST_CASE("a begun stream gets no second answer when it can't go on", "[gateway]")
 {
 	scene scene(make_route(call_kind::streaming, 2, true));
--- a/tests/contract/scripted_calls.cpp
+++ b/tests/contract/scripted_calls.cpp
@@ -88,6 +88,7 @@
 				co_await asio::async_read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n", token);
 			if (error)
 			{
+				++this->ended;
 				co_return;
 			}
 			auto const whole = size + body_size(std::string_view(bytes).substr(0, size));
--- a/tests/contract/scripted_calls.hpp
+++ b/tests/contract/scripted_calls.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <mutex>
 #include <string>
@@ -32,6 +33,12 @@
 		// Method and target of each call so far.
 		[[nodiscard]] std::vector<std::string> calls();
 
+		// Connections that the other side has closed.
+		[[nodiscard]] int closed() const noexcept
+		{
+			return this->ended;
+		}
+
 	  private:
 		void run();
 		boost::asio::awaitable<void> accept();
@@ -43,6 +50,7 @@
 		std::mutex mutex;
 		std::deque<std::string> script;
 		std::vector<std::string> received;
+		std::atomic<int> ended = 0;
 		std::thread runner;
 	};
 }
--- a/tests/processes/process_scene.hpp
+++ b/tests/processes/process_scene.hpp
@@ -14,30 +14,10 @@
 
 #include <godwittrestle/http.hpp>
 
+#include "child_process.hpp"
+
 namespace godwittrestle::testing
 {
-	// A child process that ends with its owner.
-	class child_process
-	{
-	  public:
-		child_process(std::vector<std::string> const& arguments, std::string const& log_path);
-		~child_process();
-
-		child_process(child_process const&) = delete;
-		child_process& operator=(child_process const&) = delete;
-		child_process(child_process&&) = delete;
-		child_process& operator=(child_process&&) = delete;
-
-		void signal(int number) const;
-
-		// Returns the exit code once the process has ended by itself; nothing while it runs.
-		[[nodiscard]] std::optional<int> exit_code();
-
-	  private:
-		int id = -1;
-		std::optional<int> ended_with;
-	};
-
 	// What a caller of a real daemon has seen.
 	struct caller_record
 	{
