Messages between daemons name a bounded number of members

Cause: a notice named all live members, 4 KB at 90 daemons and 54 KB at 1,200. Change: 24 members drawn at random, and the time after which a silent member counts as gone grows with the fleet (20 ms a member).

--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -243,7 +243,7 @@
 		notice.set_address(this->own_address);
 		notice.set_config_version(known.version.count());
 		notice.set_leaving(this->is_leaving);
-		for (auto const& each : this->members.live(now))
+		for (auto const& each : this->members.named(this->hooks.draw, now))
 		{
 			auto& member = *notice.add_members();
 			member.set_instance(each.id.str());
--- a/packages/routing/include/godwittrestle/routing/fleet.hpp
+++ b/packages/routing/include/godwittrestle/routing/fleet.hpp
@@ -48,10 +48,17 @@
 		// the seeds that were not heard. draw: a uniform number from 0 up to but not including 1.
 		[[nodiscard]] std::vector<std::string> targets(std::function<double()> const& draw, time_point now);
 
+		// Returns the members that a message names: all of a small fleet, some drawn at random of a large one, so that
+		// messages stay bounded and everybody is heard of by and by.
+		[[nodiscard]] std::vector<fleet_member> named(std::function<double()> const& draw, time_point now) const;
+
 		// Time between two notices: longer in a larger fleet, so that a daemon's messages stay bounded.
 		[[nodiscard]] duration notice_interval(time_point now) const;
 
 	  private:
+		// Time without a sign of a member after which it is taken for gone.
+		[[nodiscard]] duration lifetime() const noexcept;
+
 		instance_id own_id;
 		std::string own_address;
 		std::vector<std::string> seeds;
--- a/tests/unit/fleet.test.cpp
+++ b/tests/unit/fleet.test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <random>
+
 #include "routing_support.hpp"
 
 using namespace godwittrestle;
@@ -52,5 +54,35 @@
 		REQUIRE(fleet.hear(member("m" + std::to_string(number), 1, at_ms(0))));
 	}
 	REQUIRE(fleet.targets(constant_draw(), at_ms(1)).size() <= 12);
+	REQUIRE(fleet.named(constant_draw(), at_ms(1)).size() <= 24);
 	REQUIRE(fleet.notice_interval(at_ms(1)) == milliseconds(500));
 }
+
+TEST_CASE("members of a large fleet stay known though each message names a few", "[fleet]")
+{
+	// One of 400 daemons: it gets 24 messages a second, each of a random daemon that names 24 others as old as two
+	// seconds.
+	constexpr int daemons = 400;
+	constexpr int messages_per_second = 24;
+	constexpr int named = 24;
+	std::mt19937 random(3);
+	auto const any = [&]
+	{
+		return "m" + std::to_string(random() % daemons);
+	};
+	routing::fleet fleet(instance_id("own"), "own:1");
+	for (int number = 0; number < daemons; ++number)
+	{
+		REQUIRE(fleet.hear(member("m" + std::to_string(number), 1, at_ms(0))));
+	}
+	for (int message = 0; message < 30 * messages_per_second; ++message)
+	{
+		auto const now = at_ms(1000L * message / messages_per_second);
+		REQUIRE(fleet.hear(member(any(), 1, now)));
+		for (int told = 0; told < named; ++told)
+		{
+			fleet.suggest(member(any(), 1, now - milliseconds(random() % 2000)), now);
+		}
+		REQUIRE(fleet.size(now) > 0.98 * daemons);
+	}
+}
