--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -27,12 +27,6 @@
 		constexpr duration time_to_hear_others = seconds(3);
 		constexpr std::uint32_t unheard_daemons = 4;
 		constexpr std::size_t most_engines_asked = 4;
-		// Streams of one engine do not all reach their end at once: when one is at its longest, others have ended.
-		constexpr double part_to_come_at_once = 0.6;
-		// Part of an engine's memory that has to be free besides what a new stream needs. One that is late already gets
-		// only what those that can be in time, at all daemons, leave over.
-		constexpr double margin_part_of_engine = 0.08;
-		constexpr double margin_part_for_late = 0.2;
 	}
 
 	token_count forwarder::needed_tokens(request_state const& state) const
@@ -40,8 +34,8 @@
 		auto const& call = state.call;
 		auto const& outputs = this->shared->outputs[state.service];
 		auto const made = state.made_tokens();
-		auto const to_come = outputs.predict(call.expected_output, call.most_output, made) - made;
-		return call.prompt + made + token_count(static_cast<std::uint32_t>(to_come.count() * part_to_come_at_once));
+		auto const predicted = outputs.predict(call.expected_output, call.most_output, made);
+		return routing::needed_room(call.prompt, made, predicted);
 	}
 
 	routing::placement_request forwarder::placement_for(request_state const& state) const
@@ -95,8 +89,7 @@
 				auto engines =
 					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
 				auto const is_late = !waiting.has_begun && now > waiting.in_time_until;
-				room = co_await this->try_reserve(
-					state, std::move(engines), is_late ? margin_part_for_late : margin_part_of_engine);
+				room = co_await this->try_reserve(state, std::move(engines), is_late);
 			}
 			if (room && has_waited)
 			{
@@ -121,7 +114,7 @@
 	}
 
 	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::try_reserve(
-		state_pointer state, std::vector<routing::server_pointer> engines, double margin_part)
+		state_pointer state, std::vector<routing::server_pointer> engines, bool is_late)
 	{
 		auto const lifetime = this->longest_reservation(state->service);
 		if (!lifetime)
@@ -129,8 +122,7 @@
 			co_return engines.empty() ? std::nullopt : std::optional<decode_room>({engines.front(), std::nullopt});
 		}
 		auto const needed = this->needed_tokens(*state);
-		auto const margin =
-			token_count(static_cast<std::uint32_t>(this->placement_for(*state).capacity.count() * margin_part));
+		auto const margin = routing::room_margin(this->placement_for(*state).capacity, is_late);
 		for (auto const& engine : engines | std::views::take(most_engines_asked))
 		{
 			auto reservation = co_await this->take_room(engine, needed, *lifetime);
@@ -138,8 +130,6 @@
 			{
 				continue;
 			}
-			// The streams that run there will grow beyond what was reserved for them: there has to be room for that
-			// too.
 			auto const spare = co_await this->take_room(engine, margin, *lifetime);
 			if (spare)
 			{
@@ -148,6 +138,13 @@
 			if (!spare || state->is_caller_gone)
 			{
 				this->release_later(engine, this->protocol.give_up_reservation(engine->entry.id, *reservation));
+			}
+			if (state->is_caller_gone)
+			{
+				co_return std::nullopt;
+			}
+			if (!spare)
+			{
 				continue;
 			}
 			co_return decode_room{engine, std::move(reservation)};
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -93,9 +93,9 @@
 
 		// Waits for room at a decode engine. Returns nothing when there is none to be had, or the caller is gone.
 		[[nodiscard]] asio::awaitable<std::optional<decode_room>> reserve_room(state_pointer state);
-		// Asks the decode engines for room, best first. margin_part: part of an engine's memory that has to stay free.
+		// Asks the decode engines for room, best first. is_late: whether the stream can't begin in time any more.
 		[[nodiscard]] asio::awaitable<std::optional<decode_room>> try_reserve(
-			state_pointer state, std::vector<routing::server_pointer> engines, double margin_part);
+			state_pointer state, std::vector<routing::server_pointer> engines, bool is_late);
 
 		// Asks one engine to keep room. Returns the reservation's name; nothing when the engine did not keep it.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> take_room(
--- /dev/null
+++ b/packages/routing/impl/engine_room.cpp
@@ -0,0 +1,27 @@
+#include <godwittrestle/routing/engine_room.hpp>
+
+namespace godwittrestle::routing
+{
+	namespace
+	{
+		constexpr double part_to_come_at_once = 0.6;
+		// Parts of an engine's memory.
+		constexpr double usual_margin = 0.08;
+		constexpr double margin_for_late = 0.2;
+
+		token_count part_of(token_count tokens, double part) noexcept
+		{
+			return token_count(static_cast<std::uint32_t>(tokens.count() * part));
+		}
+	}
+
+	token_count needed_room(token_count prompt, token_count made, token_count predicted) noexcept
+	{
+		return prompt + made + part_of(predicted - made, part_to_come_at_once);
+	}
+
+	token_count room_margin(token_count capacity, bool is_late) noexcept
+	{
+		return part_of(capacity, is_late ? margin_for_late : usual_margin);
+	}
+}
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -2,6 +2,7 @@
 
 #include <godwittrestle/routing/configuration.hpp>
 #include <godwittrestle/routing/directory.hpp>
+#include <godwittrestle/routing/engine_room.hpp>
 #include <godwittrestle/routing/fleet.hpp>
 #include <godwittrestle/routing/output_estimate.hpp>
 #include <godwittrestle/routing/placement.hpp>
--- /dev/null
+++ b/packages/routing/include/godwittrestle/routing/engine_room.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <godwittrestle/base/units.hpp>
+
+namespace godwittrestle::routing
+{
+	// Tokens of a decode engine's memory that are reserved for a stream: its prompt, what it has made, and a part of
+	// what it will still make. Answers engines under lasting load: their streams are at different ages, so that when
+	// one is at its longest others have ended, and room for the whole output of each would stay empty. predicted: the
+	// whole output, at least what was made.
+	[[nodiscard]] token_count needed_room(token_count prompt, token_count made, token_count predicted) noexcept;
+
+	// Tokens that an engine must have free besides what a new stream needs, so that the streams that run there can grow
+	// beyond what was reserved for them. A stream that is late already gets only what those that can be in time, at all
+	// daemons, leave over. Answers many daemons that fill the same engines and hear of each other too late.
+	[[nodiscard]] token_count room_margin(token_count capacity, bool is_late) noexcept;
+}
