A server never waits for bytes while it looks whether a caller has left

The stack of its loop's thread was in the HTTP server's look at a connection that had become readable: a wait also ends when bytes arrive that are read before it resumes, and the look then waited for the next byte of that peer, and with it the whole thread. A daemon would stand still for all its callers in the same way. Change: the look never waits, and after such an end the wait goes on, so that a caller's leaving is still noticed. Test: 2,000 requests whose body comes just as the head is read. On an idle machine it passed before too; it did not reproduce the race. Ruled out: a fault of the stand-ins; they use the product's server.

--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -369,15 +369,22 @@
 			{
 				co_return;
 			}
-			auto const [error] = co_await stream.socket().async_wait(tcp::socket::wait_read, token);
-			if (*is_done || error == asio::error::operation_aborted)
+			auto& socket = stream.socket();
+			error_code peeked = asio::error::would_block;
+			// A wait also ends by the arrival of bytes that were read meanwhile. Then there is nothing to look at, and
+			// looking must not wait for the peer: it would hold up all connections.
+			while (peeked == asio::error::would_block)
 			{
-				co_return;
+				auto const [error] = co_await socket.async_wait(tcp::socket::wait_read, token);
+				if (*is_done || error == asio::error::operation_aborted)
+				{
+					co_return;
+				}
+				char byte = 0;
+				std::ignore = socket.non_blocking(true, peeked);
+				std::ignore = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
 			}
-			char byte = 0;
-			error_code peeked;
-			stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
-			if (error || (peeked && peeked != asio::error::would_block))
+			if (peeked)
 			{
 				talk.notify_close();
 			}
--- /dev/null
+++ b/tests/contract/http_server.test.cpp
@@ -0,0 +1,80 @@
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <random>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <godwittrestle/daemon/io_thread.hpp>
+#include <godwittrestle/http/server.hpp>
+
+#include "scripted_server.hpp"
+
+using namespace godwittrestle;
+using namespace godwittrestle::testing;
+
+namespace
+{
+	namespace asio = boost::asio;
+	using asio::ip::tcp;
+
+	constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+	// Sends requests whose bodies come a moment after their heads, and returns how many were answered.
+	asio::awaitable<int> ask(asio::io_context& loop, unsigned short port, int requests)
+	{
+		std::string const head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+		std::string const body = "body";
+		std::minstd_rand random(1);
+		tcp::socket socket(loop);
+		tcp::endpoint const where(asio::ip::make_address("127.0.0.1"), port);
+		std::ignore = co_await socket.async_connect(where, token);
+		socket.set_option(tcp::no_delay(true));
+		for (int answered = 0; answered < requests; ++answered)
+		{
+			std::ignore = co_await asio::async_write(socket, asio::buffer(head), token);
+			auto const sent_at = std::chrono::steady_clock::now();
+			auto const wait = std::chrono::microseconds(random() % 150);
+			while (std::chrono::steady_clock::now() - sent_at < wait)
+			{
+			}
+			std::ignore = co_await asio::async_write(socket, asio::buffer(body), token);
+			std::string answer;
+			auto buffer = asio::dynamic_buffer(answer);
+			auto const [error, size] = co_await asio::async_read_until(socket, buffer, "\r\n\r\n", token);
+			if (error)
+			{
+				co_return answered;
+			}
+		}
+		co_return requests;
+	}
+}
+
+TEST_CASE("a server goes on serving when a body comes just as its head is read", "[http]")
+{
+	daemon::io_thread thread;
+	auto& loop = thread.context();
+	// Long enough for the server to watch whether the caller leaves.
+	auto const handle = [&](http::request, http::exchange& talk) -> asio::awaitable<void>
+	{
+		asio::steady_timer pause(loop, milliseconds(1));
+		std::ignore = co_await pause.async_wait(token);
+		http::response answer;
+		std::ignore = co_await talk.reply(std::move(answer));
+	};
+	http::server server(loop.get_executor(), {"127.0.0.1", 0}, {}, handle);
+	server.start();
+	thread.start();
+	asio::io_context callers;
+	constexpr int requests = 2000;
+	auto const answered = run_to_end(callers, ask(callers, server.port(), requests));
+	thread.stop();
+	REQUIRE(answered == requests);
+}
