Build a log line in one place

Eight places filled in time, name and fields by themselves. An entry that can't be read now gives its reason as a field, like a configuration does.

--- a/packages/gateway/impl/application.cpp
+++ b/packages/gateway/impl/application.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <godwittrestle/daemon/telemetry.hpp>
-#include <godwittrestle/daemon/wall_clock.hpp>
 #include <godwittrestle/gateway/registry_follower.hpp>
 #include <godwittrestle/gateway/traffic.hpp>
 
@@ -119,11 +118,7 @@
 
 		void record(std::string name, std::vector<decide::event_field> fields)
 		{
-			decide::record_event line;
-			line.timestamp = daemon::wall_clock_us();
-			line.name = std::move(name);
-			line.fields = std::move(fields);
-			this->events.record(std::move(line));
+			this->events.record(make_line(std::move(name), std::move(fields)));
 		}
 
 		gateway_settings settings;
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -150,11 +150,7 @@
 		auto const size = this->members.size(now);
 		if (size != size_before)
 		{
-			decide::record_event line;
-			line.timestamp = daemon::wall_clock_us();
-			line.name = "peer_count_changed";
-			line.fields = {{"peer", sender.str()}, {"daemons", std::to_string(size)}};
-			this->log(std::move(line));
+			this->log(make_line("peer_count_changed", {{"peer", sender.str()}, {"daemons", std::to_string(size)}}));
 		}
 		if (notice.config_version() > known.version.count())
 		{
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -6,8 +6,6 @@
 
 #include <fmt/format.h>
 
-#include <godwittrestle/daemon/wall_clock.hpp>
-
 #include "forwarder_state.hpp"
 
 namespace godwittrestle::gateway
@@ -235,11 +233,6 @@
 
 	void forwarder::record(request_state const& state, std::string name, std::vector<decide::event_field> fields)
 	{
-		decide::record_event line;
-		line.timestamp = daemon::wall_clock_us();
-		line.name = std::move(name);
-		line.request = state.call.attempt;
-		line.fields = std::move(fields);
-		this->log(std::move(line));
+		this->log(make_line(std::move(name), std::move(fields), state.call.attempt));
 	}
 }
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <godwittrestle/daemon/core_loop.hpp>
-#include <godwittrestle/daemon/wall_clock.hpp>
 
 namespace godwittrestle::gateway
 {
@@ -183,11 +182,7 @@
 		{
 			return;
 		}
-		decide::record_event line;
-		line.timestamp = daemon::wall_clock_us();
-		line.name = "registry_regained";
-		line.fields = {{"failed_calls", std::to_string(this->failures)}};
-		this->log(std::move(line));
+		this->log(make_line("registry_regained", {{"failed_calls", std::to_string(this->failures)}}));
 		this->failures = 0;
 	}
 
@@ -204,22 +199,15 @@
 		{
 			return;
 		}
-		decide::record_event line;
-		line.timestamp = daemon::wall_clock_us();
-		line.name = "registry_lost";
-		line.fields = {{"reason", std::move(reason)}, {"revision", std::to_string(this->revision)}};
-		this->log(std::move(line));
+		this->log(
+			make_line("registry_lost", {{"reason", std::move(reason)}, {"revision", std::to_string(this->revision)}}));
 	}
 
 	void registry_follower::report_faults(registry_reply const& reply)
 	{
 		for (auto const& fault : reply.faults)
 		{
-			decide::record_event line;
-			line.timestamp = daemon::wall_clock_us();
-			line.name = "registry_entry_unreadable";
-			line.detail = fault;
-			this->log(std::move(line));
+			this->log(make_line("registry_entry_unreadable", {{"reason", fault}}));
 		}
 	}
 }
--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -121,13 +121,10 @@
 		{
 			this->changing.push_back({engine, role});
 		}
-		decide::record_event line;
-		line.timestamp = daemon::wall_clock_us();
-		line.name = "server_role_ordered";
-		line.fields = {{"server", engine->entry.id.str()}, {"role", std::string(routing::to_string(role))},
-			{"fence", std::to_string(wanted.fence)}, {"status", reply ? std::to_string(reply->status) : "none"},
-			{"taken", is_taken ? "yes" : "no"}};
-		this->log(std::move(line));
+		this->log(make_line("server_role_ordered",
+			{{"server", engine->entry.id.str()}, {"role", std::string(routing::to_string(role))},
+				{"fence", std::to_string(wanted.fence)}, {"status", reply ? std::to_string(reply->status) : "none"},
+				{"taken", is_taken ? "yes" : "no"}}));
 	}
 
 	void role_orders::pause_changing(time_point now)
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -329,10 +329,6 @@
 
 	void traffic::record(std::string name, std::vector<decide::event_field> fields)
 	{
-		decide::record_event line;
-		line.timestamp = daemon::wall_clock_us();
-		line.name = std::move(name);
-		line.fields = std::move(fields);
-		this->log(std::move(line));
+		this->log(make_line(std::move(name), std::move(fields)));
 	}
 }
