--- a/packages/decide/include/godwittrestle/decide/core.hpp
+++ b/packages/decide/include/godwittrestle/decide/core.hpp
@@ -68,6 +68,9 @@
 		}
 
 	  private:
+		// What takes a look at the whole fleet is done less often than each tick.
+		static constexpr duration check_interval = milliseconds(50);
+
 		void handle(tick const& event, turn& now);
 		void handle(completion_requested const& event, turn& now);
 		void handle(plain_requested const& event, turn& now);
--- a/packages/decide/include/godwittrestle/decide/membership.hpp
+++ b/packages/decide/include/godwittrestle/decide/membership.hpp
@@ -121,6 +121,9 @@
 		[[nodiscard]] std::vector<instance_id> targets() const;
 
 	  private:
+		// Time for which a silence that others reported counts, unless reported again.
+		static constexpr duration silence_lifetime = seconds(5);
+
 		struct peer_record
 		{
 			data_centre_id data_centre;
