--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -7,6 +7,8 @@
 
 #include <godwittrestle/daemon/wall_clock.hpp>
 
+#include "observation_messages.hpp"
+
 namespace godwittrestle::gateway
 {
 	namespace
@@ -17,6 +19,7 @@
 		constexpr duration least_pause_told = milliseconds(500);
 		constexpr duration longest_pause_taken = seconds(10);
 		constexpr duration query_interval = milliseconds(250);
+		constexpr duration observations_interval = seconds(1);
 
 		wire::ListedServer to_wire(routing::registered_server const& server)
 		{
@@ -89,6 +92,11 @@
 			this->last_notice_at = now;
 			auto message = this->make_message();
 			*message.mutable_gateway_notice() = notice;
+			if (now - this->observations_told_at >= observations_interval)
+			{
+				this->observations_told_at = now;
+				this->add_observations(*message.mutable_gateway_notice());
+			}
 			for (auto const& address : this->members.targets(this->hooks.draw, now))
 			{
 				this->send(address, message);
@@ -147,6 +155,7 @@
 			this->members.forget(sender);
 		}
 		this->take_shares(sender, notice, now);
+		this->take_observations(notice);
 		auto const size = this->members.size(now);
 		if (size != size_before)
 		{
@@ -187,6 +196,27 @@
 		}
 	}
 
+	void fleet_exchange::add_observations(wire::GatewayNotice& notice) const
+	{
+		for (auto const& [service, observed] : this->shared->observed)
+		{
+			*notice.add_observations() = to_wire(service, observed);
+		}
+	}
+
+	void fleet_exchange::take_observations(wire::GatewayNotice const& notice)
+	{
+		for (auto const& told : notice.observations())
+		{
+			service_id const service(told.service());
+			// Only services of the configuration are kept, so that no message makes this daemon's state grow.
+			if (this->shared->routes && this->shared->routes->find_service(service) != nullptr)
+			{
+				gateway::take_observations(told, this->shared->observed[service]);
+			}
+		}
+	}
+
 	void fleet_exchange::answer(
 		wire::PeerMessage const& message, wire::GatewayStateQuery const& query, registry_knowledge const& known)
 	{
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -150,7 +150,8 @@
 			co_return send_failure::not_sent;
 		}
 		pooled_connection pooled(this->pool, entry, connection);
-		if (state->is_caller_gone || state->is_out_of_time() || server->entry.leaving)
+		if (state->is_caller_gone || state->is_out_of_time() || server->is_leaving() ||
+			server->load.paused_for(monotonic_now()) > duration{})
 		{
 			connection->close();
 			co_return send_failure::not_sent;
@@ -184,6 +185,7 @@
 				}
 				continue;
 			}
+			this->note_facts(*server, facts);
 			if (facts.is_misdirected || facts.is_not_run)
 			{
 				std::ignore = co_await connection->read_rest(drain_body_timeout, small_body_bytes);
@@ -222,6 +224,10 @@
 	asio::awaitable<std::optional<http::response>> forwarder::call_server(
 		routing::server_pointer server, http::request message, duration timeout)
 	{
+		if (server->load.paused_for(monotonic_now()) > duration{})
+		{
+			co_return std::nullopt;
+		}
 		auto const limit = this->connection_limit(server->entry);
 		auto const connection = co_await this->pool.acquire(server->entry, limit, longest_idle, timeout);
 		if (!connection)
@@ -234,6 +240,7 @@
 		auto head = co_await connection->read_head(timeout);
 		if (auto* const answer = std::get_if<http::response>(&head))
 		{
+			this->note_facts(*server, this->protocol.read_answer(*answer));
 			auto body = co_await connection->read_rest(timeout, small_body_bytes);
 			if (auto* const text = std::get_if<std::string>(&body))
 			{
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -106,6 +106,20 @@
 		co_return std::nullopt;
 	}
 
+	void forwarder::note_facts(routing::server_record& server, answer_facts const& facts)
+	{
+		if (facts.is_leaving && !std::exchange(server.has_said_leaving, true))
+		{
+			this->log(make_line("server_says_leaving", {{"server", server.entry.id.str()}}));
+		}
+		if (facts.wants_pause)
+		{
+			server.load.note_pause(monotonic_now() + *facts.wants_pause);
+			this->log(make_line("server_wants_pause",
+				{{"server", server.entry.id.str()}, {"pause_ms", milliseconds_text(*facts.wants_pause)}}));
+		}
+	}
+
 	void forwarder::note_outcome(request_state& state, routing::server_record& server, send_failure failure)
 	{
 		state.connection = nullptr;
@@ -153,11 +167,13 @@
 			// What was held up says nothing about what a stream needs.
 			if (state.longest_gap <= state.chosen->longest_gap && !state.failure)
 			{
-				this->shared->demand[state.service].note_duration(state.made_tokens(), now - *state.first_event_at);
+				this->shared->observed[state.service].demand.note_duration(
+					state.made_tokens(), now - *state.first_event_at);
 			}
 			if (!state.is_caller_gone && !state.call.last_event)
 			{
-				this->shared->outputs[state.service].note_outcome(state.call.expected_output, state.made_tokens());
+				this->shared->observed[state.service].outputs.note_outcome(
+					state.call.expected_output, state.made_tokens());
 			}
 			fields.push_back({"estimated_tokens", std::to_string(state.call.expected_output.count())});
 			fields.push_back({"made_tokens", std::to_string(state.made_tokens().count())});
@@ -222,8 +238,10 @@
 		auto answer = http::make_error(status, "refused", reason, remedy);
 		if (come_back)
 		{
+			auto const objective = state->chosen == nullptr ? duration{} : state->chosen->objective;
+			auto const pause = this->shared->servers.shortest_pause(state->service, monotonic_now());
 			answer.headers.push_back(
-				this->protocol.retry_after(routing::retry_after(state->time_left(), this->draw())));
+				this->protocol.retry_after(routing::retry_after(state->time_left(), objective, pause, this->draw())));
 		}
 		if (!state->is_caller_gone)
 		{
--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -20,8 +20,8 @@
 		constexpr duration line_poll = milliseconds(25);
 		// Callers leave a stream that has not begun soon after this.
 		constexpr duration longest_wait = milliseconds(2800);
-		// What may come between the end of the wait and the first event, besides the prefill.
-		constexpr duration in_time_margin = milliseconds(150);
+		// This part of the objective is left for what comes unexpected between the end of the wait and the first event.
+		constexpr int margin_divisor = 10;
 		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines
 		// only.
 		constexpr duration time_to_hear_others = seconds(3);
@@ -32,7 +32,7 @@
 	token_count forwarder::needed_tokens(request_state const& state) const
 	{
 		auto const& call = state.call;
-		auto const& outputs = this->shared->outputs[state.service];
+		auto const& outputs = this->shared->observed[state.service].outputs;
 		auto const made = state.made_tokens();
 		auto const predicted = outputs.predict(call.expected_output, call.most_output, made);
 		return routing::needed_room(call.prompt, made, predicted);
@@ -55,6 +55,11 @@
 		return request;
 	}
 
+	routing::engine_speed forwarder::engine_speed(request_state const& state) const
+	{
+		return this->shared->observed[state.service].speed.speed(state.call.prompt, state.chosen->objective);
+	}
+
 	bool forwarder::is_new() const
 	{
 		return monotonic_now() - this->started < time_to_hear_others;
@@ -62,12 +67,12 @@
 
 	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::reserve_room(state_pointer state)
 	{
-		routing::engine_speed const speed;
-		auto const prefill_ms = static_cast<double>(state->call.prompt.count()) / speed.prefill_tokens_per_ms;
-		auto const prefill_time = duration(static_cast<duration::rep>(prefill_ms * 1000));
+		auto const speed = this->engine_speed(*state);
+		auto const time_to_first_event =
+			speed.prefill_time(state->call.prompt.count()) + speed.begin + state->chosen->objective / margin_divisor;
 		routing::waiting_stream waiting;
 		waiting.arrived = state->started;
-		waiting.in_time_until = state->started + state->chosen->objective - prefill_time - in_time_margin;
+		waiting.in_time_until = state->started + state->chosen->objective - time_to_first_event;
 		waiting.priority = state->chosen->priority;
 		waiting.has_begun = state->first_event_at.has_value();
 		auto const silent_since = waiting.has_begun ? state->last_event_at : state->started;
@@ -122,7 +127,7 @@
 			co_return engines.empty() ? std::nullopt : std::optional<decode_room>({engines.front(), std::nullopt});
 		}
 		auto const needed = this->needed_tokens(*state);
-		auto const margin = routing::room_margin(this->placement_for(*state).capacity, is_late);
+		auto const margin = routing::room_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(most_engines_asked))
 		{
 			auto reservation = co_await this->take_room(engine, needed, *lifetime);
@@ -155,6 +160,10 @@
 	asio::awaitable<std::optional<std::string>> forwarder::take_room(
 		routing::server_pointer engine, token_count tokens, duration lifetime)
 	{
+		if (engine->load.paused_for(monotonic_now()) > duration{})
+		{
+			co_return std::nullopt;
+		}
 		auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
 		auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
 		auto const now = monotonic_now();
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -24,11 +24,10 @@
 	{
 		auto const* const terms = state->routes->find_service(state->service);
 		state->tokens_per_event = terms != nullptr && terms->engine ? terms->engine->tokens_per_event : 0;
-		auto& outputs = this->shared->outputs[state->service];
-		outputs.note_hint(state->call.expected_output);
-		this->shared->demand[state->service].note_stream(
-			state->call.prompt, outputs.predict(state->call.expected_output, state->call.most_output));
-		routing::engine_speed const speed;
+		auto& observed = this->shared->observed[state->service];
+		observed.outputs.note_hint(state->call.expected_output);
+		observed.demand.note_stream(
+			state->call.prompt, observed.outputs.predict(state->call.expected_output, state->call.most_output));
 		auto const draw_number = [this]
 		{
 			return this->draw();
@@ -45,7 +44,7 @@
 			request.split_limit =
 				this->is_new() ? state->chosen->timeout : state->chosen->objective / split_part_of_objective;
 			auto placement = routing::place_prefill(
-				this->shared->servers, request, room->engine, speed, draw_number, monotonic_now());
+				this->shared->servers, request, room->engine, this->engine_speed(*state), draw_number, monotonic_now());
 			auto const is_split = placement.prefill != nullptr;
 			this->record_placement(*state, placement, room->reservation.has_value());
 			auto const failure = co_await this->run_stream(state, std::move(placement), room->reservation);
@@ -141,6 +140,8 @@
 		auto const first_patience = source ? fetched_event_patience : 2 * placement.first_event + first_event_margin;
 		auto const patience =
 			state->chosen->is_repeatable() && state->sent_to.empty() ? first_patience : default_patience;
+		auto const sent_at = monotonic_now();
+		auto const is_first = !state->first_event_at;
 		auto outcome = co_await this->send(state, placement.decode, std::move(terms), patience);
 		std::optional<send_failure> failure;
 		if (auto* const answer = std::get_if<answer_begun>(&outcome))
@@ -154,6 +155,10 @@
 			{
 				failure = co_await this->pass_whole(state, *answer);
 			}
+			if (source && is_first && state->first_event_at)
+			{
+				this->shared->observed[state->service].speed.note_begin(*state->first_event_at - sent_at);
+			}
 			if (!failure)
 			{
 				this->note_served(*state, *placement.decode, *answer);
@@ -175,6 +180,8 @@
 	asio::awaitable<std::variant<kv_source, send_failure>> forwarder::prefill(
 		state_pointer state, routing::server_pointer server, duration patience)
 	{
+		auto const is_idle = server->load.total(monotonic_now()).to_prefill == 0;
+		auto const sent_at = monotonic_now();
 		load_guard const guard(server, state->call.prompt, token_count{});
 		send_terms terms;
 		terms.part = call_part::prefill;
@@ -197,6 +204,10 @@
 		{
 			co_return send_failure::server_error;
 		}
+		if (is_idle)
+		{
+			this->shared->observed[state->service].speed.note_prefill(state->call.prompt, monotonic_now() - sent_at);
+		}
 		server->health.note(routing::call_outcome::served, monotonic_now());
 		this->totals->count_send("prefill", "served");
 		co_return kv_source{server->entry.address, std::move(*handle)};
--- /dev/null
+++ b/packages/gateway/impl/observation_messages.cpp
@@ -0,0 +1,51 @@
+#include "observation_messages.hpp"
+
+#include <cmath>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// No average of tokens or milliseconds lies beyond these.
+		constexpr float least = 0;
+		constexpr float most = 1e7F;
+
+		void write(routing::shared_average const& average, wire::Average& message)
+		{
+			message.set_value(static_cast<float>(average.own().value));
+			message.set_samples(average.own().samples);
+		}
+
+		// Passes over what can be no average.
+		void take(wire::Average const& message, routing::shared_average& average)
+		{
+			if (std::isfinite(message.value()) && message.value() >= least && message.value() <= most)
+			{
+				average.take({message.value(), message.samples()});
+			}
+		}
+	}
+
+	wire::ServiceObservations to_wire(service_id const& service, routing::service_observations const& observed)
+	{
+		wire::ServiceObservations message;
+		message.set_service(service.str());
+		write(observed.demand.prompt_tokens, *message.mutable_prompt_tokens());
+		write(observed.demand.output_tokens, *message.mutable_output_tokens());
+		write(observed.demand.token_ms, *message.mutable_token_ms());
+		write(observed.speed.token_ms, *message.mutable_prefill_token_ms());
+		write(observed.speed.overhead_ms, *message.mutable_prefill_overhead_ms());
+		write(observed.speed.begin_ms, *message.mutable_begin_ms());
+		return message;
+	}
+
+	void take_observations(wire::ServiceObservations const& told, routing::service_observations& observed)
+	{
+		take(told.prompt_tokens(), observed.demand.prompt_tokens);
+		take(told.output_tokens(), observed.demand.output_tokens);
+		take(told.token_ms(), observed.demand.token_ms);
+		take(told.prefill_token_ms(), observed.speed.token_ms);
+		take(told.prefill_overhead_ms(), observed.speed.overhead_ms);
+		take(told.begin_ms(), observed.speed.begin_ms);
+	}
+}
--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -75,13 +75,24 @@
 		auto const decode = this->shared->servers.candidates(service, routing::server_role::decode, now);
 		routing::pool_sizes const pools{
 			static_cast<std::uint32_t>(prefill.size()), static_cast<std::uint32_t>(decode.size())};
-		routing::engine_speed const speed;
-		auto const plan = routing::choose_role_change(pools, this->shared->demand[service], speed, capacity);
-		if (plan.change == routing::role_change::none)
+		auto const& observed = this->shared->observed[service];
+		if (!observed.speed.is_known())
+		{
+			co_return;
+		}
+		auto const speed = observed.speed.speed(observed.demand.prompt(), duration{});
+		auto const plan = routing::choose_role_change(pools, observed.demand, speed, capacity);
+		if (!this->plans[service].holds(plan.change, now))
 		{
 			co_return;
 		}
 		this->ordered_at = now;
+		this->log(make_line("server_roles_planned",
+			{{"service", service.str()}, {"change", std::string(routing::to_string(plan.change))},
+				{"engines", std::to_string(plan.engines)}, {"prefill_engines", std::to_string(pools.prefill)},
+				{"decode_engines", std::to_string(pools.decode)},
+				{"prefill_ms", fmt::format("{:.1f}", observed.demand.prefill_ms(speed))},
+				{"decode_ms", fmt::format("{:.1f}", observed.demand.decode_ms(capacity))}}));
 		auto const to_decode = plan.change == routing::role_change::prefill_to_decode;
 		auto engines = to_decode ? prefill : decode;
 		std::ranges::sort(engines, {},
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -53,22 +53,28 @@
 		, thread(std::make_unique<daemon::io_thread>())
 		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->take(std::move(update)); })
-		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, {}, false, given.retries, given.data_centre, 1}
+		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, false, given.retries, given.data_centre, 1}
 		, forward(this->thread->context().get_executor(), this->shared, brought.calls, this->totals, this->log)
-		, peer_messages(peer_ring_capacity, this->thread->context(), [this](wire::PeerMessage&& message)
-			  { this->exchange.receive(message, this->known, monotonic_now()); })
-		, peers({given.peer_address, {}, {}, peer_ring_capacity},
-			  {[this](wire::PeerMessage message)
-				  {
-					  // A full ring drops the message: notices are sent again and again.
-					  std::ignore = this->peer_messages.try_push(message);
-				  },
-				  [](instance_id const&) {}})
-		, exchange(given.instance, incarnation(daemon::wall_clock_us()), http::to_string(given.peer_address), this->shared,
+		, peer_messages(peer_ring_capacity, this->thread->context(),
+			  [this](wire::PeerMessage&& message) { this->exchange.receive(message, this->known, monotonic_now()); })
+		, peers({given.peer_address, {}, {}, peer_ring_capacity}, {[this](wire::PeerMessage message)
+																	  {
+																		  // A full ring drops the message: notices are
+																		  // sent again and again.
+																		  std::ignore =
+																			  this->peer_messages.try_push(message);
+																	  },
+																	  [](instance_id const&) {
+																	  }})
+		, exchange(given.instance, incarnation(daemon::wall_clock_us()), http::to_string(given.peer_address),
+			  this->shared,
 			  {[this](decide::send_peer message) { this->peers.push(std::move(message)); },
 				  [this](std::string text) { this->take_configuration_text(std::move(text)); },
 				  [this](std::vector<routing::registered_server> servers) { this->take_servers(std::move(servers)); },
-				  [this] { return this->forward.draw(); }},
+				  [this]
+				  {
+					  return this->forward.draw();
+				  }},
 			  this->log)
 		, orders(this->thread->context().get_executor(), given.instance, this->shared, this->forward,
 			  this->adapter.calls, this->log)
--- a/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
@@ -59,6 +59,8 @@
 			wire::PeerMessage const& message, wire::GatewayStateQuery const& query, registry_knowledge const& known);
 		void take(wire::GatewayState const& state, registry_knowledge const& known);
 		void take_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now);
+		void add_observations(wire::GatewayNotice& notice) const;
+		void take_observations(wire::GatewayNotice const& notice);
 		[[nodiscard]] wire::GatewayNotice make_notice(registry_knowledge const& known, time_point now) const;
 		void query(std::string const& address, registry_knowledge const& known, time_point now);
 		void send(std::string const& address, wire::PeerMessage message) const;
@@ -74,6 +76,7 @@
 		std::string last_shares;
 		time_point last_notice_at;
 		time_point last_query_at;
+		time_point observations_told_at;
 		bool is_leaving = false;
 	};
 }
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -32,9 +32,7 @@
 		routing::directory servers;
 		std::map<service_id, routing::retry_budget> budgets;
 		routing::waiting_line line;
-		// What the streams of each model service need.
-		std::map<service_id, routing::stream_demand> demand;
-		std::map<service_id, routing::output_estimate> outputs;
+		std::map<service_id, routing::service_observations> observed;
 		// Whether this daemon's name is the smallest of those that live.
 		bool is_first_daemon = false;
 		routing::retry_terms retries;
@@ -118,6 +116,8 @@
 
 		// Whether the call may go out once more; takes the repeat out of the budget.
 		[[nodiscard]] bool may_repeat(request_state& state, routing::send_failure failure);
+		// Takes over what an answer says about its server.
+		void note_facts(routing::server_record& server, answer_facts const& facts);
 		void note_outcome(request_state& state, routing::server_record& server, routing::send_failure failure);
 		void note_served(request_state& state, routing::server_record& server, answer_begun& answer);
 
@@ -127,6 +127,8 @@
 		// Gives room or a KV cache back that was not used.
 		[[nodiscard]] asio::awaitable<void> give_back(routing::server_pointer server, http::request message);
 		void release_later(routing::server_pointer const& server, http::request message);
+		// How fast the engines that serve a stream are.
+		[[nodiscard]] routing::engine_speed engine_speed(request_state const& state) const;
 		// Tokens of an engine's memory that a stream is expected to need.
 		[[nodiscard]] token_count needed_tokens(request_state const& state) const;
 		[[nodiscard]] routing::placement_request placement_for(request_state const& state) const;
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -70,6 +70,10 @@
 		bool is_not_run = false;
 		// The server did not run the call since it is not the one that was meant, or not in the role that was meant.
 		bool is_misdirected = false;
+		// The server leaves and wants nothing new.
+		bool is_leaving = false;
+		// The server had no room and wants nothing from this daemon for so long.
+		std::optional<duration> wants_pause;
 		// The server that answered; empty when the answer does not say.
 		server_id server;
 		// The id of the caller's attempt that is answered; empty when the answer names none.
--- a/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
@@ -51,6 +51,7 @@
 		std::optional<time_point> ordered_at;
 		// Engines that are changing their role.
 		std::vector<role_change_order> changing;
+		std::map<service_id, routing::standing_plan> plans;
 		std::uint64_t last_fence = 0;
 	};
 }
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -85,7 +85,7 @@
 		std::vector<server_pointer> missing;
 		for (auto const& known : this->servers | std::views::values)
 		{
-			if (known->entry.service != service || known->entry.role != role || known->entry.leaving ||
+			if (known->entry.service != service || known->entry.role != role || known->is_leaving() ||
 				known->is_replaced)
 			{
 				continue;
@@ -102,6 +102,20 @@
 		return ready.empty() ? missing : ready;
 	}
 
+	duration directory::shortest_pause(service_id const& service, time_point now) const
+	{
+		std::optional<duration> shortest;
+		for (auto const& known : this->servers | std::views::values)
+		{
+			if (known->entry.service == service && known->is_ready() && !known->is_replaced)
+			{
+				auto const pause = known->load.paused_for(now);
+				shortest = std::min(shortest.value_or(pause), pause);
+			}
+		}
+		return shortest.value_or(duration{});
+	}
+
 	server_pointer directory::find(server_id const& id) const
 	{
 		auto const found = this->servers.find(id);
--- a/packages/routing/impl/engine_room.cpp
+++ b/packages/routing/impl/engine_room.cpp
@@ -4,10 +4,11 @@
 {
 	namespace
 	{
-		constexpr double part_to_come_at_once = 0.6;
-		// Parts of an engine's memory.
-		constexpr double usual_margin = 0.08;
-		constexpr double margin_for_late = 0.2;
+		constexpr double part_to_come_at_once = 0.2;
+		// In average outputs of a stream. Between two ends of streams on an engine, all that run there together make
+		// about one output, whatever the engine's size; ends do not come evenly.
+		constexpr double usual_margin = 3;
+		constexpr double margin_for_late = 6;
 
 		token_count part_of(token_count tokens, double part) noexcept
 		{
@@ -20,8 +21,8 @@
 		return prompt + made + part_of(predicted - made, part_to_come_at_once);
 	}
 
-	token_count room_margin(token_count capacity, bool is_late) noexcept
+	token_count room_margin(token_count average_output, bool is_late) noexcept
 	{
-		return part_of(capacity, is_late ? margin_for_late : usual_margin);
+		return part_of(average_output, is_late ? margin_for_late : usual_margin);
 	}
 }
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -19,12 +19,13 @@
 			return server.health.is_suspect(now) || server.load.oldest_unanswered(now) > longest_silence;
 		}
 
-		// Removes what the request excludes; doubtful servers stay only when there is nothing else.
+		// Removes what the request excludes and servers that asked for a pause; doubtful servers stay only when there
+		// is nothing else.
 		std::vector<server_pointer> usable(
 			std::vector<server_pointer> candidates, placement_request const& request, time_point now)
 		{
-			std::erase_if(
-				candidates, [&](server_pointer const& each) { return request.excluded.contains(each->entry.id); });
+			std::erase_if(candidates, [&](server_pointer const& each)
+				{ return request.excluded.contains(each->entry.id) || each->load.is_paused(now); });
 			auto const doubtful = [&](server_pointer const& each)
 			{
 				return is_doubtful(*each, now);
@@ -42,11 +43,6 @@
 			return static_cast<double>(engine.load.total(now).to_prefill);
 		}
 
-		duration time_for(double tokens, double tokens_per_ms)
-		{
-			return duration(static_cast<duration::rep>(tokens / tokens_per_ms * 1000));
-		}
-
 		// Returns the engine with the fewest queued tokens; at random among equals, so that daemons that know nothing
 		// of each other do not choose the same one.
 		server_pointer least_queued(std::vector<server_pointer> const& engines, random_draw const& draw, time_point now)
@@ -121,7 +117,7 @@
 		engine_speed const& speed, random_draw const& draw, time_point now)
 	{
 		auto const prompt = static_cast<double>(request.prompt.count());
-		auto const direct_time = time_for(queued_tokens(*decode, now) + prompt, speed.mixed_tokens_per_ms);
+		auto const direct_time = speed.mixed_prefill_time(queued_tokens(*decode, now) + prompt);
 		auto prefillers = usable(servers.candidates(request.service, server_role::prefill, now), request, now);
 		std::erase_if(prefillers, [now](server_pointer const& each) { return each->load.is_full(now); });
 		auto const prefill = request.may_split ? least_queued(prefillers, draw, now) : nullptr;
@@ -129,8 +125,7 @@
 		{
 			return stream_placement{nullptr, std::move(decode), direct_time};
 		}
-		auto const split_time =
-			time_for(queued_tokens(*prefill, now) + prompt, speed.prefill_tokens_per_ms) + speed.transfer;
+		auto const split_time = speed.prefill_time(queued_tokens(*prefill, now) + prompt) + speed.begin;
 		auto const is_idle = decode->load.total(now).running == 0;
 		if (is_idle && split_time > request.split_limit && direct_time < split_time)
 		{
--- a/packages/routing/impl/pool_balance.cpp
+++ b/packages/routing/impl/pool_balance.cpp
@@ -8,21 +8,16 @@
 	namespace
 	{
 		constexpr std::uint32_t least_streams = 6;
-		constexpr double newest_weight = 0.05;
-		// Prefill engines are used only so far, since prompts arrive unevenly and the first event must be in time.
-		constexpr double prefill_use = 0.6;
-		// Part of the decode engines' memory that streams can fill.
+		// Parts of the prefill engines' time and of the decode engines' memory that can be used: a prompt can wait a
+		// little, while streams do not fit a memory to the last token.
+		constexpr double prefill_use = 0.95;
 		constexpr double decode_use = 0.85;
 		// How much more another split must carry.
-		constexpr double least_gain = 1.15;
+		constexpr double least_gain = 1.1;
 		// One of so many engines changes its role at a time.
-		constexpr std::uint32_t pool_parts_at_once = 8;
-
-		double smooth(double average, double sample, std::uint32_t count)
-		{
-			auto const weight = std::max(newest_weight, 1.0 / count);
-			return average + weight * (sample - average);
-		}
+		constexpr std::uint32_t pool_parts_at_once = 6;
+		// Engines that crash are mostly back sooner.
+		constexpr duration time_to_stand = seconds(3);
 
 		// Streams that a split carries, relative to other splits.
 		double carried(pool_sizes const& pools, double prefill_ms, double decode_ms)
@@ -31,36 +26,60 @@
 		}
 	}
 
+	std::string_view to_string(role_change change) noexcept
+	{
+		switch (change)
+		{
+			case role_change::none:
+				return "none";
+			case role_change::prefill_to_decode:
+				return "prefill_to_decode";
+			case role_change::decode_to_prefill:
+				return "decode_to_prefill";
+		}
+		return "unknown";
+	}
+
 	void stream_demand::note_stream(token_count prompt, token_count expected_output)
 	{
-		++this->streams;
-		this->prompt_tokens = smooth(this->prompt_tokens, prompt.count(), this->streams);
-		this->output_tokens = smooth(this->output_tokens, expected_output.count(), this->streams);
+		this->prompt_tokens.note(prompt.count());
+		this->output_tokens.note(expected_output.count());
 	}
 
-	void stream_demand::note_duration(token_count expected_output, duration taken)
+	void stream_demand::note_duration(token_count made, duration taken)
 	{
-		if (expected_output.count() > 0)
+		if (made.count() > 0)
 		{
-			this->token_ms += newest_weight * (to_milliseconds(taken) / expected_output.count() - this->token_ms);
+			this->token_ms.note(to_milliseconds(taken) / made.count());
 		}
 	}
 
 	bool stream_demand::is_known() const noexcept
 	{
-		return this->streams >= least_streams;
+		return this->prompt_tokens.all().samples >= least_streams && this->token_ms.all().samples >= least_streams;
 	}
 
 	double stream_demand::prefill_ms(engine_speed const& speed) const noexcept
 	{
-		return this->prompt_tokens / speed.prefill_tokens_per_ms;
+		return this->prompt_tokens.all().value / speed.prefill_tokens_per_ms;
+	}
+
+	token_count stream_demand::prompt() const noexcept
+	{
+		return token_count(static_cast<std::uint32_t>(this->prompt_tokens.all().value));
+	}
+
+	token_count stream_demand::output() const noexcept
+	{
+		return token_count(static_cast<std::uint32_t>(this->output_tokens.all().value));
 	}
 
 	double stream_demand::decode_ms(token_count capacity) const noexcept
 	{
 		// A stream's memory grows from its prompt to prompt and output.
-		auto const held = this->prompt_tokens + this->output_tokens / 2;
-		return this->output_tokens * this->token_ms * held / std::max<std::uint32_t>(1, capacity.count());
+		auto const output = this->output_tokens.all().value;
+		auto const held = this->prompt_tokens.all().value + output / 2;
+		return output * this->token_ms.all().value * held / std::max<std::uint32_t>(1, capacity.count());
 	}
 
 	role_plan choose_role_change(
@@ -71,6 +90,7 @@
 		{
 			return {};
 		}
+		// The overhead of a prefill passes while the engine reads other prompts.
 		auto const prefill_ms = std::max(1.0, demand.prefill_ms(speed));
 		auto const decode_ms = std::max(1.0, demand.decode_ms(capacity));
 		auto const carries = [&](std::uint32_t prefill)
@@ -83,8 +103,18 @@
 			return {};
 		}
 		auto const to_decode = best < pools.prefill;
+		// The side that gives engines away keeps what the best split needs of it while they change.
 		auto const wanted = to_decode ? pools.prefill - best : best - pools.prefill;
 		return {to_decode ? role_change::prefill_to_decode : role_change::decode_to_prefill,
 			std::min(wanted, std::max(1U, all / pool_parts_at_once))};
 	}
+	bool standing_plan::holds(role_change wanted, time_point now) noexcept
+	{
+		if (wanted != this->change)
+		{
+			this->change = wanted;
+			this->since = now;
+		}
+		return wanted != role_change::none && now - this->since >= time_to_stand;
+	}
 }
--- a/packages/routing/impl/repeat_rules.cpp
+++ b/packages/routing/impl/repeat_rules.cpp
@@ -8,8 +8,9 @@
 	{
 		constexpr duration least_answer_patience = milliseconds(150);
 		constexpr duration least_event_patience = milliseconds(1500);
-		constexpr duration shortest_return = milliseconds(150);
-		constexpr duration longest_return = milliseconds(900);
+		// For callers whose route is not known.
+		constexpr duration usual_objective = milliseconds(300);
+		constexpr int longest_return_in_objectives = 3;
 		// Callers come back after at most a third of the time that they have left.
 		constexpr int usable_part_of_time_left = 4;
 	}
@@ -56,10 +57,13 @@
 		return std::max(least_event_patience, 2 * chosen.longest_gap);
 	}
 
-	duration retry_after(duration time_left, double draw) noexcept
+	duration retry_after(duration time_left, duration objective, duration pause, double draw) noexcept
 	{
-		auto const longest = std::min(longest_return, time_left / usable_part_of_time_left);
-		auto const spread = std::max(duration{}, longest - shortest_return);
-		return shortest_return + duration(static_cast<duration::rep>(draw * static_cast<double>(spread.count())));
+		auto const usable = time_left / usable_part_of_time_left;
+		auto const shortest = objective > duration{} ? objective : usual_objective;
+		auto const soonest = std::min(std::max(shortest, pause), usable);
+		auto const longest = std::min(soonest + (longest_return_in_objectives - 1) * shortest, usable);
+		auto const spread = std::max(duration{}, longest - soonest);
+		return soonest + duration(static_cast<duration::rep>(draw * static_cast<double>(spread.count())));
 	}
 }
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -23,6 +23,22 @@
 		this->full_until = std::max(this->full_until, until);
 	}
 
+	void server_load::note_pause(time_point until) noexcept
+	{
+		this->paused_until = std::max(this->paused_until.value_or(until), until);
+		this->first_after_pause.reset();
+	}
+
+	bool server_load::is_paused(time_point now) const noexcept
+	{
+		return this->paused_until && (now < *this->paused_until || this->first_after_pause);
+	}
+
+	duration server_load::paused_for(time_point now) const noexcept
+	{
+		return this->paused_until ? std::max(duration{}, *this->paused_until - now) : duration{};
+	}
+
 	duration server_load::full_for(time_point now) const noexcept
 	{
 		return std::max(duration{}, this->full_until - now);
@@ -39,6 +55,10 @@
 		this->calls.emplace(call, running_call{to_prefill.count(), needed.count(), now, false});
 		this->tokens += to_prefill.count();
 		this->committed += needed.count();
+		if (this->paused_until && now >= *this->paused_until && !this->first_after_pause)
+		{
+			this->first_after_pause = call;
+		}
 		return call;
 	}
 
@@ -74,6 +94,11 @@
 			this->committed -= found->second.committed;
 			this->calls.erase(found);
 		}
+		if (this->first_after_pause == call)
+		{
+			this->first_after_pause.reset();
+			this->paused_until.reset();
+		}
 	}
 
 	duration server_load::oldest_unanswered(time_point now) const
--- a/packages/routing/impl/waiting_line.cpp
+++ b/packages/routing/impl/waiting_line.cpp
@@ -51,8 +51,7 @@
 			return true;
 		}
 		auto const turn_at = now + static_cast<duration::rep>(this->ahead(ticket, now)) * this->grant_interval;
-		auto const is_late = stream->second.has_begun || stream->second.in_time_until < now;
-		return turn_at > (is_late ? leaves_at : stream->second.in_time_until);
+		return turn_at > leaves_at;
 	}
 
 	std::size_t waiting_line::ahead(line_ticket ticket, time_point now) const
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -3,6 +3,7 @@
 #include <godwittrestle/routing/configuration.hpp>
 #include <godwittrestle/routing/directory.hpp>
 #include <godwittrestle/routing/engine_room.hpp>
+#include <godwittrestle/routing/engine_speed.hpp>
 #include <godwittrestle/routing/fleet.hpp>
 #include <godwittrestle/routing/output_estimate.hpp>
 #include <godwittrestle/routing/placement.hpp>
@@ -12,4 +13,6 @@
 #include <godwittrestle/routing/server.hpp>
 #include <godwittrestle/routing/server_health.hpp>
 #include <godwittrestle/routing/server_load.hpp>
+#include <godwittrestle/routing/service_observations.hpp>
+#include <godwittrestle/routing/shared_average.hpp>
 #include <godwittrestle/routing/waiting_line.hpp>
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -27,10 +27,19 @@
 		// Another server has answered at its address: it is gone, whatever the registry still says.
 		bool is_replaced = false;
 
+		// It has said in an answer that it leaves, whatever the registry still says.
+		bool has_said_leaving = false;
+
+		// Whether it wants no new work.
+		[[nodiscard]] bool is_leaving() const noexcept
+		{
+			return this->entry.leaving || this->has_said_leaving;
+		}
+
 		// Whether the registry lists it as ready.
 		[[nodiscard]] bool is_ready() const noexcept
 		{
-			return !this->entry.leaving && !this->missing_until;
+			return !this->is_leaving() && !this->missing_until;
 		}
 	};
 
@@ -77,6 +86,10 @@
 		[[nodiscard]] std::vector<server_pointer> candidates(
 			service_id const& service, server_role role, time_point now) const;
 
+		// Returns how long it takes until one of a service's servers ends the pause that it has asked for; zero when
+		// one wants no pause, or there is none.
+		[[nodiscard]] duration shortest_pause(service_id const& service, time_point now) const;
+
 		[[nodiscard]] server_pointer find(server_id const& id) const;
 
 		[[nodiscard]] std::map<server_id, server_pointer> const& all() const noexcept
--- a/packages/routing/include/godwittrestle/routing/engine_room.hpp
+++ b/packages/routing/include/godwittrestle/routing/engine_room.hpp
@@ -11,7 +11,8 @@
 	[[nodiscard]] token_count needed_room(token_count prompt, token_count made, token_count predicted) noexcept;
 
 	// Tokens that an engine must have free besides what a new stream needs, so that the streams that run there can grow
-	// beyond what was reserved for them. A stream that is late already gets only what those that can be in time, at all
-	// daemons, leave over. Answers many daemons that fill the same engines and hear of each other too late.
-	[[nodiscard]] token_count room_margin(token_count capacity, bool is_late) noexcept;
+	// beyond what was reserved for them. average_output: tokens that a stream of the service makes. A stream that is
+	// late already gets only what those that can be in time, at all daemons, leave over. Answers many daemons that fill
+	// the same engines and hear of each other too late.
+	[[nodiscard]] token_count room_margin(token_count average_output, bool is_late) noexcept;
 }
--- /dev/null
+++ b/packages/routing/include/godwittrestle/routing/engine_speed.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing/shared_average.hpp>
+
+namespace godwittrestle::routing
+{
+	// How fast the engines of a service work, as far as placement needs to know.
+	struct engine_speed
+	{
+		// Tokens of a prompt that a prefill engine reads in a millisecond.
+		double prefill_tokens_per_ms = 1;
+		// Time that a prefill takes besides, however long the prompt is.
+		duration prefill_overhead{};
+		// Time from the call to a decode engine that has to fetch the KV cache to its first event.
+		duration begin{};
+
+		// Time until a prefill engine has read so many tokens, its queue included.
+		[[nodiscard]] duration prefill_time(double tokens) const noexcept;
+
+		// The same for a decode engine, which reads prompts between the tokens of other streams.
+		[[nodiscard]] duration mixed_prefill_time(double tokens) const noexcept;
+	};
+
+	// Learns the speed of a service's engines from this daemon's own streams and from what other daemons tell.
+	class engine_speed_estimate
+	{
+	  public:
+		// Notes how long an engine without other work, as far as known, took to read a prompt.
+		void note_prefill(token_count prompt, duration taken) noexcept;
+
+		// Notes how long a decode engine took from the call to the first event.
+		void note_begin(duration taken) noexcept;
+
+		// Whether any prompt was seen to be read.
+		[[nodiscard]] bool is_known() const noexcept;
+
+		// Returns what is known. While nothing is: prompts like this one are read well within the objective, which an
+		// operator sets so that an idle engine meets it.
+		[[nodiscard]] engine_speed speed(token_count prompt, duration objective) const noexcept;
+
+		// Milliseconds for each token of a prompt, and for a prompt whatever its length.
+		shared_average token_ms;
+		shared_average overhead_ms;
+		// Milliseconds from the call to a decode engine to the first event.
+		shared_average begin_ms;
+
+	  private:
+		// Moments of the prompts' lengths and the times taken: the part that grows with the length shows how fast an
+		// engine reads, while work of other daemons that this one does not know of adds to the rest.
+		std::uint32_t samples = 0;
+		double mean_prompt = 0;
+		double mean_taken = 0;
+		double prompt_variance = 0;
+		double covariance = 0;
+	};
+}
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -8,20 +8,10 @@
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
 #include <godwittrestle/routing/directory.hpp>
+#include <godwittrestle/routing/engine_speed.hpp>
 
 namespace godwittrestle::routing
 {
-	// How fast engines work, as far as placement needs to know.
-	struct engine_speed
-	{
-		// Tokens that a prefill engine reads in a millisecond.
-		double prefill_tokens_per_ms = 55;
-		// The same for a decode engine that prefills between the tokens of other requests.
-		double mixed_tokens_per_ms = 27;
-		// Time that moving a KV cache between two engines adds.
-		duration transfer = milliseconds(4);
-	};
-
 	// Returns a uniform number from 0 up to but not including 1.
 	using random_draw = std::function<double()>;
 
--- a/packages/routing/include/godwittrestle/routing/pool_balance.hpp
+++ b/packages/routing/include/godwittrestle/routing/pool_balance.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
+#include <string_view>
 #include <vector>
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
-#include <godwittrestle/routing/directory.hpp>
-#include <godwittrestle/routing/placement.hpp>
+#include <godwittrestle/routing/engine_speed.hpp>
+#include <godwittrestle/routing/shared_average.hpp>
 
 namespace godwittrestle::routing
 {
@@ -18,24 +18,28 @@
 		// Notes a new stream.
 		void note_stream(token_count prompt, token_count expected_output);
 
-		// Notes how long a stream took from its first event to its end.
-		void note_duration(token_count expected_output, duration taken);
+		// Notes how long a stream took from its first event to its end, and how much it made.
+		void note_duration(token_count made, duration taken);
 
-		// Whether enough streams were seen to judge by.
+		// Whether enough streams were seen, from their beginning and to their end, to judge by.
 		[[nodiscard]] bool is_known() const noexcept;
 
 		// Time that a prefill engine is busy with one stream, in milliseconds.
 		[[nodiscard]] double prefill_ms(engine_speed const& speed) const noexcept;
 
+		// Tokens of an average prompt.
+		[[nodiscard]] token_count prompt() const noexcept;
+
+		// Tokens that a stream makes on average, as predicted when it began.
+		[[nodiscard]] token_count output() const noexcept;
+
 		// Time for which one stream fills a decode engine's whole memory, in milliseconds.
 		[[nodiscard]] double decode_ms(token_count capacity) const noexcept;
 
-	  private:
-		std::uint32_t streams = 0;
-		double prompt_tokens = 0;
-		double output_tokens = 0;
+		shared_average prompt_tokens;
+		shared_average output_tokens;
 		// Milliseconds for each token made.
-		double token_ms = 1;
+		shared_average token_ms;
 	};
 
 	// Engines of one service by what they do.
@@ -53,6 +57,8 @@
 		decode_to_prefill,
 	};
 
+	[[nodiscard]] std::string_view to_string(role_change change) noexcept;
+
 	// How many engines should change their role, and into which.
 	struct role_plan
 	{
@@ -62,6 +68,18 @@
 		[[nodiscard]] bool operator==(role_plan const&) const = default;
 	};
 
+	// Whether a change of role has been wanted for long enough to be ordered. Answers engines that crash and are soon
+	// back: what is wanted in between would be wrong when its engines have changed.
+	class standing_plan
+	{
+	  public:
+		[[nodiscard]] bool holds(role_change wanted, time_point now) noexcept;
+
+	  private:
+		role_change change = role_change::none;
+		time_point since;
+	};
+
 	// Decides whether engines should change their role. Answers a pool whose split does not fit its streams: one side
 	// full while the other is idle. The split follows what a stream needs of each side, not how many there are just
 	// now, so that a burst alone moves nothing; engines are moved only when the best split carries clearly more, and a
--- a/packages/routing/include/godwittrestle/routing/repeat_rules.hpp
+++ b/packages/routing/include/godwittrestle/routing/repeat_rules.hpp
@@ -50,7 +50,10 @@
 	[[nodiscard]] duration answer_patience(route const& chosen) noexcept;
 	[[nodiscard]] duration event_patience(route const& chosen) noexcept;
 
-	// When a caller whose request was refused should come back: soon, at random, so that a refused burst does not
-	// return at once. draw: a uniform number from 0 up to but not including 1.
-	[[nodiscard]] duration retry_after(duration time_left, double draw) noexcept;
+	// When a caller whose request was refused should come back: after one to three times the route's objective, at
+	// random, so that a refused burst does not return at once and finds room; later when no server wants anything
+	// before. Answers bursts of streams: callers who return while the burst lasts are refused again. objective: zero
+	// when no route is known. pause: how long all servers want nothing. draw: a uniform number from 0 up to but not
+	// including 1.
+	[[nodiscard]] duration retry_after(duration time_left, duration objective, duration pause, double draw) noexcept;
 }
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
@@ -48,6 +49,16 @@
 		// Notes that the server takes nothing before a time.
 		void note_full_until(time_point until) noexcept;
 
+		// Notes that the server has asked this daemon for nothing more before a time. Afterwards it gets a single call
+		// first: answers servers that are still full when their pause ends, and daemons that would all return at once.
+		void note_pause(time_point until) noexcept;
+
+		// Whether the server gets nothing now since it has asked for a pause.
+		[[nodiscard]] bool is_paused(time_point now) const noexcept;
+
+		// How much longer the pause lasts that the server has asked for.
+		[[nodiscard]] duration paused_for(time_point now) const noexcept;
+
 		// How much longer the server takes nothing.
 		[[nodiscard]] duration full_for(time_point now) const noexcept;
 
@@ -88,5 +99,8 @@
 		std::uint64_t last_call = 0;
 		std::map<instance_id, told_share> others;
 		time_point full_until;
+		// Set from the server's request for a pause to the end of the first call after it.
+		std::optional<time_point> paused_until;
+		std::optional<call_id> first_after_pause;
 	};
 }
--- /dev/null
+++ b/packages/routing/include/godwittrestle/routing/shared_average.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+
+namespace godwittrestle::routing
+{
+	// An average together with how many samples stand behind it.
+	struct average_report
+	{
+		double value = 0;
+		std::uint32_t samples = 0;
+	};
+
+	// An average of what this daemon has seen itself, helped by what other daemons told of theirs while it has seen
+	// little. Answers daemons that have just started, and large fleets where each daemon sees few streams.
+	class shared_average
+	{
+	  public:
+		// Adds a sample. Once some samples are known, one far off counts only as moderately off, so that a single
+		// server that is slow or dark does not spoil the average.
+		void note(double sample) noexcept;
+
+		// Takes over an average of this daemon's own that was worked out elsewhere.
+		void set_own(average_report const& own) noexcept;
+
+		// Takes another daemon's own average over.
+		void take(average_report const& told) noexcept;
+
+		// Only what this daemon has seen itself; to be told to others.
+		[[nodiscard]] average_report own() const noexcept
+		{
+			return this->seen;
+		}
+
+		// Own and told samples together.
+		[[nodiscard]] average_report all() const noexcept;
+
+	  private:
+		average_report seen;
+		average_report told;
+	};
+}
--- a/packages/routing/include/godwittrestle/routing/waiting_line.hpp
+++ b/packages/routing/include/godwittrestle/routing/waiting_line.hpp
@@ -42,9 +42,9 @@
 		// Notes that the line is empty, so that the next grant tells nothing about how fast it moves.
 		void note_idle() noexcept;
 
-		// Whether a stream should be refused now, since its turn would come too late: one that can still begin in time
-		// when it would not be, one that is late or has begun when its caller would have left. Answers bursts that
-		// last: who can't be served is told at once and can come back when there is room.
+		// Whether a stream should be refused now, since its caller would have left before its turn. Answers bursts that
+		// last: who can't be served is told at once and can come back when there is room. One that would only be late
+		// waits: a late answer is better than none.
 		[[nodiscard]] bool is_hopeless(line_ticket ticket, time_point leaves_at, time_point now) const;
 
 		[[nodiscard]] std::size_t size() const noexcept
--- a/tests/contract/plain_protocol.cpp
+++ b/tests/contract/plain_protocol.cpp
@@ -44,6 +44,11 @@
 			gateway::answer_facts facts;
 			facts.is_not_run = !answer.find_header("Not-Run").empty();
 			facts.is_misdirected = answer.status == misdirected;
+			facts.is_leaving = !answer.find_header("Leaving").empty();
+			if (auto const pause = parse_number(answer.find_header("Pause-Ms")))
+			{
+				facts.wants_pause = milliseconds(*pause);
+			}
 			facts.server = server_id(answer.find_header("Answered-By"));
 			facts.attempt = request_id(answer.find_header("Attempt"));
 			return facts;
--- /dev/null
+++ b/tests/unit/engine_speed.test.cpp
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include "routing_support.hpp"
+
+using namespace godwittrestle;
+using namespace godwittrestle::testing;
+
+TEST_CASE("an average follows its samples and is not spoilt by one far off", "[speed]")
+{
+	routing::shared_average average;
+	REQUIRE(average.all().samples == 0);
+	for (int sample = 0; sample < 30; ++sample)
+	{
+		average.note(4);
+	}
+	REQUIRE(average.all().value == Approx(4));
+	average.note(4000);
+	REQUIRE(average.all().value < 5);
+	for (int sample = 0; sample < 200; ++sample)
+	{
+		average.note(8);
+	}
+	REQUIRE(average.all().value == Approx(8).epsilon(0.02));
+}
+
+TEST_CASE("a daemon that has just started goes by what others tell, later by what it sees", "[speed]")
+{
+	routing::shared_average average;
+	average.take({4, 20});
+	REQUIRE(average.all().value == Approx(4));
+	REQUIRE(average.own().samples == 0);
+	for (int sample = 0; sample < 20; ++sample)
+	{
+		average.note(10);
+	}
+	REQUIRE(average.all().value > 7);
+	REQUIRE(average.own().value == Approx(10));
+	average.take({0, 0});
+	REQUIRE(average.all().value > 7);
+}
+
+TEST_CASE("the speed of engines is learnt, whatever they are", "[speed]")
+{
+	auto const tokens_per_ms = GENERATE(2.0, 33.0, 55.0, 400.0);
+	routing::engine_speed_estimate estimate;
+	token_count const prompt(3200);
+	REQUIRE_FALSE(estimate.is_known());
+	// Nothing is known yet: the prompt is read within a part of the objective.
+	REQUIRE(estimate.speed(prompt, milliseconds(900)).prefill_time(3200) < milliseconds(300));
+	estimate.note_prefill(prompt, microseconds(static_cast<std::int64_t>(3200 / tokens_per_ms * 1000)));
+	estimate.note_begin(milliseconds(60));
+	auto const speed = estimate.speed(prompt, milliseconds(900));
+	REQUIRE(estimate.is_known());
+	REQUIRE(speed.prefill_tokens_per_ms == Approx(tokens_per_ms).epsilon(0.01));
+	REQUIRE(speed.mixed_prefill_time(3200).count() == Approx(6400 / tokens_per_ms * 1000).epsilon(0.01));
+	REQUIRE(speed.begin == milliseconds(60));
+}
+
+TEST_CASE("the time that a prefill takes whatever its length is told from the engine's speed", "[speed]")
+{
+	auto const tokens_per_ms = GENERATE(2.0, 33.0, 400.0);
+	// Other daemons' prompts are ahead now and then, which this daemon does not know.
+	auto const has_unknown_queue = GENERATE(false, true);
+	routing::engine_speed_estimate estimate;
+	for (std::uint32_t stream = 0; stream < 60; ++stream)
+	{
+		auto const prompt = 800 + stream * 1237 % 4800;
+		auto const ahead = has_unknown_queue && stream % 5 == 0 ? 3200 : 0;
+		auto const taken_ms = 40 + (prompt + ahead) / tokens_per_ms;
+		estimate.note_prefill(token_count(prompt), microseconds(static_cast<std::int64_t>(taken_ms * 1000)));
+	}
+	auto const speed = estimate.speed(token_count(3200), milliseconds(900));
+	REQUIRE(speed.prefill_tokens_per_ms == Approx(tokens_per_ms).epsilon(0.35));
+	auto const whole = 40 + 3200 / tokens_per_ms;
+	REQUIRE(to_milliseconds(speed.prefill_time(3200)) == Approx(whole).epsilon(0.3));
+}
--- a/tests/unit/routing_support.hpp
+++ b/tests/unit/routing_support.hpp
@@ -26,6 +26,12 @@
 		return server;
 	}
 
+	// Engines that read 55 tokens a millisecond.
+	[[nodiscard]] inline routing::engine_speed make_speed()
+	{
+		return {55, {}, milliseconds(4)};
+	}
+
 	// Draws that always give the same number.
 	[[nodiscard]] inline routing::random_draw constant_draw(double value = 0.5)
 	{
