Bound bytes that are no answer; progress is whole events; fences above all heard of

Cause: stream_joiner kept everything until a blank line and searched all of it again at each piece; a connection's buffer had no limit (a chunk's size line without end); interim answers could come without end; a stream that sent comments or single bytes never counted as silent. Fencing numbers came from the wall clock alone, so that a first daemon whose clock is behind issued smaller ones than the one before. Change: limits of 64 KiB for an event and for unparsed bytes, 8 interim answers, each ends the connection as the server's failure; patience runs from the last whole event that is no comment; daemons tell the highest fencing number they know and go above it, and leap an hour when an engine refuses theirs. Shown by unit joiner, contract gateway (heads, chunk lines, events, interim answers of up to 8 MB; a dripping server) and contract fleet.

--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -156,6 +156,7 @@
 		}
 		this->take_shares(sender, notice, now);
 		this->take_observations(notice);
+		this->shared->highest_fence = std::max(this->shared->highest_fence, notice.highest_fence());
 		auto const size = this->members.size(now);
 		if (size != size_before)
 		{
@@ -269,6 +270,7 @@
 		notice.set_address(this->own_address);
 		notice.set_config_version(known.version.count());
 		notice.set_leaving(this->is_leaving);
+		notice.set_highest_fence(this->shared->highest_fence);
 		for (auto const& each : this->members.named(this->hooks.draw, now))
 		{
 			auto& member = *notice.add_members();
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -218,9 +218,12 @@
 	{
 		auto const is_repeatable = state->chosen->is_repeatable();
 		auto patience = default_patience;
+		// Bytes that complete no event are no sign that the stream goes on.
+		auto progress_at = monotonic_now();
 		while (true)
 		{
-			auto const wait = std::min(patience, state->time_left());
+			auto const left = std::max(duration{}, patience - (monotonic_now() - progress_at));
+			auto const wait = std::min(left, state->time_left());
 			auto piece = co_await answer.connection->read_piece(wait);
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
@@ -230,17 +233,28 @@
 			}
 			auto const& received = std::get<std::string>(piece);
 			auto const is_end = received.empty();
+			auto const events_before = state->joiner.events();
 			auto text = is_end ? state->joiner.finish() : state->joiner.feed(received);
+			if (state->joiner.is_overlong())
+			{
+				answer.connection->close();
+				state->joiner.restart();
+				co_return send_failure::broken;
+			}
 			if (text.empty() && !is_end)
 			{
 				continue;
 			}
-			server->load.note_prefilled(call);
-			server->load.set_committed(call, this->needed_tokens(*state));
-			state->note_event(monotonic_now());
-			if (is_repeatable)
+			if (state->joiner.events() > events_before)
 			{
-				patience = routing::event_patience(*state->chosen);
+				progress_at = monotonic_now();
+				server->load.note_prefilled(call);
+				server->load.set_committed(call, this->needed_tokens(*state));
+				state->note_event(progress_at);
+				if (is_repeatable)
+				{
+					patience = routing::event_patience(*state->chosen);
+				}
 			}
 			auto is_taken = !state->is_caller_gone;
 			if (is_taken && !std::exchange(state->is_head_sent, true))
--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -24,8 +24,11 @@
 		constexpr duration order_timeout = milliseconds(400);
 		constexpr unsigned status_ok = 200;
 		constexpr unsigned status_accepted = 202;
+		constexpr unsigned status_fence_refused = 412;
 		// Fencing numbers are the second of the order and a part that is this daemon's own.
 		constexpr std::uint64_t fence_parts = 4096;
+		// Seconds that fencing numbers are moved on after an engine has seen a higher one.
+		constexpr std::uint64_t fence_leap = 3600;
 	}
 
 	role_orders::role_orders(asio::any_io_executor on, instance_id own, shared_state& state, forwarder& sender,
@@ -128,6 +131,11 @@
 		engine->load.note_full_until(monotonic_now() + pause_at_a_time);
 		auto const reply = co_await this->calls->call_server(engine, std::move(message), order_timeout);
 		auto const is_taken = reply && (reply->status == status_accepted || reply->status == status_ok);
+		if (reply && reply->status == status_fence_refused)
+		{
+			// An order of a daemon that is gone had a higher number, by a clock that was ahead.
+			this->shared->highest_fence += fence_leap * fence_parts;
+		}
 		if (is_taken)
 		{
 			this->changing.push_back({engine, role});
@@ -152,8 +160,9 @@
 	{
 		constexpr std::uint64_t microseconds_per_second = 1'000'000;
 		auto const own_part = std::hash<instance_id>{}(this->own_id) % fence_parts;
-		auto const next = daemon::wall_clock_us() / microseconds_per_second * fence_parts + own_part;
-		this->last_fence = std::max(next, this->last_fence + fence_parts);
-		return this->last_fence;
+		auto const by_clock = daemon::wall_clock_us() / microseconds_per_second;
+		auto const above_all = this->shared->highest_fence / fence_parts + 1;
+		this->shared->highest_fence = std::max(by_clock, above_all) * fence_parts + own_part;
+		return this->shared->highest_fence;
 	}
 }
--- a/packages/gateway/impl/stream_joiner.cpp
+++ b/packages/gateway/impl/stream_joiner.cpp
@@ -1,5 +1,6 @@
 #include <godwittrestle/gateway/stream_joiner.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <godwittrestle/base/digest.hpp>
@@ -35,11 +36,17 @@
 			return std::nullopt;
 		}
 
-		// Returns the position after the first blank line; npos when there is none.
-		std::size_t find_event_end(std::string_view text)
+		// Servers keep connections busy with comments while they have nothing to say.
+		bool is_comment(std::string_view event)
 		{
-			auto const plain = text.find("\n\n");
-			auto const with_returns = text.find("\n\r\n");
+			return event.starts_with(':');
+		}
+
+		// Returns the position after the first blank line that begins at or after a position; npos when there is none.
+		std::size_t find_event_end(std::string_view text, std::size_t from)
+		{
+			auto const plain = text.find("\n\n", from);
+			auto const with_returns = text.find("\n\r\n", from);
 			if (plain == std::string_view::npos && with_returns == std::string_view::npos)
 			{
 				return std::string_view::npos;
@@ -59,28 +66,39 @@
 		std::string whole;
 		std::size_t taken = 0;
 		std::string_view const text = this->pending;
-		for (auto end = find_event_end(text); end != std::string_view::npos; end = find_event_end(text.substr(taken)))
+		for (auto end = find_event_end(text, this->unsearched()); end != std::string_view::npos;
+			end = find_event_end(text, taken))
 		{
-			auto const event = text.substr(taken, end);
+			auto const event = text.substr(taken, end - taken);
 			if (this->accept(event))
 			{
 				whole += event;
-				++this->passed_on;
+				this->passed_on += is_comment(event) ? 0 : 1;
 			}
-			taken += end;
+			taken = end;
 		}
 		this->pending.erase(0, taken);
+		this->searched = this->pending.size();
 		return whole;
 	}
 
+	std::size_t stream_joiner::unsearched() const noexcept
+	{
+		// A blank line may have begun before.
+		constexpr std::size_t longest_blank_line = 3;
+		return this->searched - std::min(this->searched, longest_blank_line - 1);
+	}
+
 	std::string stream_joiner::finish()
 	{
+		this->searched = 0;
 		return std::exchange(this->pending, {});
 	}
 
 	void stream_joiner::restart()
 	{
 		this->pending.clear();
+		this->searched = 0;
 	}
 
 	bool stream_joiner::accept(std::string_view event)
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -53,7 +53,7 @@
 		, thread(std::make_unique<daemon::io_thread>())
 		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->take(std::move(update)); })
-		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, false, given.retries, given.data_centre, 1}
+		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, false, 0, given.retries, given.data_centre, 1}
 		, forward(this->thread->context().get_executor(), this->shared, brought.calls, this->totals, this->log)
 		, peer_messages(peer_ring_capacity, this->thread->context(),
 			  [this](wire::PeerMessage&& message) { this->exchange.receive(message, this->known, monotonic_now()); })
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -35,6 +35,8 @@
 		std::map<service_id, routing::service_observations> observed;
 		// Whether this daemon's name is the smallest of those that live.
 		bool is_first_daemon = false;
+		// Highest fencing number that this daemon or one that it heard has used in an order.
+		std::uint64_t highest_fence = 0;
 		routing::retry_terms retries;
 		data_centre_id data_centre;
 		// Daemons that share the retry budget and the servers' connections, this one included.
--- a/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
@@ -39,6 +39,7 @@
 		[[nodiscard]] asio::awaitable<void> order(routing::server_pointer engine, routing::server_role role);
 		// Keeps work away from engines that change their role, until their entries say that they are done.
 		void pause_changing(time_point now);
+		// Returns a number above all that this daemon has used or heard of.
 		[[nodiscard]] std::uint64_t next_fence();
 
 		asio::any_io_executor executor;
@@ -52,6 +53,5 @@
 		// Engines that are changing their role.
 		std::vector<role_change_order> changing;
 		std::map<service_id, routing::standing_plan> plans;
-		std::uint64_t last_fence = 0;
 	};
 }
--- a/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,6 +16,9 @@
 		// last_event: the last event that the caller already has.
 		explicit stream_joiner(std::optional<std::string> last_event);
 
+		// Bytes of an event that are kept while its end has not come.
+		static constexpr std::size_t longest_event = 65'536;
+
 		// Returns the whole events that a piece completes, as they were.
 		[[nodiscard]] std::string feed(std::string_view piece);
 
@@ -30,6 +34,13 @@
 			return this->last_id;
 		}
 
+		// Whether an event has become so long that this is no stream of events.
+		[[nodiscard]] bool is_overlong() const noexcept
+		{
+			return this->pending.size() > longest_event;
+		}
+
+		// Events passed on; comments do not count.
 		[[nodiscard]] std::uint64_t events() const noexcept
 		{
 			return this->passed_on;
@@ -39,7 +50,12 @@
 		// Whether an event comes after the last one; takes its id over.
 		[[nodiscard]] bool accept(std::string_view event);
 
+		// Position in what is pending from which an event's end has to be looked for.
+		[[nodiscard]] std::size_t unsearched() const noexcept;
+
 		std::string pending;
+		// So much of what is pending holds no end of an event.
+		std::size_t searched = 0;
 		std::optional<std::string> last_id;
 		std::uint64_t passed_on = 0;
 	};
--- a/packages/http/impl/upstream.cpp
+++ b/packages/http/impl/upstream.cpp
@@ -29,6 +29,11 @@
 		constexpr int http_1_1 = 11;
 		constexpr std::size_t piece_bytes = 4'096;
 		constexpr unsigned first_final_status = 200;
+		// Interim answers before one final answer.
+		constexpr int most_interim_answers = 8;
+		// Bytes received and not parsed yet: a head, or a chunk's size line. A server whose bytes are neither may send
+		// them without end.
+		constexpr std::size_t most_buffered_bytes = 65'536;
 
 		outgoing_message to_message(request const& from)
 		{
@@ -69,6 +74,7 @@
 			: where(std::move(target))
 			, socket(executor)
 			, timer(executor)
+			, buffer(most_buffered_bytes)
 		{
 		}
 
@@ -172,8 +178,15 @@
 		auto const self = this->shared_from_this();
 		auto& state = *this->impl;
 		state.arm(timeout, self);
-		do
+		auto is_final = false;
+		for (int interim = 0; !is_final; ++interim)
 		{
+			if (interim > most_interim_answers)
+			{
+				state.disarm();
+				this->close();
+				co_return upstream_failure::broken;
+			}
 			state.parser.emplace();
 			state.parser->body_limit(boost::none);
 			auto const [error, size] =
@@ -183,7 +196,8 @@
 				state.disarm();
 				co_return state.failure();
 			}
-		} while (state.parser->get().result_int() < first_final_status);
+			is_final = state.parser->get().result_int() >= first_final_status;
+		}
 		state.disarm();
 		response head;
 		head.status = state.parser->get().result_int();
--- a/tests/contract/fleet_exchange.test.cpp
+++ b/tests/contract/fleet_exchange.test.cpp
@@ -159,3 +159,39 @@
 	pair.round(400);
 	REQUIRE_FALSE(pair.knows.shared.is_first_daemon);
 }
+
+TEST_CASE("what one daemon has seen of engines and streams, another that has just started goes by", "[fleet]")
+{
+	pair_of_peers pair;
+	routing::configuration config;
+	config.services[service_id("s")].id = service_id("s");
+	pair.other.shared.routes = std::make_shared<routing::route_table const>(config);
+	auto& seen = pair.knows.shared.observed[service_id("s")];
+	for (int stream = 0; stream < 8; ++stream)
+	{
+		seen.demand.note_stream(token_count(3000), token_count(800));
+		seen.demand.note_duration(token_count(800), milliseconds(3200));
+		seen.speed.note_prefill(token_count(3000), milliseconds(100));
+		seen.speed.note_begin(milliseconds(20));
+	}
+	// A service that the receiver's configuration does not name is passed over.
+	pair.knows.shared.observed[service_id("unknown")].speed.note_begin(milliseconds(1));
+	pair.round(0);
+	pair.round(1200);
+	REQUIRE(pair.other.shared.observed.size() == 1);
+	auto const& told = pair.other.shared.observed.at(service_id("s"));
+	REQUIRE(told.demand.is_known());
+	REQUIRE(told.speed.is_known());
+	REQUIRE(told.demand.prompt() == token_count(3000));
+	REQUIRE(told.speed.speed(token_count(3000), milliseconds(900)).prefill_tokens_per_ms == Approx(30).epsilon(0.05));
+	REQUIRE(told.demand.prompt_tokens.own().samples == 0);
+}
+
+TEST_CASE("a daemon orders with a higher fencing number than any that it has heard of", "[fleet]")
+{
+	pair_of_peers pair;
+	pair.knows.shared.highest_fence = 1'000'000;
+	pair.round(0);
+	pair.round(1200);
+	REQUIRE(pair.other.shared.highest_fence == 1'000'000);
+}
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -58,9 +58,9 @@
 		}
 
 		// Sends one request and returns all that comes back until the connection closes.
-		[[nodiscard]] std::string ask(std::string const& method = "POST")
+		[[nodiscard]] std::string ask(std::string const& method = "POST", duration time_left = milliseconds(1400))
 		{
-			return run_to_end(this->loop, this->exchange(request_text(method, milliseconds(1400))));
+			return run_to_end(this->loop, this->exchange(request_text(method, time_left)));
 		}
 
 		// Sends one request without a limit of its own and closes the connection once a condition holds.
@@ -321,6 +321,57 @@
 	REQUIRE_FALSE(scene.shared.servers.find(server_id("a"))->is_replaced);
 }
 
+TEST_CASE(
+	"bytes that are no answer end the connection, however many there are, and another server is asked", "[gateway]")
+{
+	constexpr std::size_t many = 8'000'000;
+	auto const endless = GENERATE_COPY(
+		// A head, a chunk's size line and an event that do not end; interim answers without a final one.
+		"HTTP/1.1 200 OK\r\nX-Long: " + std::string(many, 'x'),
+		"HTTP/1.1 200 OK\r\n" + echo + "Transfer-Encoding: chunked\r\n\r\n5;e=" + std::string(many, 'x'),
+		"HTTP/1.1 200 OK\r\n" + echo + fmt::format("Content-Length: {}\r\n\r\n", many) + std::string(many, 'x'),
+		[]
+		{
+			std::string interim;
+			for (int answer = 0; answer < 10'000; ++answer)
+			{
+				interim += "HTTP/1.1 102 Processing\r\n\r\n";
+			}
+			return interim;
+		}());
+	auto route = make_route(call_kind::streaming, 2, true);
+	// Longer than the test waits: only the bytes themselves end the first attempt.
+	route.timeout = seconds(1000);
+	route.longest_gap = seconds(1000);
+	scene scene(route);
+	scripted_server bad(scene.loop, endless, ending::stays_silent);
+	scripted_server good(scene.loop, stream_answer("id: 1\ndata: x\n\n", true), ending::closes);
+	scene.add("a", bad.address(), server_role::decode);
+	scene.add("b", good.address(), server_role::decode);
+	scene.shared.servers.find(server_id("b"))->load.set_share(instance_id("o"), {1, 0, 100}, daemon::monotonic_now());
+	auto const answer = scene.ask("POST", seconds(1000));
+	REQUIRE(is_whole_stream(answer));
+	REQUIRE(answer.find("data: x") != std::string::npos);
+	REQUIRE(bad.received().size() == 1);
+}
+
+TEST_CASE("a stream of which only bytes come now and then is given to another server", "[gateway]")
+{
+	auto route = make_route(call_kind::streaming, 2, true);
+	route.timeout = seconds(1000);
+	scene scene(route);
+	// Comments keep coming, events do not.
+	dripping_server drips(scene.loop,
+		"HTTP/1.1 200 OK\r\n" + echo + "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: x\n\n\r\n",
+		"5\r\n: y\n\n\r\n", milliseconds(100));
+	scripted_server good(scene.loop, stream_answer("id: 2\ndata: z\n\n", true), ending::closes);
+	scene.add("a", drips.address(), server_role::decode);
+	scene.add("b", good.address(), server_role::decode);
+	scene.shared.servers.find(server_id("b"))->load.set_share(instance_id("o"), {1, 0, 100}, daemon::monotonic_now());
+	REQUIRE(is_whole_stream(scene.ask("POST", seconds(1000))));
+	REQUIRE(good.received().size() == 1);
+}
+
 TEST_CASE("a caller that leaves stops the server's work", "[gateway]")
 {
 	auto const kind = GENERATE(call_kind::idempotent, call_kind::streaming);
--- a/tests/contract/scripted_server.cpp
+++ b/tests/contract/scripted_server.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
@@ -65,6 +66,48 @@
 		}
 	}
 
+	dripping_server::dripping_server(
+		asio::io_context& loop, std::string first, std::string again, std::chrono::milliseconds pause)
+		: acceptor(loop, any_port())
+		, beginning(std::move(first))
+		, drip(std::move(again))
+		, interval(pause)
+	{
+		asio::co_spawn(loop, this->serve(), asio::detached);
+	}
+
+	std::string dripping_server::address() const
+	{
+		return to_text(this->acceptor.local_endpoint());
+	}
+
+	asio::awaitable<void> dripping_server::serve()
+	{
+		for (;;)
+		{
+			auto [error, socket] = co_await this->acceptor.async_accept(token);
+			if (error)
+			{
+				co_return;
+			}
+			asio::co_spawn(this->acceptor.get_executor(), this->send_on(std::move(socket)), asio::detached);
+		}
+	}
+
+	asio::awaitable<void> dripping_server::send_on(tcp::socket socket)
+	{
+		std::array<char, 65536> received{};
+		std::ignore = co_await socket.async_read_some(asio::buffer(received), token);
+		auto [error, size] = co_await asio::async_write(socket, asio::buffer(this->beginning), token);
+		asio::steady_timer timer(socket.get_executor());
+		while (!error)
+		{
+			timer.expires_after(this->interval);
+			std::ignore = co_await timer.async_wait(token);
+			std::tie(error, size) = co_await asio::async_write(socket, asio::buffer(this->drip), token);
+		}
+	}
+
 	std::string refused_address(asio::io_context& loop)
 	{
 		tcp::acceptor const acceptor(loop, any_port());
--- a/tests/contract/scripted_server.hpp
+++ b/tests/contract/scripted_server.hpp
@@ -46,6 +46,25 @@
 		std::vector<std::string> requests;
 	};
 
+	// A server that answers with a beginning and then sends the same bytes again and again until the caller closes.
+	class dripping_server
+	{
+	  public:
+		dripping_server(
+			boost::asio::io_context& loop, std::string beginning, std::string drip, std::chrono::milliseconds interval);
+
+		[[nodiscard]] std::string address() const;
+
+	  private:
+		boost::asio::awaitable<void> serve();
+		boost::asio::awaitable<void> send_on(boost::asio::ip::tcp::socket socket);
+
+		boost::asio::ip::tcp::acceptor acceptor;
+		std::string beginning;
+		std::string drip;
+		std::chrono::milliseconds interval;
+	};
+
 	// Returns an address at which nothing listens.
 	[[nodiscard]] std::string refused_address(boost::asio::io_context& loop);
 
--- a/tests/unit/stream_joiner.test.cpp
+++ b/tests/unit/stream_joiner.test.cpp
@@ -36,3 +36,43 @@
 	REQUIRE(joiner.feed("data: rest").empty());
 	REQUIRE(joiner.finish() == "data: rest");
 }
+
+TEST_CASE("an event without end is recognised, and what is kept of it stays bounded", "[joiner]")
+{
+	stream_joiner joiner(std::nullopt);
+	std::string const piece(4096, 'x');
+	std::size_t fed = 0;
+	while (!joiner.is_overlong())
+	{
+		REQUIRE(joiner.feed(piece).empty());
+		fed += piece.size();
+		REQUIRE(fed <= 2 * stream_joiner::longest_event);
+	}
+	joiner.restart();
+	REQUIRE_FALSE(joiner.is_overlong());
+	REQUIRE(joiner.feed("id: 1\ndata: x\n\n") == "id: 1\ndata: x\n\n");
+}
+
+TEST_CASE("an event's end is found wherever the pieces are cut", "[joiner]")
+{
+	std::string const text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n";
+	for (std::size_t size = 1; size <= text.size(); ++size)
+	{
+		CAPTURE(size);
+		stream_joiner joiner(std::nullopt);
+		std::string joined;
+		for (std::size_t at = 0; at < text.size(); at += size)
+		{
+			joined += joiner.feed(text.substr(at, size));
+		}
+		REQUIRE(joined == text);
+		REQUIRE(joiner.events() == 3);
+	}
+}
+
+TEST_CASE("comments are passed on and are no events", "[joiner]")
+{
+	stream_joiner joiner(std::nullopt);
+	REQUIRE(joiner.feed(": still here\n\n") == ": still here\n\n");
+	REQUIRE(joiner.events() == 0);
+}
