--- a/packages/routing/include/godwittrestle/routing/shared_average.hpp
+++ b/packages/routing/include/godwittrestle/routing/shared_average.hpp
@@ -11,8 +11,8 @@
 		std::uint32_t samples = 0;
 	};
 
-	// An average of what this daemon has seen itself, helped by what other daemons told of theirs while it has seen
-	// little. Answers daemons that have just started, and large fleets where each daemon sees few streams.
+	// An average of what this daemon has seen itself and of what other daemons tell of theirs. Answers daemons that
+	// have just started, and large fleets where each daemon sees few streams.
 	class shared_average
 	{
 	  public:
