The time that streams wait for room follows from the route

Cause: a constant of 2.8 s stood for callers' patience, which follows from objective and longest pause of a route. Change: the route says how long its callers wait; streams wait for 0.78 of it.

--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -18,8 +18,8 @@
 		constexpr duration reservation_timeout = milliseconds(200);
 		// Streams that wait for room look again after this.
 		constexpr duration line_poll = milliseconds(25);
-		// Callers leave a stream that has not begun soon after this.
-		constexpr duration longest_wait = milliseconds(2800);
+		// Part of their callers' patience for which streams wait: the first event needs the rest.
+		constexpr double usable_patience = 0.78;
 		// This part of the objective is left for what comes unexpected between the end of the wait and the first event.
 		constexpr int margin_divisor = 10;
 		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines
@@ -76,6 +76,8 @@
 		waiting.priority = state->chosen->priority;
 		waiting.has_begun = state->first_event_at.has_value();
 		auto const silent_since = waiting.has_begun ? state->last_event_at : state->started;
+		auto const longest_wait =
+			std::chrono::duration_cast<duration>(state->chosen->caller_patience * usable_patience);
 		auto const gives_up_at = silent_since + std::min(longest_wait, state->chosen->timeout / 2);
 		auto const draw_number = [this]
 		{
--- a/packages/routing/include/godwittrestle/routing/configuration.hpp
+++ b/packages/routing/include/godwittrestle/routing/configuration.hpp
@@ -46,6 +46,8 @@
 		duration objective{};
 		// Longest pause between two events of a stream that is in time; zero for other kinds.
 		duration longest_gap{};
+		// Time without an event after which callers leave a stream, also before its first event; zero for other kinds.
+		duration caller_patience{};
 		// 0 is the most urgent.
 		std::uint32_t priority = 0;
 		// Most backend servers that one attempt of a caller may be sent to.
--- a/tests/contract/plain_protocol.cpp
+++ b/tests/contract/plain_protocol.cpp
@@ -86,6 +86,7 @@
 		made.timeout = milliseconds(1500);
 		made.objective = milliseconds(100);
 		made.longest_gap = milliseconds(100);
+		made.caller_patience = seconds(2);
 		made.max_servers = max_servers;
 		made.resumable = resumable;
 		made.targets = {{service_id("s"), 1}};
