An answered stream ends a server's pause; fencing numbers from unsound messages are passed over

Cause, found in reading: after a server's pause the first call counted as outstanding until its end, so that an engine would get one stream a daemon for the seconds that it lasts; a peer's fencing number near the largest one would have wrapped the next. Change and tests: unit server_load, contract fleet.

--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -20,6 +20,8 @@
 		constexpr duration longest_pause_taken = seconds(10);
 		constexpr duration query_interval = milliseconds(250);
 		constexpr duration observations_interval = seconds(1);
+		// Higher fencing numbers come from a message that is not sound: they would leave no room for further ones.
+		constexpr std::uint64_t highest_fence_taken = std::uint64_t{1} << 60U;
 
 		wire::ListedServer to_wire(routing::registered_server const& server)
 		{
@@ -156,7 +158,10 @@
 		}
 		this->take_shares(sender, notice, now);
 		this->take_observations(notice);
-		this->shared->highest_fence = std::max(this->shared->highest_fence, notice.highest_fence());
+		if (notice.highest_fence() <= highest_fence_taken)
+		{
+			this->shared->highest_fence = std::max(this->shared->highest_fence, notice.highest_fence());
+		}
 		auto const size = this->members.size(now);
 		if (size != size_before)
 		{
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -83,6 +83,7 @@
 		this->tokens -= found->second.tokens;
 		found->second.tokens = 0;
 		found->second.is_answered = true;
+		this->end_pause_after(call);
 	}
 
 	void server_load::end(call_id call)
@@ -94,6 +95,11 @@
 			this->committed -= found->second.committed;
 			this->calls.erase(found);
 		}
+		this->end_pause_after(call);
+	}
+
+	void server_load::end_pause_after(call_id call) noexcept
+	{
 		if (this->first_after_pause == call)
 		{
 			this->first_after_pause.reset();
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -93,13 +93,16 @@
 			time_point told_at;
 		};
 
+		// Ends the pause for good when this was the first call after it.
+		void end_pause_after(call_id call) noexcept;
+
 		std::map<call_id, running_call> calls;
 		std::uint64_t tokens = 0;
 		std::uint64_t committed = 0;
 		std::uint64_t last_call = 0;
 		std::map<instance_id, told_share> others;
 		time_point full_until;
-		// Set from the server's request for a pause to the end of the first call after it.
+		// Set from the server's request for a pause until the first call after it is answered or ended.
 		std::optional<time_point> paused_until;
 		std::optional<call_id> first_after_pause;
 	};
--- a/tests/contract/fleet_exchange.test.cpp
+++ b/tests/contract/fleet_exchange.test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 #include <deque>
 
 #include <godwittrestle/gateway/fleet_exchange.hpp>
@@ -194,4 +196,8 @@
 	pair.round(0);
 	pair.round(1200);
 	REQUIRE(pair.other.shared.highest_fence == 1'000'000);
+	// A number that leaves no room for higher ones is passed over.
+	pair.knows.shared.highest_fence = std::numeric_limits<std::uint64_t>::max();
+	pair.round(2400);
+	REQUIRE(pair.other.shared.highest_fence == 1'000'000);
 }
--- a/tests/unit/server_load.test.cpp
+++ b/tests/unit/server_load.test.cpp
@@ -22,6 +22,16 @@
 	REQUIRE_FALSE(load.is_paused(at_ms(1005)));
 }
 
+TEST_CASE("a stream that has begun after the pause shows that the server takes work again", "[load]")
+{
+	routing::server_load load;
+	load.note_pause(at_ms(1000));
+	auto const stream = load.begin({}, {}, at_ms(1001));
+	REQUIRE(load.is_paused(at_ms(1100)));
+	load.note_prefilled(stream);
+	REQUIRE_FALSE(load.is_paused(at_ms(1100)));
+}
+
 TEST_CASE("a call from before the pause says nothing about its end", "[load]")
 {
 	routing::server_load load;
