An engine that loses single answers stays in use; a silent stream keeps no room

Change: a server is dark only when nothing at all is heard of it; a stream without an event for its patience counts no longer as load, and is noted against the server (log line server_calls_silent).

--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -32,9 +32,10 @@
 	class load_guard
 	{
 	  public:
-		load_guard(routing::server_pointer target, token_count tokens, token_count committed)
+		load_guard(routing::server_pointer target, token_count tokens, token_count committed,
+			duration patience = duration::max())
 			: server(std::move(target))
-			, call(this->server->load.begin(tokens, committed, monotonic_now()))
+			, call(this->server->load.begin(tokens, committed, monotonic_now(), patience))
 		{
 		}
 
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -90,7 +90,8 @@
 		terms.reservation = reservation;
 		// The engine's memory is committed from here on, so that the prompt is not read for nothing.
 		auto const own_tokens = placement.prefill ? token_count{} : state->call.prompt;
-		load_guard const guard(placement.decode, own_tokens, this->needed_tokens(*state));
+		auto const silence = 2 * placement.first_event + routing::event_patience(*state->chosen);
+		load_guard const guard(placement.decode, own_tokens, this->needed_tokens(*state), silence);
 		state->is_split = placement.prefill != nullptr;
 		state->predicted_first_event = placement.first_event;
 		if (placement.prefill)
@@ -248,7 +249,7 @@
 			if (state->joiner.events() > events_before)
 			{
 				progress_at = monotonic_now();
-				server->load.note_prefilled(call);
+				server->load.note_progress(call, progress_at);
 				server->load.set_committed(call, this->needed_tokens(*state));
 				state->note_event(progress_at);
 				if (is_repeatable)
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -9,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/daemon/wall_clock.hpp>
@@ -305,10 +307,26 @@
 				this->forward.connections().forget(gone->entry.id);
 				this->record("server_forgotten", {{"server", gone->entry.id.str()}});
 			}
+			this->drop_silent_calls(now);
 			this->forward.connections().sweep(now);
 		}
 	}
 
+	void traffic::drop_silent_calls(time_point now)
+	{
+		for (auto const& server : this->shared.servers.all() | std::views::values)
+		{
+			auto const dropped = server->load.drop_silent(now);
+			if (dropped > 0)
+			{
+				server->health.note(routing::call_outcome::silent, now);
+				this->record("server_calls_silent",
+					{{"server", server->entry.id.str()}, {"calls", std::to_string(dropped)},
+						{"unheard_ms", fmt::format("{:.1f}", to_milliseconds(server->load.silent_for(now)))}});
+			}
+		}
+	}
+
 	asio::awaitable<void> traffic::finish()
 	{
 		auto const ends_at = monotonic_now() + this->settings.termination_grace - exit_margin;
--- a/packages/gateway/include/godwittrestle/gateway/traffic.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/traffic.hpp
@@ -59,6 +59,8 @@
 		[[nodiscard]] asio::awaitable<void> answer_readiness(http::request message, http::exchange& talk);
 		[[nodiscard]] asio::awaitable<void> answer_metrics(http::request message, http::exchange& talk);
 		[[nodiscard]] asio::awaitable<void> keep_house();
+		// Takes calls that have gone silent out of their servers' load and notes it against the servers.
+		void drop_silent_calls(time_point now);
 		[[nodiscard]] asio::awaitable<void> finish();
 		[[nodiscard]] bool is_ready() const;
 		void record(std::string name, std::vector<decide::event_field> fields);
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -9,14 +9,14 @@
 {
 	namespace
 	{
-		// A server that has left a call unanswered for this long gets no further one while others can take it.
+		// A server that was not heard for this long while a call waits gets no further one while others can take it.
 		constexpr duration longest_silence = milliseconds(400);
 		// Weight of the share of failed calls against one running call.
 		constexpr double failure_weight = 4;
 
 		bool is_doubtful(server_record const& server, time_point now)
 		{
-			return server.health.is_suspect(now) || server.load.oldest_unanswered(now) > longest_silence;
+			return server.health.is_suspect(now) || server.load.silent_for(now) > longest_silence;
 		}
 
 		// Removes what the request excludes and servers that asked for a pause; doubtful servers stay only when there
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace godwittrestle::routing
 {
@@ -49,10 +50,10 @@
 		return now < this->full_until;
 	}
 
-	call_id server_load::begin(token_count to_prefill, token_count needed, time_point now)
+	call_id server_load::begin(token_count to_prefill, token_count needed, time_point now, duration patience)
 	{
 		call_id const call(++this->last_call);
-		this->calls.emplace(call, running_call{to_prefill.count(), needed.count(), now, false});
+		this->calls.emplace(call, running_call{to_prefill.count(), needed.count(), now, now, patience, false});
 		this->tokens += to_prefill.count();
 		this->committed += needed.count();
 		if (this->paused_until && now >= *this->paused_until && !this->first_after_pause)
@@ -73,8 +74,14 @@
 		found->second.committed = needed.count();
 	}
 
-	void server_load::note_prefilled(call_id call)
+	void server_load::note_heard(time_point now) noexcept
 	{
+		this->heard_at = now;
+	}
+
+	void server_load::note_progress(call_id call, time_point now)
+	{
+		this->note_heard(now);
 		auto const found = this->calls.find(call);
 		if (found == this->calls.end())
 		{
@@ -82,22 +89,43 @@
 		}
 		this->tokens -= found->second.tokens;
 		found->second.tokens = 0;
+		found->second.heard_at = now;
 		found->second.is_answered = true;
 		this->end_pause_after(call);
 	}
 
+	std::size_t server_load::drop_silent(time_point now)
+	{
+		std::size_t dropped = 0;
+		for (auto& call : this->calls | std::views::values)
+		{
+			if (now - call.heard_at > call.patience)
+			{
+				call.patience = duration::max();
+				this->drop_needs(call);
+				++dropped;
+			}
+		}
+		return dropped;
+	}
+
 	void server_load::end(call_id call)
 	{
-		this->note_prefilled(call);
 		auto const found = this->calls.find(call);
 		if (found != this->calls.end())
 		{
-			this->committed -= found->second.committed;
+			this->drop_needs(found->second);
 			this->calls.erase(found);
 		}
 		this->end_pause_after(call);
 	}
 
+	void server_load::drop_needs(running_call& call) noexcept
+	{
+		this->tokens -= std::exchange(call.tokens, 0);
+		this->committed -= std::exchange(call.committed, 0);
+	}
+
 	void server_load::end_pause_after(call_id call) noexcept
 	{
 		if (this->first_after_pause == call)
@@ -107,17 +135,16 @@
 		}
 	}
 
-	duration server_load::oldest_unanswered(time_point now) const
+	duration server_load::silent_for(time_point now) const
 	{
-		duration oldest{};
-		for (auto const& each : this->calls | std::views::values)
+		auto unanswered =
+			this->calls | std::views::values | std::views::filter([](auto const& call) { return !call.is_answered; });
+		duration longest{};
+		for (auto const& call : unanswered)
 		{
-			if (!each.is_answered)
-			{
-				oldest = std::max(oldest, now - each.since);
-			}
+			longest = std::max(longest, now - std::max(call.since, this->heard_at));
 		}
-		return oldest;
+		return longest;
 	}
 
 	server_share server_load::own() const noexcept
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -32,14 +32,23 @@
 	{
 	  public:
 		// Notes that a call was sent with so many tokens to prefill, which will need so much memory (both 0 for a plain
-		// call). Returns the call's number.
-		call_id begin(token_count to_prefill, token_count committed, time_point now);
+		// call). patience: how long it may go on without anything heard of it. Returns the call's number.
+		call_id begin(
+			token_count to_prefill, token_count committed, time_point now, duration patience = duration::max());
 
 		// Notes how much memory a running call will need by what is known now.
 		void set_committed(call_id call, token_count needed);
 
-		// Notes that the call's prefill is done.
-		void note_prefilled(call_id call);
+		// Notes that the server has answered something, be it about another call.
+		void note_heard(time_point now) noexcept;
+
+		// Notes an event of a call, or its answer: its prefill is done.
+		void note_progress(call_id call, time_point now);
+
+		// Returns how many calls have gone on for longer than their patience with nothing heard of them, each only
+		// once. They count no longer as work of the server: answers servers that lose answers, whose memory is free
+		// while the callers still wait.
+		std::size_t drop_silent(time_point now);
 
 		void end(call_id call);
 
@@ -71,8 +80,9 @@
 		// The work of all daemons.
 		[[nodiscard]] server_share total(time_point now) const noexcept;
 
-		// Age of the oldest call that the server has not begun to answer; zero when there is none.
-		[[nodiscard]] duration oldest_unanswered(time_point now) const;
+		// How long the server has left a call unanswered without being heard at all; zero when it was. Answers servers
+		// that went dark, and passes over those that lose single answers.
+		[[nodiscard]] duration silent_for(time_point now) const;
 
 		// Takes over what another daemon said of its work here. It counts until it is too old to be true.
 		void set_share(instance_id const& daemon, server_share const& share, time_point now);
@@ -84,6 +94,8 @@
 			std::uint64_t tokens = 0;
 			std::uint64_t committed = 0;
 			time_point since;
+			time_point heard_at;
+			duration patience{};
 			bool is_answered = false;
 		};
 
@@ -93,6 +105,9 @@
 			time_point told_at;
 		};
 
+		// Takes what a call needs out of the sums.
+		void drop_needs(running_call& call) noexcept;
+
 		// Ends the pause for good when this was the first call after it.
 		void end_pause_after(call_id call) noexcept;
 
@@ -100,6 +115,7 @@
 		std::uint64_t tokens = 0;
 		std::uint64_t committed = 0;
 		std::uint64_t last_call = 0;
+		time_point heard_at;
 		std::map<instance_id, told_share> others;
 		time_point full_until;
 		// Set from the server's request for a pause until the first call after it is answered or ended.
--- a/tests/unit/server_load.test.cpp
+++ b/tests/unit/server_load.test.cpp
@@ -28,7 +28,7 @@
 	load.note_pause(at_ms(1000));
 	auto const stream = load.begin({}, {}, at_ms(1001));
 	REQUIRE(load.is_paused(at_ms(1100)));
-	load.note_prefilled(stream);
+	load.note_progress(stream, at_ms(1050));
 	REQUIRE_FALSE(load.is_paused(at_ms(1100)));
 }
 
@@ -81,3 +81,48 @@
 	servers.put(restarted);
 	REQUIRE(servers.candidates(service_id("summaries"), server_role::plain, at_ms(0)).size() == 1);
 }
+
+TEST_CASE("a server that loses single answers stays in use, one that goes dark does not", "[load]")
+{
+	routing::server_load load;
+	std::ignore = load.begin({}, {}, at_ms(0));
+	auto const sound = load.begin({}, {}, at_ms(0));
+	REQUIRE(load.silent_for(at_ms(500)) == milliseconds(500));
+	load.note_progress(sound, at_ms(900));
+	REQUIRE(load.silent_for(at_ms(1000)) == milliseconds(100));
+	load.note_heard(at_ms(1200));
+	REQUIRE(load.silent_for(at_ms(1200)) == duration{});
+	REQUIRE(load.silent_for(at_ms(1700)) == milliseconds(500));
+}
+
+TEST_CASE("a stream whose answer was lost keeps no room while its caller still waits", "[load]")
+{
+	// Three in ten answers of an engine with room for ten streams are lost; callers wait for 3.6 s.
+	constexpr token_count needed(3600);
+	constexpr duration patience = milliseconds(1500);
+	routing::server_load load;
+	std::vector<call_id> lost;
+	for (std::int64_t stream = 0; stream < 10; ++stream)
+	{
+		auto const call = load.begin({}, needed, at_ms(stream * 100), patience);
+		if (stream % 3 == 0)
+		{
+			lost.push_back(call);
+		}
+		for (std::int64_t event = 1; stream % 3 != 0 && event < 30; ++event)
+		{
+			load.note_progress(call, at_ms(stream * 100 + event * 100));
+		}
+	}
+	REQUIRE(load.own().committed == 10 * needed.count());
+	REQUIRE(load.drop_silent(at_ms(1500)) == 0);
+	REQUIRE(load.drop_silent(at_ms(2500)) == lost.size());
+	REQUIRE(load.drop_silent(at_ms(2600)) == 0);
+	REQUIRE(load.own().committed == 6 * needed.count());
+	// It was only slow: its needs count again.
+	load.note_progress(lost.front(), at_ms(2700));
+	load.set_committed(lost.front(), needed);
+	REQUIRE(load.own().committed == 7 * needed.count());
+	std::ranges::for_each(lost, [&](call_id call) { load.end(call); });
+	REQUIRE(load.own().committed == 6 * needed.count());
+}
