A busy decode engine reads a prompt that would be late at the prefill engines

Cause: after engines leave or are lost, two prefill engines are left for a burst: 0.8 to 0.9 s from a stream's placing to its first event, all late, while decode engines have time. Change: a decode engine that runs streams reads the prompt itself when the stream would be late otherwise and in time so.

--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -24,8 +24,6 @@
 		constexpr duration line_poll = milliseconds(25);
 		// Part of their callers' patience for which streams wait: the first event needs the rest.
 		constexpr double usable_patience = 0.78;
-		// This part of the objective is left for what comes unexpected between the end of the wait and the first event.
-		constexpr int margin_divisor = 10;
 		// After its start a daemon takes others to be there before it has heard them, and uses a part of the engines
 		// only.
 		constexpr duration time_to_hear_others = seconds(3);
@@ -72,11 +70,10 @@
 	asio::awaitable<std::optional<forwarder::decode_room>> forwarder::reserve_room(state_pointer state)
 	{
 		auto const speed = this->engine_speed(*state);
-		auto const time_to_first_event =
-			speed.prefill_time(state->call.prompt.count()) + speed.begin + state->chosen->objective / margin_divisor;
+		auto const time_to_first_event = speed.prefill_time(state->call.prompt.count()) + speed.begin;
 		routing::waiting_stream waiting;
 		waiting.arrived = state->started;
-		waiting.in_time_until = state->started + state->chosen->objective - time_to_first_event;
+		waiting.in_time_until = state->in_time_until() - time_to_first_event;
 		waiting.priority = state->chosen->priority;
 		waiting.has_begun = state->first_event_at.has_value();
 		auto const silent_since = waiting.has_begun ? state->last_event_at : state->started;
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -27,6 +27,8 @@
 	// Larger answers are passed on piece by piece instead of being held until they are whole.
 	inline constexpr std::size_t held_answer_bytes = 262'144;
 	inline constexpr duration default_patience = seconds(60);
+	// This part of a stream's objective is left for what comes unexpected on the way to its first event.
+	inline constexpr int margin_divisor = 10;
 
 	// Keeps a call in a server's load until it ends.
 	class load_guard
@@ -173,6 +175,12 @@
 			return this->time_left() < least_time;
 		}
 
+		// Until when the first event has to be predicted for the stream to meet its objective.
+		[[nodiscard]] time_point in_time_until() const
+		{
+			return this->started + this->chosen->objective - this->chosen->objective / margin_divisor;
+		}
+
 		// Tokens that the stream has made since this daemon began it.
 		[[nodiscard]] token_count made_tokens() const
 		{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -43,8 +43,10 @@
 			request.may_split = !state->is_split_barred && !state->joiner.last_event();
 			request.split_limit =
 				this->is_new() ? state->chosen->timeout : state->chosen->objective / split_part_of_objective;
+			auto const now = monotonic_now();
+			request.begin_within = state->in_time_until() - now;
 			auto placement = routing::place_prefill(
-				this->shared->servers, request, room->engine, this->engine_speed(*state), draw_number, monotonic_now());
+				this->shared->servers, request, room->engine, this->engine_speed(*state), draw_number, now);
 			auto const is_split = placement.prefill != nullptr;
 			this->record_placement(*state, placement, room->reservation.has_value());
 			auto const failure = co_await this->run_stream(state, std::move(placement), room->reservation);
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -127,7 +127,9 @@
 		}
 		auto const split_time = speed.prefill_time(queued_tokens(*prefill, now) + prompt) + speed.begin;
 		auto const is_idle = decode->load.total(now).running == 0;
-		if (is_idle && split_time > request.split_limit && direct_time < split_time)
+		auto const is_earlier_direct = is_idle && split_time > request.split_limit && direct_time < split_time;
+		auto const is_late_split = split_time > request.begin_within && direct_time <= request.begin_within;
+		if (is_earlier_direct || is_late_split)
 		{
 			return stream_placement{nullptr, std::move(decode), direct_time};
 		}
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -39,8 +39,10 @@
 		token_count own_capacity;
 		// Servers that have already failed or refused this call.
 		std::set<server_id> excluded;
-		// Time to the first event up to which the prefill engines are waited for.
+		// Time to the first event up to which the prefill engines are waited for while a decode engine is idle.
 		duration split_limit{};
+		// Time to the first event up to which the stream is in time.
+		duration begin_within = duration::max();
 		// False when only the decode engine itself may prefill.
 		bool may_split = true;
 	};
@@ -58,7 +60,9 @@
 
 	// Returns who prefills for a decode engine. Prefill engines read the prompt as long as they would be done in time:
 	// a prompt that a decode engine reads by itself slows every stream on that engine down to a token for each of its
-	// pieces. Under a burst of long prompts, a decode engine that is idle and would begin earlier does it by itself.
+	// pieces. Answers bursts of long prompts, and prefill engines that are lost or leave: a decode engine that is idle
+	// and would begin earlier reads the prompt by itself, and so does one that runs streams when the stream would be
+	// late otherwise.
 	[[nodiscard]] stream_placement place_prefill(directory const& servers, placement_request const& request,
 		server_pointer decode, engine_speed const& speed, random_draw const& draw, time_point now);
 }
--- a/tests/unit/placement.test.cpp
+++ b/tests/unit/placement.test.cpp
@@ -127,6 +127,34 @@
 	REQUIRE(shared.prefill);
 }
 
+TEST_CASE("a busy decode engine reads a prompt when two of four prefill engines are lost in a burst", "[placement]")
+{
+	auto const servers = make_engines();
+	auto request = make_request();
+	request.begin_within = milliseconds(800);
+	auto const decode = servers.find(server_id("d1"));
+	decode->load.begin({}, request.needed, at_ms(1));
+	servers.find(server_id("p1"))->has_said_leaving = true;
+	servers.find(server_id("p2"))->has_said_leaving = true;
+	auto const place = [&]
+	{
+		return routing::place_prefill(servers, request, decode, make_speed(), constant_draw(), at_ms(2));
+	};
+	std::size_t apart = 0;
+	for (auto placement = place(); placement.prefill; placement = place())
+	{
+		REQUIRE(placement.first_event <= request.begin_within);
+		placement.prefill->load.begin(request.prompt, {}, at_ms(2));
+		++apart;
+	}
+	// Two engines read prompts of 5,200 tokens in 95 ms each.
+	REQUIRE(apart == 16);
+	REQUIRE(place().first_event <= request.begin_within);
+	// Once nobody would be in time, the decode engines' streams are not slowed down for nothing.
+	request.begin_within = milliseconds(100);
+	REQUIRE(place().prefill);
+}
+
 TEST_CASE("daemons that start together and have not heard each other do not fill the engines", "[placement]")
 {
 	constexpr std::uint32_t daemons = 4;
