--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -15,9 +15,8 @@
 	{
 		// Notices go out this often even when nothing has changed.
 		constexpr duration quiet_interval = milliseconds(800);
-		// Shorter pauses are over before they are known.
-		constexpr duration least_pause_told = milliseconds(500);
-		constexpr duration longest_pause_taken = seconds(10);
+		// Changes of role that are told to last longer come from a message that is not sound.
+		constexpr duration longest_change_taken = seconds(30);
 		constexpr duration query_interval = milliseconds(250);
 		constexpr duration observations_interval = seconds(1);
 		// Higher fencing numbers come from a message that is not sound: they would leave no room for further ones.
@@ -51,10 +50,10 @@
 			return server;
 		}
 
-		// Whether a list from another daemon can be read: a role that is not known comes from a newer one.
-		bool is_known_role(wire::ListedServer const& listed)
+		// Whether what another daemon told can be read: a role that is not known comes from a newer one.
+		bool is_known_role(std::uint32_t role)
 		{
-			return listed.role() <= static_cast<std::uint32_t>(routing::server_role::decode);
+			return role <= static_cast<std::uint32_t>(routing::server_role::decode);
 		}
 	}
 
@@ -85,7 +84,7 @@
 		auto const notice = this->make_notice(known, now);
 		std::string shares;
 		std::ranges::for_each(notice.shares(), [&](auto const& each) { shares += each.SerializeAsString(); });
-		std::ranges::for_each(notice.pauses(), [&](auto const& each) { shares += each.server(); });
+		std::ranges::for_each(notice.role_changes(), [&](auto const& each) { shares += each.server(); });
 		auto const is_due =
 			shares != this->last_shares || live_now.empty() || now - this->last_notice_at >= quiet_interval;
 		if (is_due)
@@ -175,12 +174,14 @@
 
 	void fleet_exchange::take_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now)
 	{
-		for (auto const& pause : notice.pauses())
+		for (auto const& told : notice.role_changes())
 		{
-			if (auto const server = this->shared->servers.find(server_id(pause.server())))
+			auto const server = this->shared->servers.find(server_id(told.server()));
+			if (server && is_known_role(told.role()) && server->entry.started == incarnation(told.started()))
 			{
-				auto const left = std::min(longest_pause_taken, duration(static_cast<duration::rep>(pause.left())));
-				server->load.note_full_until(now + left);
+				auto const left = std::min<std::uint64_t>(longest_change_taken.count(), told.left());
+				server->note_order({static_cast<routing::server_role>(told.role()),
+					now + duration(static_cast<duration::rep>(left))});
 			}
 		}
 		std::set<std::string_view> named;
@@ -264,7 +265,7 @@
 			return;
 		}
 		std::vector<routing::registered_server> servers;
-		auto readable = state.servers() | std::views::filter(is_known_role);
+		auto readable = state.servers() | std::views::filter([](wire::ListedServer const& each) { return is_known_role(each.role()); });
 		std::ranges::transform(readable, std::back_inserter(servers), from_wire);
 		this->hooks.take_servers(std::move(servers));
 	}
@@ -295,12 +296,13 @@
 				share.set_to_prefill(static_cast<std::uint32_t>(own.to_prefill));
 				share.set_committed(static_cast<std::uint32_t>(own.committed));
 			}
-			auto const paused_for = server->load.full_for(now);
-			if (this->shared->is_first_daemon && paused_for > least_pause_told)
+			if (server->is_changing(now))
 			{
-				auto& pause = *notice.add_pauses();
-				pause.set_server(id.str());
-				pause.set_left(static_cast<std::uint64_t>(paused_for.count()));
+				auto& change = *notice.add_role_changes();
+				change.set_server(id.str());
+				change.set_left(static_cast<std::uint64_t>((server->ordered->until - now).count()));
+				change.set_role(static_cast<std::uint32_t>(server->ordered->role));
+				change.set_started(server->entry.started.count());
 			}
 		}
 		return notice;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -152,6 +152,16 @@
 				{"left_ms", milliseconds_text(state.time_left())}});
 	}
 
+	void forwarder::note_pace(request_state const& state, time_point now)
+	{
+		// What was held up says nothing about what a stream needs.
+		if (state.longest_gap <= state.chosen->longest_gap && !state.failure)
+		{
+			this->shared->observed[state.service].demand.note_duration(
+				state.made_tokens(), now - *state.first_event_at);
+		}
+	}
+
 	void forwarder::note_served(request_state& state, routing::server_record& server, answer_begun& answer)
 	{
 		state.connection = nullptr;
@@ -165,12 +175,7 @@
 			{"took_ms", milliseconds_text(now - state.started)}};
 		if (state.first_event_at)
 		{
-			// What was held up says nothing about what a stream needs.
-			if (state.longest_gap <= state.chosen->longest_gap && !state.failure)
-			{
-				this->shared->observed[state.service].demand.note_duration(
-					state.made_tokens(), now - *state.first_event_at);
-			}
+			this->note_pace(state, now);
 			if (!state.is_caller_gone && !state.call.last_event)
 			{
 				this->shared->observed[state.service].outputs.note_outcome(
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -13,11 +13,15 @@
 		// A prefill engine that rejects is most likely changing its role.
 		constexpr duration rejected_prefill_pause = milliseconds(1000);
 		constexpr duration first_event_margin = milliseconds(700);
+		// For so long a decode engine is taken to change its role that keeps room and rejects the stream.
+		constexpr duration unknown_change_pause = seconds(3);
 		constexpr duration prefill_margin = milliseconds(500);
 		// Part of the objective up to which prefill engines are waited for.
 		constexpr int split_part_of_objective = 2;
 		// A decode engine that only has to fetch a KV cache begins soon.
 		constexpr duration fetched_event_patience = milliseconds(600);
+		// Events of a stream after which its pace is known, long before its end.
+		constexpr std::uint64_t events_to_tell_pace = 10;
 	}
 
 	asio::awaitable<void> forwarder::forward_stream(state_pointer state)
@@ -147,6 +151,12 @@
 		auto const is_first = !state->first_event_at;
 		auto outcome = co_await this->send(state, placement.decode, std::move(terms), patience);
 		std::optional<send_failure> failure;
+		auto const rejected = std::get_if<send_failure>(&outcome);
+		if (reservation && !source && rejected != nullptr && *rejected == send_failure::not_run)
+		{
+			// No KV cache was missing, and room was kept: the engine changes its role, by an order not heard of.
+			placement.decode->note_order({routing::server_role::prefill, monotonic_now() + unknown_change_pause});
+		}
 		if (auto* const answer = std::get_if<answer_begun>(&outcome))
 		{
 			// Two statements: GCC 12 runs the wrong branch of a conditional expression that awaits.
@@ -254,6 +264,10 @@
 				server->load.note_progress(call, progress_at);
 				server->load.set_committed(call, this->needed_tokens(*state));
 				state->note_event(progress_at);
+				if (state->joiner.events() >= events_to_tell_pace && events_before < events_to_tell_pace)
+				{
+					this->note_pace(*state, progress_at);
+				}
 				if (is_repeatable)
 				{
 					patience = routing::event_patience(*state->chosen);
--- a/packages/gateway/impl/role_orders.cpp
+++ b/packages/gateway/impl/role_orders.cpp
@@ -16,11 +16,9 @@
 
 		// Long enough for the others to be heard, and for an earlier one's orders to be over.
 		constexpr duration quiet_before_first = seconds(4);
-		constexpr duration between_orders = seconds(12);
+		constexpr duration between_orders = seconds(4);
 		// An engine lets its work run out before it changes its role, which may take this long in all.
 		constexpr duration longest_change = seconds(20);
-		// Told to the others again and again while the change goes on.
-		constexpr duration pause_at_a_time = milliseconds(1500);
 		constexpr duration order_timeout = milliseconds(400);
 		constexpr unsigned status_ok = 200;
 		constexpr unsigned status_accepted = 202;
@@ -44,7 +42,6 @@
 
 	asio::awaitable<void> role_orders::review()
 	{
-		this->pause_changing(monotonic_now());
 		if (!this->shared->routes || !this->may_order(monotonic_now()))
 		{
 			co_return;
@@ -76,16 +73,13 @@
 		auto const now = monotonic_now();
 		auto const prefill = this->shared->servers.candidates(service, routing::server_role::prefill, now);
 		auto const decode = this->shared->servers.candidates(service, routing::server_role::decode, now);
-		routing::pool_sizes const pools{
-			static_cast<std::uint32_t>(prefill.size()), static_cast<std::uint32_t>(decode.size())};
+		auto const pools = this->shared->servers.pools(service, now);
 		auto const& observed = this->shared->observed[service];
-		if (!observed.speed.is_known())
-		{
-			co_return;
-		}
 		auto const speed = observed.speed.speed(observed.demand.prompt(), duration{});
-		auto const plan = routing::choose_role_change(pools, observed.demand, speed, capacity);
-		if (!this->plans[service].holds(plan.change, now))
+		auto const plan = observed.speed.is_known()
+							  ? routing::choose_role_change(pools, observed.demand, speed, capacity)
+							  : routing::role_plan{};
+		if (!this->plans[service].holds(plan.change, pools, now))
 		{
 			co_return;
 		}
@@ -128,7 +122,6 @@
 		wanted.fence = this->next_fence();
 		wanted.orders_before = report->orders;
 		auto message = this->protocol->write_order(wanted);
-		engine->load.note_full_until(monotonic_now() + pause_at_a_time);
 		auto const reply = co_await this->calls->call_server(engine, std::move(message), order_timeout);
 		auto const is_taken = reply && (reply->status == status_accepted || reply->status == status_ok);
 		if (reply && reply->status == status_fence_refused)
@@ -138,7 +131,7 @@
 		}
 		if (is_taken)
 		{
-			this->changing.push_back({engine, role});
+			engine->note_order({role, monotonic_now() + longest_change});
 		}
 		this->log(make_line("server_role_ordered",
 			{{"server", engine->entry.id.str()}, {"role", std::string(routing::to_string(role))},
@@ -146,16 +139,6 @@
 				{"taken", is_taken ? "yes" : "no"}}));
 	}
 
-	void role_orders::pause_changing(time_point now)
-	{
-		std::erase_if(this->changing, [&](role_change_order const& each)
-			{ return each.engine->entry.role == each.role || now - *this->ordered_at > longest_change; });
-		for (auto const& each : this->changing)
-		{
-			each.engine->load.note_full_until(now + pause_at_a_time);
-		}
-	}
-
 	std::uint64_t role_orders::next_fence()
 	{
 		constexpr std::uint64_t microseconds_per_second = 1'000'000;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -121,6 +121,8 @@
 		// Takes over what an answer says about its server.
 		void note_facts(routing::server_record& server, answer_facts const& facts);
 		void note_outcome(request_state& state, routing::server_record& server, routing::send_failure failure);
+		// Notes how fast a stream goes on, as far as nothing held it up.
+		void note_pace(request_state const& state, time_point now);
 		void note_served(request_state& state, routing::server_record& server, answer_begun& answer);
 
 		[[nodiscard]] asio::awaitable<void> refuse(
--- a/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/role_orders.hpp
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -27,18 +26,9 @@
 		[[nodiscard]] asio::awaitable<void> review();
 
 	  private:
-		// An engine that is changing its role, and what it becomes.
-		struct role_change_order
-		{
-			routing::server_pointer engine;
-			routing::server_role role = routing::server_role::decode;
-		};
-
 		[[nodiscard]] bool may_order(time_point now);
 		[[nodiscard]] asio::awaitable<void> review_service(service_id service, token_count capacity);
 		[[nodiscard]] asio::awaitable<void> order(routing::server_pointer engine, routing::server_role role);
-		// Keeps work away from engines that change their role, until their entries say that they are done.
-		void pause_changing(time_point now);
 		// Returns a number above all that this daemon has used or heard of.
 		[[nodiscard]] std::uint64_t next_fence();
 
@@ -50,8 +40,6 @@
 		event_log log;
 		std::optional<time_point> first_since;
 		std::optional<time_point> ordered_at;
-		// Engines that are changing their role.
-		std::vector<role_change_order> changing;
 		std::map<service_id, routing::standing_plan> plans;
 	};
 }
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -86,7 +86,7 @@
 		for (auto const& known : this->servers | std::views::values)
 		{
 			if (known->entry.service != service || known->entry.role != role || known->is_leaving() ||
-				known->is_replaced)
+				known->is_replaced || known->is_changing(now))
 			{
 				continue;
 			}
@@ -102,6 +102,22 @@
 		return ready.empty() ? missing : ready;
 	}
 
+	pool_sizes directory::pools(service_id const& service, time_point now) const
+	{
+		pool_sizes sizes;
+		for (auto const& known : this->servers | std::views::values)
+		{
+			if (known->entry.service != service || !known->is_ready() || known->is_replaced)
+			{
+				continue;
+			}
+			auto const role = known->coming_role(now);
+			sizes.prefill += role == server_role::prefill ? 1 : 0;
+			sizes.decode += role == server_role::decode ? 1 : 0;
+		}
+		return sizes;
+	}
+
 	duration directory::shortest_pause(service_id const& service, time_point now) const
 	{
 		std::optional<duration> shortest;
--- a/packages/routing/impl/engine_speed.cpp
+++ b/packages/routing/impl/engine_speed.cpp
@@ -17,7 +17,7 @@
 		// One of so many prefills is taken to have had no other prompt ahead of it.
 		constexpr std::size_t undisturbed_divisor = 2;
 		// With fewer prefills, a part of the overhead is taken to grow with the length too; with one, all of it.
-		constexpr double prefills_to_trust = 10;
+		constexpr double prefills_to_trust = 4;
 		// The part of the time that grows with the length is at least this much of it.
 		constexpr double least_growing_part = 0.1;
 
--- a/packages/routing/impl/pool_balance.cpp
+++ b/packages/routing/impl/pool_balance.cpp
@@ -14,16 +14,30 @@
 		constexpr double decode_use = 0.85;
 		// How much more another split must carry.
 		constexpr double least_gain = 1.1;
+		// How much more when decode engines would read prompts as well.
+		constexpr double least_mixed_gain = 1.05;
 		// One of so many engines changes its role at a time.
 		constexpr std::uint32_t pool_parts_at_once = 6;
 		// Engines that crash are mostly back sooner.
 		constexpr duration time_to_stand = seconds(3);
+		constexpr duration time_to_want = seconds(1);
+
+		// Time that a decode engine loses by reading a prompt itself, in times that a prefill engine takes.
+		constexpr double mixed_cost = 1.5;
 
 		// Streams that a split carries, relative to other splits.
 		double carried(pool_sizes const& pools, double prefill_ms, double decode_ms)
 		{
 			return std::min(pools.prefill * prefill_use / prefill_ms, pools.decode * decode_use / decode_ms);
 		}
+
+		// The same when prompts that prefill engines have no time for are read by decode engines with memory to spare.
+		double carried_mixed(pool_sizes const& pools, double prefill_ms, double decode_ms)
+		{
+			auto const apart = carried(pools, prefill_ms, decode_ms);
+			auto const left = pools.decode * decode_use - apart * decode_ms;
+			return apart + left / (decode_ms + mixed_cost * prefill_ms);
+		}
 	}
 
 	std::string_view to_string(role_change change) noexcept
@@ -103,18 +117,34 @@
 			return {};
 		}
 		auto const to_decode = best < pools.prefill;
+		auto const carries_mixed = [&](std::uint32_t prefill)
+		{
+			return carried_mixed({prefill, all - prefill}, prefill_ms, decode_ms);
+		};
+		// A decode engine serves nobody until its streams have run out, while the others can read prompts as well.
+		if (!to_decode && carries_mixed(best) <= least_mixed_gain * carries_mixed(pools.prefill))
+		{
+			return {};
+		}
 		// The side that gives engines away keeps what the best split needs of it while they change.
 		auto const wanted = to_decode ? pools.prefill - best : best - pools.prefill;
 		return {to_decode ? role_change::prefill_to_decode : role_change::decode_to_prefill,
 			std::min(wanted, std::max(1U, all / pool_parts_at_once))};
 	}
-	bool standing_plan::holds(role_change wanted, time_point now) noexcept
+
+	bool standing_plan::holds(role_change wanted, pool_sizes const& pools, time_point now) noexcept
 	{
 		if (wanted != this->change)
 		{
 			this->change = wanted;
-			this->since = now;
+			this->wanted_since = now;
+		}
+		if (pools != this->sizes)
+		{
+			this->sizes = pools;
+			this->same_since = now;
 		}
-		return wanted != role_change::none && now - this->since >= time_to_stand;
+		auto const is_wanted = wanted != role_change::none && now - this->wanted_since >= time_to_want;
+		return is_wanted && now - this->same_since >= time_to_stand;
 	}
 }
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -40,11 +40,6 @@
 		return this->paused_until ? std::max(duration{}, *this->paused_until - now) : duration{};
 	}
 
-	duration server_load::full_for(time_point now) const noexcept
-	{
-		return std::max(duration{}, this->full_until - now);
-	}
-
 	bool server_load::is_full(time_point now) const noexcept
 	{
 		return now < this->full_until;
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -15,6 +15,14 @@
 
 namespace godwittrestle::routing
 {
+	// A change of role that a model engine was ordered to make.
+	struct role_change_ahead
+	{
+		server_role role = server_role::decode;
+		// After this the order is taken to have come to nothing.
+		time_point until;
+	};
+
 	// What this daemon knows of a backend server.
 	struct server_record
 	{
@@ -30,6 +38,30 @@
 		// It has said in an answer that it leaves, whatever the registry still says.
 		bool has_said_leaving = false;
 
+		// The last change of role that it was ordered to make.
+		std::optional<role_change_ahead> ordered;
+
+		// Whether it is changing its role, as far as the registry shows: it takes no work meanwhile.
+		[[nodiscard]] bool is_changing(time_point now) const noexcept
+		{
+			return this->ordered && this->ordered->role != this->entry.role && now < this->ordered->until;
+		}
+
+		// The role that it has, or will have after the change that was ordered.
+		[[nodiscard]] server_role coming_role(time_point now) const noexcept
+		{
+			return this->is_changing(now) ? this->ordered->role : this->entry.role;
+		}
+
+		// Notes an order; the one that lasts longest is the newest.
+		void note_order(role_change_ahead const& order) noexcept
+		{
+			if (!this->ordered || this->ordered->until < order.until)
+			{
+				this->ordered = order;
+			}
+		}
+
 		// Whether it wants no new work.
 		[[nodiscard]] bool is_leaving() const noexcept
 		{
@@ -82,10 +114,13 @@
 		std::vector<server_pointer> expire(time_point now);
 
 		// Returns the servers of a service in a role that may get work, those that are ready before all others: servers
-		// with missing entries only when none is ready. Never one that leaves.
+		// with missing entries only when none is ready. Never one that leaves or changes its role.
 		[[nodiscard]] std::vector<server_pointer> candidates(
 			service_id const& service, server_role role, time_point now) const;
 
+		// Returns how many engines of a service prefill and decode, those that change their role by what they become.
+		[[nodiscard]] pool_sizes pools(service_id const& service, time_point now) const;
+
 		// Returns how long it takes until one of a service's servers ends the pause that it has asked for; zero when
 		// one wants no pause, or there is none.
 		[[nodiscard]] duration shortest_pause(service_id const& service, time_point now) const;
--- a/packages/routing/include/godwittrestle/routing/pool_balance.hpp
+++ b/packages/routing/include/godwittrestle/routing/pool_balance.hpp
@@ -7,6 +7,7 @@
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
 #include <godwittrestle/routing/engine_speed.hpp>
+#include <godwittrestle/routing/server.hpp>
 #include <godwittrestle/routing/shared_average.hpp>
 
 namespace godwittrestle::routing
@@ -18,7 +19,7 @@
 		// Notes a new stream.
 		void note_stream(token_count prompt, token_count expected_output);
 
-		// Notes how long a stream took from its first event to its end, and how much it made.
+		// Notes how long a stream took from its first event on, and how much it made in that time.
 		void note_duration(token_count made, duration taken);
 
 		// Whether enough streams were seen, from their beginning and to their end, to judge by.
@@ -42,13 +43,6 @@
 		shared_average token_ms;
 	};
 
-	// Engines of one service by what they do.
-	struct pool_sizes
-	{
-		std::uint32_t prefill = 0;
-		std::uint32_t decode = 0;
-	};
-
 	// What one engine should do instead.
 	enum class role_change
 	{
@@ -68,16 +62,19 @@
 		[[nodiscard]] bool operator==(role_plan const&) const = default;
 	};
 
-	// Whether a change of role has been wanted for long enough to be ordered. Answers engines that crash and are soon
-	// back: what is wanted in between would be wrong when its engines have changed.
+	// Whether a change of role should be ordered: it has been wanted for a while, and no engine has come or gone for
+	// longer. Answers engines that crash and are soon back: what is wanted in between would be wrong when its engines
+	// have changed. A pool that has been the same since its start is mended before the first burst.
 	class standing_plan
 	{
 	  public:
-		[[nodiscard]] bool holds(role_change wanted, time_point now) noexcept;
+		[[nodiscard]] bool holds(role_change wanted, pool_sizes const& pools, time_point now) noexcept;
 
 	  private:
 		role_change change = role_change::none;
-		time_point since;
+		pool_sizes sizes;
+		time_point wanted_since;
+		time_point same_since;
 	};
 
 	// Decides whether engines should change their role. Answers a pool whose split does not fit its streams: one side
--- a/packages/routing/include/godwittrestle/routing/server.hpp
+++ b/packages/routing/include/godwittrestle/routing/server.hpp
@@ -40,4 +40,13 @@
 
 		[[nodiscard]] bool operator==(registered_server const&) const = default;
 	};
+
+	// Engines of one service by what they do.
+	struct pool_sizes
+	{
+		std::uint32_t prefill = 0;
+		std::uint32_t decode = 0;
+
+		[[nodiscard]] bool operator==(pool_sizes const&) const = default;
+	};
 }
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -68,9 +68,6 @@
 		// How much longer the pause lasts that the server has asked for.
 		[[nodiscard]] duration paused_for(time_point now) const noexcept;
 
-		// How much longer the server takes nothing.
-		[[nodiscard]] duration full_for(time_point now) const noexcept;
-
 		// Whether the server had no room a moment ago.
 		[[nodiscard]] bool is_full(time_point now) const noexcept;
 
--- a/tests/contract/fleet_exchange.test.cpp
+++ b/tests/contract/fleet_exchange.test.cpp
@@ -201,3 +201,34 @@
 	pair.round(2400);
 	REQUIRE(pair.other.shared.highest_fence == 1'000'000);
 }
+
+TEST_CASE("an engine that changes its role is passed over by all, also when the daemon that ordered it is gone", "[fleet]")
+{
+	pair_of_peers pair;
+	pair.knows.add_server("e1");
+	pair.other.add_server("e1");
+	pair.knows.server("e1").note_order({routing::server_role::prefill, at_ms(20'000)});
+	pair.round(100);
+	auto& engine = pair.other.server("e1");
+	REQUIRE(engine.is_changing(at_ms(200)));
+	auto const& servers = pair.other.shared.servers;
+	REQUIRE(servers.candidates(service_id("s"), routing::server_role::decode, at_ms(200)).empty());
+	REQUIRE(servers.pools(service_id("s"), at_ms(200)) == routing::pool_sizes{1, 0});
+	// What is told again and again lasts no longer than the order.
+	pair.round(10'000);
+	REQUIRE_FALSE(engine.is_changing(at_ms(20'100)));
+	// The registry shows the new role: it is done.
+	engine.entry.role = routing::server_role::prefill;
+	REQUIRE_FALSE(engine.is_changing(at_ms(10'100)));
+}
+
+TEST_CASE("an order to an engine that has restarted since is over", "[fleet]")
+{
+	pair_of_peers pair;
+	pair.knows.add_server("e1");
+	pair.other.add_server("e1");
+	pair.other.server("e1").entry.started = incarnation(8);
+	pair.knows.server("e1").note_order({routing::server_role::prefill, at_ms(20'000)});
+	pair.round(100);
+	REQUIRE_FALSE(pair.other.server("e1").is_changing(at_ms(200)));
+}
--- a/tests/unit/pool_balance.test.cpp
+++ b/tests/unit/pool_balance.test.cpp
@@ -80,12 +80,40 @@
 
 TEST_CASE("a change is ordered once it was wanted for a while, not for engines that are soon back", "[balance]")
 {
+	routing::pool_sizes const whole{4, 8};
+	routing::pool_sizes const without_one{3, 8};
 	routing::standing_plan plan;
-	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, at_ms(0)));
-	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, at_ms(2000)));
-	REQUIRE_FALSE(plan.holds(role_change::none, at_ms(2500)));
-	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, at_ms(3500)));
-	REQUIRE_FALSE(plan.holds(role_change::prefill_to_decode, at_ms(6000)));
-	REQUIRE_FALSE(plan.holds(role_change::prefill_to_decode, at_ms(8900)));
-	REQUIRE(plan.holds(role_change::prefill_to_decode, at_ms(9000)));
+	REQUIRE_FALSE(plan.holds(role_change::none, whole, at_ms(0)));
+	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, without_one, at_ms(8000)));
+	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, without_one, at_ms(10'500)));
+	REQUIRE_FALSE(plan.holds(role_change::none, whole, at_ms(10'600)));
+	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, without_one, at_ms(11'000)));
+	REQUIRE_FALSE(plan.holds(role_change::decode_to_prefill, without_one, at_ms(13'900)));
+	REQUIRE(plan.holds(role_change::decode_to_prefill, without_one, at_ms(14'000)));
+	REQUIRE_FALSE(plan.holds(role_change::prefill_to_decode, without_one, at_ms(14'500)));
+}
+
+TEST_CASE("a pool that has been the same since its start is mended a second after its streams are known", "[balance]")
+{
+	routing::pool_sizes const pools{4, 8};
+	routing::standing_plan plan;
+	REQUIRE_FALSE(plan.holds(role_change::none, pools, at_ms(0)));
+	REQUIRE_FALSE(plan.holds(role_change::prefill_to_decode, pools, at_ms(5000)));
+	REQUIRE_FALSE(plan.holds(role_change::prefill_to_decode, pools, at_ms(5900)));
+	REQUIRE(plan.holds(role_change::prefill_to_decode, pools, at_ms(6000)));
+}
+
+TEST_CASE("no decode engine is taken away for prompts that decode engines can read themselves", "[balance]")
+{
+	// Prefill engines have left in a burst: two are left for eight decode engines, which limit the pool as well.
+	routing::stream_demand demand;
+	for (int stream = 0; stream < 8; ++stream)
+	{
+		demand.note_stream(token_count(3200), token_count(852));
+		demand.note_duration(token_count(852), milliseconds(3408));
+	}
+	routing::engine_speed const speed{25, milliseconds(36), milliseconds(20)};
+	token_count const memory(37'952);
+	REQUIRE(routing::choose_role_change({2, 8}, demand, speed, memory) == routing::role_plan{});
+	REQUIRE(routing::choose_role_change({1, 11}, demand, speed, memory).change == role_change::decode_to_prefill);
 }
