A daemon that stops turns streams away that it can't finish; changes of the registry are gathered by its bounds

Cause, from streams cut in the middle around planned stops: for 2.5 s after SIGTERM the balancer still brings callers, and a stream that begins then and lasts 4 s and more is cut when the daemon ends. Change: while other daemons live, such a stream is refused at once and its caller sent back after 20 ms, which another daemon serves in time. Ruled out: taking no connections at once, which the balancer's delay forbids.

--- a/packages/base/include/godwittrestle/base/units.hpp
+++ b/packages/base/include/godwittrestle/base/units.hpp
@@ -35,4 +35,16 @@
 	{
 		return static_cast<double>(span.count()) / 1000.0;
 	}
+
+	// Returns a span of so many milliseconds; the count may have a fraction.
+	[[nodiscard]] constexpr duration from_milliseconds(double count) noexcept
+	{
+		return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(count));
+	}
+
+	// Returns a span of so many seconds; the count may have a fraction.
+	[[nodiscard]] constexpr duration from_seconds(double count) noexcept
+	{
+		return std::chrono::duration_cast<duration>(std::chrono::duration<double>(count));
+	}
 }
--- a/packages/gateway/impl/application.cpp
+++ b/packages/gateway/impl/application.cpp
@@ -40,7 +40,7 @@
 				  settings, adapter, [this](decide::record_event line) { this->events.record(std::move(line)); },
 				  [this] { return this->events.dropped(); }, [this] { this->main_loop.stop(); })
 			, registry(
-				  settings.registry_address, settings.registry_wait, adapter.registry,
+				  settings.registry_address, settings.registry, adapter.registry,
 				  [this](registry_update update) { this->callers.push(std::move(update)); },
 				  [this](decide::record_event line) { this->events.record(std::move(line)); })
 		{
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -57,7 +57,8 @@
 		if (!state->routes)
 		{
 			co_await this->refuse(
-				state, unavailable, "no configuration is known yet", "come back after Retry-After", true);
+				state, unavailable, "no configuration is known yet", "come back after Retry-After",
+				this->return_time(*state));
 		}
 		else
 		{
@@ -66,7 +67,7 @@
 			if (state->chosen == nullptr)
 			{
 				co_await this->refuse(state, not_found, "no route matches host and path",
-					"ask for a path of the configuration in force", false);
+					"ask for a path of the configuration in force");
 			}
 			else
 			{
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -224,14 +224,19 @@
 		}
 		auto const status = routing::status_of_failure(state->may_have_run, state->is_out_of_time());
 		auto const reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
-		co_await this->refuse(state, status, reason,
-			status == unavailable ? "come back after Retry-After"
-								  : "the request may have run: check before repeating it",
-			status == unavailable);
+		std::optional<duration> come_back_after;
+		std::string remedy = "the request may have run: check before repeating it";
+		if (status == unavailable)
+		{
+			come_back_after = this->return_time(*state);
+			remedy = "come back after Retry-After";
+		}
+		co_await this->refuse(state, status, reason, remedy, come_back_after);
 	}
 
 	asio::awaitable<void> forwarder::refuse(
-		state_pointer state, unsigned status, std::string reason, std::string remedy, bool come_back)
+		state_pointer state, unsigned status, std::string reason, std::string remedy,
+		std::optional<duration> come_back_after)
 	{
 		auto const kind = state->chosen == nullptr ? "none" : routing::to_string(state->chosen->kind);
 		this->totals->count_request(kind, status == unavailable ? "refused" : "failed");
@@ -242,12 +247,9 @@
 				{"configuration", state->routes ? std::to_string(state->routes->version().count()) : "none"},
 				{"took_ms", milliseconds_text(monotonic_now() - state->started)}});
 		auto answer = http::make_error(status, "refused", reason, remedy);
-		if (come_back)
+		if (come_back_after)
 		{
-			auto const objective = state->chosen == nullptr ? duration{} : state->chosen->objective;
-			auto const pause = this->shared->servers.shortest_pause(state->service, monotonic_now());
-			answer.headers.push_back(
-				this->protocol.retry_after(routing::retry_after(state->time_left(), objective, pause, this->draw())));
+			answer.headers.push_back(this->protocol.retry_after(*come_back_after));
 		}
 		if (!state->is_caller_gone)
 		{
@@ -255,6 +257,13 @@
 		}
 	}
 
+	duration forwarder::return_time(request_state const& state)
+	{
+		auto const objective = state.chosen == nullptr ? duration{} : state.chosen->objective;
+		auto const pause = this->shared->servers.shortest_pause(state.service, monotonic_now());
+		return routing::retry_after(state.time_left(), objective, pause, this->draw());
+	}
+
 	void forwarder::record(request_state const& state, std::string name, std::vector<decide::event_field> fields)
 	{
 		this->log(make_line(std::move(name), std::move(fields), state.call.attempt));
--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -105,7 +105,8 @@
 			}
 			auto const has_engines =
 				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
-			if (room || !has_engines || line.is_hopeless(ticket, gives_up_at, now))
+			auto const is_over = line.is_hopeless(ticket, gives_up_at, now) || this->must_go_elsewhere(*state);
+			if (room || !has_engines || is_over)
 			{
 				break;
 			}
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -15,6 +15,8 @@
 		constexpr duration first_event_margin = milliseconds(700);
 		// For so long a decode engine is taken to change its role that keeps room and rejects the stream.
 		constexpr duration unknown_change_pause = seconds(3);
+		// When to come back for callers whom other daemons can serve at once.
+		constexpr duration return_to_others = milliseconds(20);
 		constexpr duration prefill_margin = milliseconds(500);
 		// Part of the objective up to which prefill engines are waited for.
 		constexpr int split_part_of_objective = 2;
@@ -36,7 +38,7 @@
 		{
 			return this->draw();
 		};
-		while (true)
+		while (!this->must_go_elsewhere(*state))
 		{
 			auto room = co_await this->reserve_room(state);
 			if (!room)
@@ -70,9 +72,28 @@
 				break;
 			}
 		}
+		if (this->must_go_elsewhere(*state) && !state->may_have_run && !state->is_caller_gone)
+		{
+			co_await this->refuse(state, unavailable, "this instance stops before the stream would be whole",
+				"send it again at once: other instances take it", return_to_others);
+			co_return;
+		}
 		co_await this->give_up(state);
 	}
 
+	bool forwarder::must_go_elsewhere(request_state const& state) const
+	{
+		auto const others_live = this->shared->daemons > 1;
+		if (!this->shared->stops_at || !others_live || state.first_event_at)
+		{
+			return false;
+		}
+		auto const& observed = this->shared->observed[state.service];
+		auto const output = observed.outputs.predict(state.call.expected_output, state.call.most_output);
+		auto const ends_at = monotonic_now() + state.chosen->objective + observed.demand.length(output);
+		return ends_at > *this->shared->stops_at;
+	}
+
 	void forwarder::record_placement(
 		request_state const& state, routing::stream_placement const& placement, bool is_reserved)
 	{
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -23,7 +23,6 @@
 		// Changes that come close together, as when many servers start, are fetched together: each answer with changes
 		// that follows at once on another lengthens the pause before the next call.
 		constexpr duration gathering_step = milliseconds(200);
-		constexpr std::uint32_t most_gathering_steps = 4;
 		constexpr duration list_timeout = milliseconds(900);
 		constexpr duration first_pause = milliseconds(100);
 		constexpr duration longest_pause = milliseconds(800);
@@ -33,9 +32,9 @@
 	}
 
 	registry_follower::registry_follower(
-		http::endpoint target, duration wait, registry_protocol calls, registry_sink take, event_log lines)
+		http::endpoint target, registry_pace given, registry_protocol calls, registry_sink take, event_log lines)
 		: where(std::move(target))
-		, watch_wait(wait)
+		, pace(given)
 		, protocol(std::move(calls))
 		, sink(std::move(take))
 		, log(std::move(lines))
@@ -103,7 +102,7 @@
 
 	asio::awaitable<bool> registry_follower::watch()
 	{
-		auto const wait = this->failures > 0 ? std::min(watch_wait_after_failure, this->watch_wait) : this->watch_wait;
+		auto const wait = this->failures > 0 ? std::min(watch_wait_after_failure, this->pace.wait) : this->pace.wait;
 		auto message = this->protocol.watch(this->revision, wait);
 		auto const answer = co_await this->call(std::move(message), wait + watch_margin);
 		if (!answer)
@@ -133,10 +132,11 @@
 		{
 			this->sink(std::move(update));
 		}
-		this->changes_in_row = has_changes ? std::min(this->changes_in_row + 1, most_gathering_steps) : 0;
+		this->gathering =
+			has_changes ? std::min(this->gathering + gathering_step, this->pace.longest_gathering) : duration{};
 		if (has_changes)
 		{
-			co_await this->sleep(this->changes_in_row * gathering_step);
+			co_await this->sleep(this->gathering);
 		}
 		co_return true;
 	}
@@ -170,7 +170,7 @@
 
 	bool registry_follower::was_away() const
 	{
-		auto const longest_silence = this->watch_wait + watch_margin;
+		auto const longest_silence = this->pace.wait + watch_margin;
 		auto const silence = daemon::monotonic_now() - this->last_answer_at;
 		return this->failures >= failures_of_outage || (this->failures > 0 && silence >= longest_silence);
 	}
--- a/packages/gateway/impl/traffic.cpp
+++ b/packages/gateway/impl/traffic.cpp
@@ -55,7 +55,7 @@
 		, thread(std::make_unique<daemon::io_thread>())
 		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->take(std::move(update)); })
-		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, false, 0, given.retries, given.data_centre, 1}
+		, shared{nullptr, routing::directory(given.servers), {}, {}, {}, false, 0, given.retries, given.data_centre, 1, std::nullopt}
 		, forward(this->thread->context().get_executor(), this->shared, brought.calls, this->totals, this->log)
 		, peer_messages(peer_ring_capacity, this->thread->context(),
 			  [this](wire::PeerMessage&& message) { this->exchange.receive(message, this->known, monotonic_now()); })
@@ -151,6 +151,7 @@
 					return;
 				}
 				this->record("draining", {{"running", std::to_string(this->forward.running())}});
+				this->shared.stops_at = monotonic_now() + this->settings.termination_grace - exit_margin;
 				this->callers->drain();
 				this->exchange.announce_leaving(this->known, monotonic_now());
 				asio::co_spawn(this->thread->context(), this->finish(), asio::detached);
@@ -329,7 +330,7 @@
 
 	asio::awaitable<void> traffic::finish()
 	{
-		auto const ends_at = monotonic_now() + this->settings.termination_grace - exit_margin;
+		auto const ends_at = *this->shared.stops_at;
 		asio::steady_timer timer(this->thread->context(), balancer_delay);
 		std::ignore = co_await timer.async_wait(token);
 		// From here on nothing new is taken: what is running has the rest of the time.
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -41,6 +41,8 @@
 		data_centre_id data_centre;
 		// Daemons that share the retry budget and the servers' connections, this one included.
 		std::uint32_t daemons = 1;
+		// Once this daemon is told to stop: when it breaks off what still runs.
+		std::optional<time_point> stops_at;
 	};
 
 	// Serves callers' requests: finds the route, places the call, sends it, decides after each failure whether it may
@@ -126,7 +128,12 @@
 		void note_served(request_state& state, routing::server_record& server, answer_begun& answer);
 
 		[[nodiscard]] asio::awaitable<void> refuse(
-			state_pointer state, unsigned status, std::string reason, std::string remedy, bool come_back);
+			state_pointer state, unsigned status, std::string reason, std::string remedy,
+			std::optional<duration> come_back_after = std::nullopt);
+		// When a caller who is refused should come back.
+		[[nodiscard]] duration return_time(request_state const& state);
+		// Whether this daemon stops before a new stream would be whole, while other daemons can serve it.
+		[[nodiscard]] bool must_go_elsewhere(request_state const& state) const;
 		[[nodiscard]] asio::awaitable<void> give_up(state_pointer state);
 		// Gives room or a KV cache back that was not used.
 		[[nodiscard]] asio::awaitable<void> give_back(routing::server_pointer server, http::request message);
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -10,6 +10,7 @@
 #include <godwittrestle/daemon/io_thread.hpp>
 #include <godwittrestle/gateway/event_log.hpp>
 #include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/gateway/settings.hpp>
 #include <godwittrestle/http/client.hpp>
 
 namespace godwittrestle::gateway
@@ -37,10 +38,8 @@
 	class registry_follower
 	{
 	  public:
-		// watch_wait: how long the registry holds a call back while nothing changes; a connection that has gone silent
-		// is found so late.
 		registry_follower(
-			http::endpoint where, duration watch_wait, registry_protocol protocol, registry_sink sink, event_log log);
+			http::endpoint where, registry_pace pace, registry_protocol protocol, registry_sink sink, event_log log);
 
 		void start();
 		void stop();
@@ -63,7 +62,7 @@
 		void report_faults(registry_reply const& reply);
 
 		http::endpoint where;
-		duration watch_wait;
+		registry_pace pace;
 		registry_protocol protocol;
 		registry_sink sink;
 		event_log log;
@@ -74,7 +73,7 @@
 		// Calls without an answer since the last one that was answered.
 		std::uint32_t failures = 0;
 		time_point last_answer_at;
-		// Watches in a row that have brought changes.
-		std::uint32_t changes_in_row = 0;
+		// How long changes are gathered now.
+		duration gathering{};
 	};
 }
--- a/packages/gateway/include/godwittrestle/gateway/settings.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/settings.hpp
@@ -14,6 +14,18 @@
 
 namespace godwittrestle::gateway
 {
+	// How often the registry is called.
+	struct registry_pace
+	{
+		// How long the registry may hold a call back while nothing changes; a connection that has gone silent is found
+		// so late.
+		duration wait = seconds(3);
+		// How long changes that follow one another are gathered at most, to be fetched with one call.
+		duration longest_gathering = milliseconds(800);
+
+		[[nodiscard]] bool operator==(registry_pace const&) const = default;
+	};
+
 	// What a gateway is told at its start and whenever its settings file changes. Addresses hold for the life of the
 	// process; the rest is taken over at once.
 	struct gateway_settings
@@ -30,8 +42,7 @@
 		std::vector<http::endpoint> seeds;
 		routing::retry_terms retries;
 		routing::directory_terms servers;
-		// How long the registry may hold a call back while nothing changes.
-		duration registry_wait = seconds(3);
+		registry_pace registry;
 		// Time between SIGTERM and SIGKILL.
 		duration termination_grace = seconds(8);
 		std::string log_level = "INFO";
--- a/packages/routing/impl/engine_speed.cpp
+++ b/packages/routing/impl/engine_speed.cpp
@@ -61,10 +61,6 @@
 			return {token_ms, mean_taken - token_ms * mean_prompt};
 		}
 
-		duration from_milliseconds(double count) noexcept
-		{
-			return duration(static_cast<duration::rep>(count * 1000));
-		}
 	}
 
 	duration engine_speed::prefill_time(double tokens) const noexcept
--- a/packages/routing/impl/pool_balance.cpp
+++ b/packages/routing/impl/pool_balance.cpp
@@ -88,6 +88,11 @@
 		return token_count(static_cast<std::uint32_t>(this->output_tokens.all().value));
 	}
 
+	duration stream_demand::length(token_count output) const noexcept
+	{
+		return from_milliseconds(output.count() * this->token_ms.all().value);
+	}
+
 	double stream_demand::decode_ms(token_count capacity) const noexcept
 	{
 		// A stream's memory grows from its prompt to prompt and output.
--- a/packages/routing/include/godwittrestle/routing/pool_balance.hpp
+++ b/packages/routing/include/godwittrestle/routing/pool_balance.hpp
@@ -34,6 +34,9 @@
 		// Tokens that a stream makes on average, as predicted when it began.
 		[[nodiscard]] token_count output() const noexcept;
 
+		// Returns how long a stream takes that makes so many tokens; zero while that is not known.
+		[[nodiscard]] duration length(token_count output) const noexcept;
+
 		// Time for which one stream fills a decode engine's whole memory, in milliseconds.
 		[[nodiscard]] double decode_ms(token_count capacity) const noexcept;
 
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -311,6 +311,35 @@
 		std::ranges::none_of(calls, [](std::string const& each) { return each.find("/x/y") != std::string::npos; }));
 }
 
+TEST_CASE("a daemon that stops turns a stream away that it can't finish, and others take it at once", "[gateway]")
+{
+	// Streams of this service take 4 s; the daemon is told to stop and has 7 s in all.
+	auto const left = GENERATE(milliseconds(6900), milliseconds(3900));
+	auto const has_others = GENERATE(true, false);
+	scene scene(make_route(call_kind::streaming, 2, true));
+	scripted_server server(scene.loop, stream_answer("id: 1\n\n", true), ending::closes);
+	scene.add("a", server.address(), server_role::decode);
+	auto& seen = scene.shared.observed[service_id("s")];
+	for (int stream = 0; stream < 8; ++stream)
+	{
+		seen.demand.note_duration(token_count(1), milliseconds(4000));
+	}
+	scene.shared.daemons = has_others ? 8 : 1;
+	scene.shared.stops_at = daemon::monotonic_now() + left;
+	auto const answer = scene.ask();
+	if (has_others && left < seconds(5))
+	{
+		REQUIRE(answer.starts_with("HTTP/1.1 503"));
+		REQUIRE(answer.find("Retry-After: 0.020\r\n") != std::string::npos);
+		REQUIRE(server.received().empty());
+	}
+	else
+	{
+		REQUIRE(answer.starts_with("HTTP/1.1 200"));
+		REQUIRE(is_whole_stream(answer));
+	}
+}
+
 TEST_CASE("a server that answers for itself but in another role is not taken for gone", "[gateway]")
 {
 	scene scene(make_route(call_kind::non_idempotent, 1, false));
