--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -340,6 +340,31 @@
 	}
 }
 
+TEST_CASE("an engine that keeps room and rejects the stream is taken to change its role", "[gateway]")
+{
+	// Whether the prompt was read apart: then its KV cache may be what the engine lacks.
+	auto const is_apart = GENERATE(false, true);
+	routing::service service;
+	service.engine = routing::engine_terms{};
+	service.engine->kv_capacity = token_count(1000);
+	service.engine->longest_reservation = seconds(1);
+	scene scene(make_route(call_kind::streaming, 1, false), service);
+	auto const kept = http_answer("200 OK", "", "h1");
+	auto const rejected = http_answer("503 Service Unavailable", echo + "Not-Run: 1\r\n", "");
+	scripted_calls engine({kept, kept, rejected, rejected, rejected, rejected});
+	scripted_server reader(scene.loop, http_answer("200 OK", echo, "k1"), ending::stays_silent);
+	scene.add("a", http::to_string(engine.where()), server_role::decode);
+	if (is_apart)
+	{
+		scene.add("p", reader.address(), server_role::prefill);
+	}
+	auto const answer = scene.ask();
+	CAPTURE(is_apart, answer, engine.calls());
+	REQUIRE(answer.starts_with("HTTP/1.1 503"));
+	auto const first = scene.shared.servers.find(server_id("a"));
+	REQUIRE(first->is_changing(daemon::monotonic_now()) != is_apart);
+}
+
 TEST_CASE("a server that answers for itself but in another role is not taken for gone", "[gateway]")
 {
 	scene scene(make_route(call_kind::non_idempotent, 1, false));
--- a/tests/contract/plain_protocol.cpp
+++ b/tests/contract/plain_protocol.cpp
@@ -69,6 +69,10 @@
 		{
 			return http::request{"DELETE", "/reserved/" + reservation, {}, ""};
 		};
+		protocol.release = [](server_id const&, std::string const& handle)
+		{
+			return http::request{"DELETE", "/kept/" + handle, {}, ""};
+		};
 		protocol.retry_after = [](duration wait)
 		{
 			return http::header{"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())};
