--- a/packages/gateway/impl/forwarder_room.cpp
+++ b/packages/gateway/impl/forwarder_room.cpp
@@ -91,7 +91,7 @@
 		while (!state->is_caller_gone && !state->is_out_of_time())
 		{
 			auto const now = monotonic_now();
-			if (line.is_next(ticket, now))
+			if (line.may_ask(ticket, now))
 			{
 				auto engines =
 					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -84,10 +84,12 @@
 	bool forwarder::must_go_elsewhere(request_state const& state) const
 	{
 		auto const others_live = this->shared->daemons > 1;
-		if (!this->shared->stops_at || !others_live || state.first_event_at)
+		auto const has_begun = state.first_event_at.has_value();
+		if (!this->shared->stops_at || !others_live || has_begun)
 		{
 			return false;
 		}
+		// It may begin as late as its objective allows.
 		auto const& observed = this->shared->observed[state.service];
 		auto const output = observed.outputs.predict(state.call.expected_output, state.call.most_output);
 		auto const ends_at = monotonic_now() + state.chosen->objective + observed.demand.length(output);
@@ -140,7 +142,7 @@
 		auto const is_first = !state->first_event_at;
 		auto outcome = co_await this->send(state, placement.decode, std::move(terms), patience);
 		std::optional<send_failure> failure;
-		auto const rejected = std::get_if<send_failure>(&outcome);
+		auto const* const rejected = std::get_if<send_failure>(&outcome);
 		if (reservation && !source && rejected != nullptr && *rejected == send_failure::not_run)
 		{
 			// No KV cache was missing, and room was kept: the engine changes its role, by an order not heard of.
--- a/packages/routing/impl/waiting_line.cpp
+++ b/packages/routing/impl/waiting_line.cpp
@@ -66,7 +66,7 @@
 			[&](auto const& item) { return std::tuple_cat(rank(item.second, now), std::tuple(item.first)) < own; }));
 	}
 
-	bool waiting_line::is_next(line_ticket ticket, time_point now) const
+	bool waiting_line::may_ask(line_ticket ticket, time_point now) const
 	{
 		auto const& own = this->waiting.at(ticket);
 		auto const own_rank = std::tuple_cat(rank(own, now), std::tuple(ticket));
--- a/packages/routing/include/godwittrestle/routing/waiting_line.hpp
+++ b/packages/routing/include/godwittrestle/routing/waiting_line.hpp
@@ -25,9 +25,9 @@
 		token_count needed;
 	};
 
-	// The order in which streams get room when decode engines are full. Answers bursts on top of a nearly full pool:
-	// streams that can still begin in time go first, the one with the least time left before the others, so that a
-	// burst does not make everybody late; those that are late get what is left, oldest first. Streams that have begun
+	// The order in which streams ask for room when decode engines are full. Answers bursts on top of a nearly full
+	// pool: streams that can still begin in time go first, the one with the least time left before the others, so that
+	// a burst does not make everybody late; those that are late get what is left, oldest first. Streams that have begun
 	// and lost their engine go before all others: answers an engine that crashes in the burst. While a large one waits
 	// for an engine with enough room, smaller ones that can be in time take room that is too small for it.
 	class waiting_line
@@ -37,7 +37,7 @@
 		void leave(line_ticket ticket);
 
 		// Whether a stream may ask for room: it is the first of the line, or all before it need more than it does.
-		[[nodiscard]] bool is_next(line_ticket ticket, time_point now) const;
+		[[nodiscard]] bool may_ask(line_ticket ticket, time_point now) const;
 
 		// Notes that the first of the line got room after it had to wait.
 		void note_grant(time_point now);
--- a/tests/unit/waiting_line.test.cpp
+++ b/tests/unit/waiting_line.test.cpp
@@ -11,11 +11,11 @@
 	auto const late = line.enter({at_ms(50), 1, at_ms(0)});
 	auto const relaxed = line.enter({at_ms(900), 1, at_ms(100)});
 	auto const pressed = line.enter({at_ms(700), 1, at_ms(90)});
-	REQUIRE(line.is_next(pressed, at_ms(100)));
+	REQUIRE(line.may_ask(pressed, at_ms(100)));
 	line.leave(pressed);
-	REQUIRE(line.is_next(relaxed, at_ms(100)));
+	REQUIRE(line.may_ask(relaxed, at_ms(100)));
 	line.leave(relaxed);
-	REQUIRE(line.is_next(late, at_ms(100)));
+	REQUIRE(line.may_ask(late, at_ms(100)));
 }
 
 TEST_CASE("a burst makes those late that can no longer be helped, not everybody", "[line]")
@@ -39,7 +39,7 @@
 			continue;
 		}
 		auto const first =
-			std::ranges::find_if(waiting, [&](stream const& each) { return line.is_next(each.ticket, at_ms(now)); });
+			std::ranges::find_if(waiting, [&](stream const& each) { return line.may_ask(each.ticket, at_ms(now)); });
 		REQUIRE(first != waiting.end());
 		in_time += first->waiting.in_time_until >= at_ms(now) ? 1 : 0;
 		++begun;
@@ -57,8 +57,8 @@
 	auto const pressed = line.enter({at_ms(4100), 1, at_ms(4000)});
 	routing::waiting_stream begun{at_ms(700), 1, at_ms(0), true};
 	auto const resumed = line.enter(begun);
-	REQUIRE(line.is_next(resumed, at_ms(4050)));
-	REQUIRE_FALSE(line.is_next(pressed, at_ms(4050)));
+	REQUIRE(line.may_ask(resumed, at_ms(4050)));
+	REQUIRE_FALSE(line.may_ask(pressed, at_ms(4050)));
 	REQUIRE_FALSE(line.is_hopeless(resumed, at_ms(6500), at_ms(4050)));
 	REQUIRE(line.is_hopeless(resumed, at_ms(6500), at_ms(6500)));
 }
@@ -95,8 +95,8 @@
 	routing::waiting_line line;
 	auto const usual = line.enter({at_ms(500), 2, at_ms(0)});
 	auto const urgent = line.enter({at_ms(900), 0, at_ms(10)});
-	REQUIRE(line.is_next(urgent, at_ms(20)));
-	REQUIRE_FALSE(line.is_next(usual, at_ms(20)));
+	REQUIRE(line.may_ask(urgent, at_ms(20)));
+	REQUIRE_FALSE(line.may_ask(usual, at_ms(20)));
 }
 
 TEST_CASE("smaller streams take the room that is too small for a large one, none of its own size does", "[line]")
@@ -110,13 +110,13 @@
 	auto const small = enter(400, 2000);
 	auto const smaller = enter(500, 1500);
 	auto const alike = enter(600, 2000);
-	REQUIRE(line.is_next(large, at_ms(10)));
-	REQUIRE(line.is_next(small, at_ms(10)));
-	REQUIRE(line.is_next(smaller, at_ms(10)));
-	REQUIRE_FALSE(line.is_next(alike, at_ms(10)));
+	REQUIRE(line.may_ask(large, at_ms(10)));
+	REQUIRE(line.may_ask(small, at_ms(10)));
+	REQUIRE(line.may_ask(smaller, at_ms(10)));
+	REQUIRE_FALSE(line.may_ask(alike, at_ms(10)));
 	// Late ones get only what the first of the line leaves.
-	REQUIRE_FALSE(line.is_next(smaller, at_ms(550)));
-	REQUIRE(line.is_next(alike, at_ms(550)));
+	REQUIRE_FALSE(line.may_ask(smaller, at_ms(550)));
+	REQUIRE(line.may_ask(alike, at_ms(550)));
 }
 
 TEST_CASE("a burst on engines of a few streams each is not held up by the largest", "[line]")
@@ -137,7 +137,7 @@
 		waiting.push_back({line.enter({at_ms(now + 500), 1, at_ms(now), false, token_count(needed)}), needed});
 		auto const free = 2000U + now * 7 % 3000;
 		auto const first = std::ranges::find_if(
-			waiting, [&](stream const& each) { return each.needed <= free && line.is_next(each.ticket, at_ms(now)); });
+			waiting, [&](stream const& each) { return each.needed <= free && line.may_ask(each.ticket, at_ms(now)); });
 		if (first != waiting.end())
 		{
 			++begun;
