Observability: the limit that a server names is decoded, logged and counted

The daemons' logs could not tell whether a limit is not read at all or kept by each daemon alone. A header Server-Limit is now decoded in platform/ into a rate, kept with the server (the newest statement counts; an answer without one ends it, unless its request was sent before the limit was heard) and logged when it changes. A limit that is not a number, is negative or is named twice gives one log line with the reason; the known limit stays, of several the lowest counts. Counter godwittrestle_limited_sends_total, gauge godwittrestle_limited_servers. No decision uses the limit yet.

--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -32,6 +32,16 @@
 				  .Help("New connections to backend servers")
 				  .Register(this->registry)
 				  .Add({}))
+		, limited_sends(&prometheus::BuildCounter()
+				  .Name("godwittrestle_limited_sends_total")
+				  .Help("Calls sent to backend servers that state a limit")
+				  .Register(this->registry)
+				  .Add({}))
+		, limited_servers(&prometheus::BuildGauge()
+				  .Name("godwittrestle_limited_servers")
+				  .Help("Backend servers that state a limit")
+				  .Register(this->registry)
+				  .Add({}))
 		, registry_calls(&prometheus::BuildCounter()
 				  .Name("godwittrestle_registry_calls_total")
 				  .Help("Calls to the registry, by outcome")
@@ -75,6 +85,16 @@
 		this->connections->Increment();
 	}
 
+	void counters::count_limited_send()
+	{
+		this->limited_sends->Increment();
+	}
+
+	void counters::set_limited_servers(std::size_t count)
+	{
+		this->limited_servers->Set(static_cast<double>(count));
+	}
+
 	void counters::count_registry_call(std::string_view outcome)
 	{
 		this->registry_calls->Add({{"outcome", std::string(outcome)}}).Increment();
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -164,6 +164,11 @@
 		auto const outgoing = this->protocol.write_call(state->message, options);
 		state->connection = connection;
 		state->sent_to.insert(entry.id);
+		auto const sent_at = monotonic_now();
+		if (server->limit.rate())
+		{
+			this->totals->count_limited_send();
+		}
 		connection->send(outgoing);
 		for (int stray = 0; stray < max_stray_answers; ++stray)
 		{
@@ -189,6 +194,7 @@
 				continue;
 			}
 			this->record_server_state(*server, metadata);
+			this->record_limit(*server, metadata, answer.status, sent_at);
 			if (metadata.is_misdirected || metadata.is_not_run)
 			{
 				std::ignore = co_await connection->read_rest(drain_body_timeout, max_small_body_bytes);
@@ -243,7 +249,9 @@
 		auto head = co_await connection->read_head(timeout);
 		if (auto* const answer = std::get_if<http::response>(&head))
 		{
-			this->record_server_state(*server, this->protocol.read_answer(*answer));
+			auto const metadata = this->protocol.read_answer(*answer);
+			this->record_server_state(*server, metadata);
+			this->record_limit(*server, metadata, answer->status, std::nullopt);
 			auto body = co_await connection->read_rest(timeout, max_small_body_bytes);
 			if (auto* const text = std::get_if<std::string>(&body))
 			{
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -55,7 +55,7 @@
 		, thread(std::make_unique<daemon::io_thread>())
 		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->apply_update(std::move(update)); })
-		, shared{nullptr, routing::directory(given_settings.servers), {}, {}, {}, false, 0, given_settings.retries,
+		, shared{given_settings.instance, nullptr, routing::directory(given_settings.servers), {}, {}, {}, false, 0, given_settings.retries,
 			  given_settings.data_centre, 1, std::nullopt}
 		, request_forwarder(
 			  this->thread->context().get_executor(), this->shared, given_adapter.calls, this->totals, this->log)
@@ -311,6 +311,9 @@
 				this->log_event("server_forgotten", {{"server", gone->entry.id.str()}});
 			}
 			this->drop_silent_calls(now);
+			auto const limited = std::ranges::count_if(this->shared.servers.all() | std::views::values,
+				[](routing::server_pointer const& each) { return each->limit.rate().has_value(); });
+			this->totals.set_limited_servers(static_cast<std::size_t>(limited));
 			this->request_forwarder.connections().close_expired(now);
 		}
 	}
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -31,6 +31,9 @@
 		void count_send(std::string_view part, std::string_view outcome);
 
 		void count_connection();
+		// Counts a call that was sent to a backend server that states a limit.
+		void count_limited_send();
+		void set_limited_servers(std::size_t count);
 		void count_registry_call(std::string_view outcome);
 		void set_configuration(std::uint64_t version);
 		void set_servers(std::size_t count);
@@ -44,6 +47,8 @@
 		prometheus::Family<prometheus::Histogram>* first_byte;
 		prometheus::Family<prometheus::Counter>* sends;
 		prometheus::Counter* connections;
+		prometheus::Counter* limited_sends;
+		prometheus::Gauge* limited_servers;
 		prometheus::Family<prometheus::Counter>* registry_calls;
 		prometheus::Gauge* configuration;
 		prometheus::Gauge* servers;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -17,6 +17,7 @@
 #include <godwittrestle/gateway/event_log.hpp>
 #include <godwittrestle/gateway/protocols.hpp>
 #include <godwittrestle/gateway/settings.hpp>
+#include <godwittrestle/gateway/shared_state.hpp>
 #include <godwittrestle/gateway/stream_joiner.hpp>
 #include <godwittrestle/http/server.hpp>
 #include <godwittrestle/routing.hpp>
@@ -25,28 +26,6 @@
 {
 	namespace asio = boost::asio;
 
-	// State that all requests share. Only the thread that serves callers accesses it.
-	struct shared_state
-	{
-		std::shared_ptr<routing::route_table const> routes;
-		routing::directory servers;
-		std::map<service_id, routing::retry_budget> retry_budgets;
-		routing::admission_queue stream_queue;
-		std::map<service_id, routing::service_observations> observed;
-		// Whether this daemon has the smallest id of all live daemons, is not draining and can read the registry. Only
-		// this daemon orders role changes.
-		bool is_coordinator = false;
-		// Highest fencing number that this daemon has used or has heard of from another daemon.
-		std::uint64_t highest_fence = 0;
-		routing::retry_budget_settings retries;
-		data_centre_id data_centre;
-		// Number of live daemons, including this one. The retry budget and the connection limits of the servers are
-		// divided among them.
-		std::uint32_t daemon_count = 1;
-		// Set when this daemon starts to drain: the time at which it aborts the requests that are still running.
-		std::optional<time_point> shutdown_deadline;
-	};
-
 	// Serves callers' requests: finds the route, chooses a backend server, sends the call, retries it after a failure
 	// where that is allowed, and passes the answer on. Each request runs in its own coroutine; all of them use one
 	// executor.
@@ -143,6 +122,10 @@
 		// Records what an answer says about its server: that the server is alive, whether it is leaving, and whether it
 		// asks for a pause.
 		void record_server_state(routing::server_record& server, answer_metadata const& metadata);
+		// Records what an answer states about the limit of its server. call_sent_at: when the answer is to a caller's
+		// request, the time at which that was sent; only such an answer can show that a limit has ended.
+		void record_limit(routing::server_record& server, answer_metadata const& metadata, unsigned status,
+			std::optional<time_point> call_sent_at);
 		// Records a failed call in the request, the server's state, the metrics and the log. The server is not tried
 		// again for this request.
 		void record_failure(request_state& state, routing::server_record& server, routing::send_failure failure);
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -13,6 +13,7 @@
 #include <godwittrestle/base/units.hpp>
 #include <godwittrestle/http/message.hpp>
 #include <godwittrestle/routing/configuration.hpp>
+#include <godwittrestle/routing/request_rate.hpp>
 #include <godwittrestle/routing/server.hpp>
 
 namespace godwittrestle::gateway
@@ -62,6 +63,15 @@
 		std::optional<std::string> last_event;
 	};
 
+	// What an answer states about the requests that its server takes from all daemons together.
+	struct limit_statement
+	{
+		// Nothing when the answer states no limit, or none that can be read.
+		std::optional<routing::request_rate> rate;
+		// What is wrong with the statement; empty when nothing is. A statement with a fault may still have a rate.
+		std::string fault;
+	};
+
 	// What the headers of a backend server's answer say about the call and the server.
 	struct answer_metadata
 	{
@@ -73,6 +83,7 @@
 		bool is_leaving = false;
 		// The server was full and wants no calls from this daemon for this long.
 		std::optional<duration> requested_pause;
+		limit_statement limit;
 		// The server that answered; empty when the answer does not say.
 		server_id server;
 		// The id of the caller's attempt that the answer belongs to; empty when the answer does not say.
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing.hpp>
+
+namespace godwittrestle::gateway
+{
+	// State that all requests share. Only the thread that serves callers accesses it.
+	struct shared_state
+	{
+		instance_id own_id;
+		std::shared_ptr<routing::route_table const> routes;
+		routing::directory servers;
+		std::map<service_id, routing::retry_budget> retry_budgets;
+		routing::admission_queue stream_queue;
+		std::map<service_id, routing::service_observations> observed;
+		// Whether this daemon has the smallest id of all live daemons, is not draining and can read the registry. Only
+		// this daemon orders role changes.
+		bool is_coordinator = false;
+		// Highest fencing number that this daemon has used or has heard of from another daemon.
+		std::uint64_t highest_fence = 0;
+		routing::retry_budget_settings retries;
+		data_centre_id data_centre;
+		// Number of live daemons, including this one. The retry budget and the connection limits of the servers are
+		// divided among them.
+		std::uint32_t daemon_count = 1;
+		// Set when this daemon starts to drain: the time at which it aborts the requests that are still running.
+		std::optional<time_point> shutdown_deadline;
+	};
+}
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -9,10 +9,12 @@
 #include <godwittrestle/routing/output_estimate.hpp>
 #include <godwittrestle/routing/placement.hpp>
 #include <godwittrestle/routing/pool_balance.hpp>
+#include <godwittrestle/routing/request_rate.hpp>
 #include <godwittrestle/routing/retry_budget.hpp>
 #include <godwittrestle/routing/retry_rules.hpp>
 #include <godwittrestle/routing/server.hpp>
 #include <godwittrestle/routing/server_health.hpp>
+#include <godwittrestle/routing/server_limit.hpp>
 #include <godwittrestle/routing/server_load.hpp>
 #include <godwittrestle/routing/service_observations.hpp>
 #include <godwittrestle/routing/shared_average.hpp>
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -11,6 +11,7 @@
 #include <godwittrestle/base/units.hpp>
 #include <godwittrestle/routing/server.hpp>
 #include <godwittrestle/routing/server_health.hpp>
+#include <godwittrestle/routing/server_limit.hpp>
 #include <godwittrestle/routing/server_load.hpp>
 
 namespace godwittrestle::routing
@@ -29,6 +30,8 @@
 		registered_server entry;
 		server_health health;
 		server_load load;
+		// The limit that the server states for the requests of all daemons together.
+		server_limit limit;
 		// Set when the registry no longer lists the server: until this time it may still get work that no listed server
 		// can take.
 		std::optional<time_point> missing_until;
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -50,6 +50,10 @@
 			{
 				metadata.requested_pause = milliseconds(*pause);
 			}
+			if (auto const limit = answer.find_header("Limit"); !limit.empty())
+			{
+				metadata.limit.rate = routing::request_rate(std::stod(limit));
+			}
 			metadata.server = server_id(answer.find_header("Answered-By"));
 			metadata.attempt = request_id(answer.find_header("Attempt"));
 			return metadata;
