--- a/tests/contract/serving_thread.test.cpp
+++ b/tests/contract/serving_thread.test.cpp
@@ -25,13 +25,6 @@
 	namespace asio = boost::asio;
 	using asio::ip::tcp;
 
-	http::endpoint free_endpoint()
-	{
-		asio::io_context loop;
-		tcp::acceptor const acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-		return {"127.0.0.1", acceptor.local_endpoint().port()};
-	}
-
 	gateway::gateway_settings make_settings()
 	{
 		gateway::gateway_settings settings;
--- a/tests/contract/test_servers.cpp
+++ b/tests/contract/test_servers.cpp
@@ -108,6 +108,13 @@
 		}
 	}
 
+	http::endpoint free_endpoint()
+	{
+		asio::io_context loop;
+		tcp::acceptor const acceptor(loop, any_loopback_port());
+		return {"127.0.0.1", acceptor.local_endpoint().port()};
+	}
+
 	std::string refused_address(asio::io_context& loop)
 	{
 		tcp::acceptor const acceptor(loop, any_loopback_port());
--- a/tests/contract/test_servers.hpp
+++ b/tests/contract/test_servers.hpp
@@ -68,6 +68,9 @@
 		std::chrono::milliseconds interval;
 	};
 
+	// Returns a loopback address with a port that is free at present.
+	[[nodiscard]] http::endpoint free_endpoint();
+
 	// Returns an address on which no process listens, so that connecting to it is refused.
 	[[nodiscard]] std::string refused_address(boost::asio::io_context& loop);
 
