A limit that a server names is kept by all daemons together

What callers saw: nothing at first; the server in need got several times the requests that it had named, from all daemons (LIMIT at 11.0 s: 66 in 4 s, 28 allowed).

The class of fault behind it: a bound that holds for all daemons together needs one that sees the sum; each daemon keeping it by itself (hypothesis 2) would exceed it N times.

Change: for each server that names a limit, the live daemon with the highest rendezvous hash issues permits from a bucket at the named rate; every other daemon asks it for one permit just before it sends a request. Without a permit the request goes to another server, or is refused at once with the time of the next permit. News of a limit travels with the notices. Counted are sends of callers' requests: repeats, resumed streams and prefills included, reservations and reports not.

Weighed: equal parts for each daemon (with 30 daemons and 1 request a second each part is too small to use, and callers on one daemon get a 30th); parts by reported demand (when callers move, several daemons take the same part until reports have passed).

--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -37,6 +37,14 @@
 				  .Help("Calls sent to backend servers that state a limit")
 				  .Register(this->registry)
 				  .Add({}))
+		, permits(&prometheus::BuildCounter()
+				  .Name("godwittrestle_send_permits_total")
+				  .Help("Decisions on permits for calls to backend servers that state a limit, by outcome")
+				  .Register(this->registry))
+		, limited_requests(&prometheus::BuildCounter()
+				  .Name("godwittrestle_limited_requests_total")
+				  .Help("Requests of callers that a server's limit kept from it, by outcome")
+				  .Register(this->registry))
 		, limited_servers(&prometheus::BuildGauge()
 				  .Name("godwittrestle_limited_servers")
 				  .Help("Backend servers that state a limit")
@@ -90,6 +98,16 @@
 		this->limited_sends->Increment();
 	}
 
+	void counters::count_permit(std::string_view outcome)
+	{
+		this->permits->Add({{"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::count_limited_request(std::string_view outcome)
+	{
+		this->limited_requests->Add({{"outcome", std::string(outcome)}}).Increment();
+	}
+
 	void counters::set_limited_servers(std::size_t count)
 	{
 		this->limited_servers->Set(static_cast<double>(count));
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -5,7 +5,10 @@
 #include <set>
 #include <utility>
 
-#include <godwittrestle/daemon/wall_clock.hpp>
+#include <fmt/format.h>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+#include <godwittrestle/gateway/permit_exchange.hpp>
 
 #include "observation_messages.hpp"
 
@@ -18,6 +21,9 @@
 		// Upper bound for the remaining time of a role change that another daemon announces: a longer time comes from
 		// a malformed message.
 		constexpr duration max_accepted_role_change = seconds(30);
+		// A change of a server's limit is told for this long; the bound on their number keeps a notice small.
+		constexpr duration limit_news_time = seconds(3);
+		constexpr int max_limits = 8;
 		constexpr duration query_interval = milliseconds(250);
 		constexpr duration observations_interval = seconds(1);
 		// A higher fencing number is ignored as malformed: accepting it would leave too few numbers for further orders.
@@ -60,14 +66,14 @@
 
 	fleet_exchange::fleet_exchange(instance_id own, incarnation started, std::string address, shared_state& state,
 		exchange_hooks callbacks, event_log event_sink)
-		: own_id(own)
-		, own_started(started)
-		, own_address(address)
+		: outgoing(own, started, address, callbacks.send)
 		, shared(&state)
 		, hooks(std::move(callbacks))
 		, log(std::move(event_sink))
 		, members(std::move(own), std::move(address))
 	{
+		this->shared->own_id = this->outgoing.own_id();
+		this->shared->permits = routing::permit_issuer(this->outgoing.own_id(), decide::rank);
 	}
 
 	void fleet_exchange::set_seeds(std::vector<std::string> addresses)
@@ -79,20 +85,23 @@
 	{
 		this->shared->daemon_count = this->members.size(now);
 		auto const live_now = this->members.live(now);
+		this->shared->permits.set_daemons(live_now, now);
 		this->shared->is_coordinator = !this->is_leaving && !registry_state.is_lost &&
 									   std::ranges::none_of(live_now, [this](routing::fleet_member const& each)
-										   { return each.id < this->own_id; });
+										   { return each.id < this->outgoing.own_id(); });
 		auto const notice = this->make_notice(registry_state, now);
 		std::string shares;
 		std::ranges::for_each(notice.shares(), [&](auto const& each) { shares += each.SerializeAsString(); });
 		std::ranges::for_each(notice.role_changes(), [&](auto const& each) { shares += each.server(); });
+		std::ranges::for_each(
+			notice.limits(), [&](auto const& each) { shares += fmt::format("{}={}", each.server(), each.rate()); });
 		auto const is_due =
 			shares != this->last_sent_shares || live_now.empty() || now - this->last_notice_at >= max_notice_interval;
 		if (is_due)
 		{
 			this->last_sent_shares = std::move(shares);
 			this->last_notice_at = now;
-			auto message = this->make_message();
+			auto message = this->outgoing.make_message();
 			*message.mutable_gateway_notice() = notice;
 			if (now - this->observations_sent_at >= observations_interval)
 			{
@@ -101,7 +110,7 @@
 			}
 			for (auto const& address : this->members.next_recipients(this->hooks.draw, now))
 			{
-				this->send(address, message);
+				this->outgoing.send(address, message);
 			}
 		}
 		auto const needs_registry_data =
@@ -134,6 +143,7 @@
 	void fleet_exchange::announce_leaving(registry_snapshot const& registry_state, time_point now)
 	{
 		this->is_leaving = true;
+		this->shared->permits.note_leaving(this->outgoing.own_id());
 		this->last_sent_shares.clear();
 		this->last_notice_at = {};
 		std::ignore = this->send_due(registry_state, now);
@@ -158,7 +168,9 @@
 		if (notice.leaving())
 		{
 			this->members.remove(sender);
+			this->shared->permits.note_leaving(sender);
 		}
+		this->apply_limits(notice, now);
 		this->apply_shares(sender, notice, now);
 		this->apply_observations(notice);
 		if (notice.highest_fence() <= max_accepted_fence)
@@ -176,6 +188,26 @@
 		}
 	}
 
+	void fleet_exchange::apply_limits(wire::GatewayNotice const& notice, time_point now)
+	{
+		for (auto const& received : notice.limits())
+		{
+			apply_limit(received, this->shared->servers, this->log, now);
+		}
+	}
+
+	void fleet_exchange::add_limits(wire::GatewayNotice& notice, time_point now) const
+	{
+		for (auto const& server : this->shared->servers.all() | std::views::values)
+		{
+			auto const unchanged = server->limit.unchanged_for(now);
+			if (unchanged && *unchanged <= limit_news_time && notice.limits_size() < max_limits)
+			{
+				*notice.add_limits() = to_wire(*server, now);
+			}
+		}
+	}
+
 	void fleet_exchange::apply_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now)
 	{
 		for (auto const& received : notice.role_changes())
@@ -232,11 +264,11 @@
 	void fleet_exchange::handle_state_query(
 		wire::PeerMessage const& message, wire::GatewayStateQuery const& query, registry_snapshot const& registry_state)
 	{
-		if (query.address().empty() || message.from() == this->own_id.str())
+		if (query.address().empty() || message.from() == this->outgoing.own_id().str())
 		{
 			return;
 		}
-		auto reply = this->make_message();
+		auto reply = this->outgoing.make_message();
 		auto& state = *reply.mutable_gateway_state();
 		state.set_config_version(registry_state.version.count());
 		if (registry_state.version.count() > query.config_version())
@@ -255,7 +287,7 @@
 				}
 			}
 		}
-		this->send(query.address(), std::move(reply));
+		this->outgoing.send(query.address(), std::move(reply));
 	}
 
 	void fleet_exchange::apply_update(wire::GatewayState const& state, registry_snapshot const& registry_state)
@@ -279,7 +311,7 @@
 	wire::GatewayNotice fleet_exchange::make_notice(registry_snapshot const& registry_state, time_point now) const
 	{
 		wire::GatewayNotice notice;
-		notice.set_address(this->own_address);
+		notice.set_address(this->outgoing.address());
 		notice.set_config_version(registry_state.version.count());
 		notice.set_leaving(this->is_leaving);
 		notice.set_highest_fence(this->shared->highest_fence);
@@ -311,6 +343,7 @@
 				change.set_started(server->entry.started.count());
 			}
 		}
+		this->add_limits(notice, now);
 		return notice;
 	}
 
@@ -321,25 +354,11 @@
 			return;
 		}
 		this->last_query_at = now;
-		auto message = this->make_message();
+		auto message = this->outgoing.make_message();
 		auto& asked = *message.mutable_gateway_state_query();
-		asked.set_address(this->own_address);
+		asked.set_address(this->outgoing.address());
 		asked.set_config_version(registry_state.version.count());
 		asked.set_wants_servers(registry_state.is_lost || !registry_state.has_servers);
-		this->send(address, std::move(message));
-	}
-
-	void fleet_exchange::send(std::string const& address, wire::PeerMessage message) const
-	{
-		this->hooks.send({instance_id(address), address, std::move(message)});
-	}
-
-	wire::PeerMessage fleet_exchange::make_message() const
-	{
-		wire::PeerMessage message;
-		message.set_from(this->own_id.str());
-		message.set_incarnation(this->own_started.count());
-		message.set_timestamp(daemon::wall_clock_us());
-		return message;
+		this->outgoing.send(address, std::move(message));
 	}
 }
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -22,6 +22,8 @@
 		// Number of answers to earlier requests after which a connection is given up.
 		constexpr int max_stray_answers = 3;
 		constexpr duration release_timeout = milliseconds(500);
+		// Number of servers whose limits may refuse a request before it goes to servers without a limit only.
+		constexpr int max_refused_permits = 3;
 
 		std::string_view without_port(std::string_view host)
 		{
@@ -29,10 +31,11 @@
 		}
 	}
 
-	forwarder::forwarder(asio::any_io_executor io_executor, shared_state& state, call_protocol calls, counters& metrics,
-		event_log event_sink)
+	forwarder::forwarder(asio::any_io_executor io_executor, shared_state& state, permit_exchange& permit_source,
+		call_protocol calls, counters& metrics, event_log event_sink)
 		: executor(io_executor)
 		, shared(&state)
+		, permits(&permit_source)
 		, protocol(std::move(calls))
 		, totals(&metrics)
 		, log(std::move(event_sink))
@@ -90,12 +93,14 @@
 
 	asio::awaitable<void> forwarder::forward_plain(state_pointer state)
 	{
+		int refused_permits = 0;
 		while (true)
 		{
 			routing::placement_request request;
 			request.service = state->service;
 			request.data_centre = this->shared->data_centre;
 			request.excluded = state->excluded;
+			request.may_use_limited = refused_permits < max_refused_permits;
 			auto const draw_number = [this]
 			{
 				return this->draw();
@@ -128,6 +133,7 @@
 			{
 				failure = std::get<send_failure>(outcome);
 			}
+			refused_permits += *failure == send_failure::not_permitted ? 1 : 0;
 			this->record_failure(*state, *server, *failure);
 			if (!this->authorize_retry(*state, *failure))
 			{
@@ -137,8 +143,8 @@
 		co_await this->fail_request(state);
 	}
 
-	asio::awaitable<forwarder::send_outcome> forwarder::send(
-		state_pointer state, routing::server_pointer server, send_options options, duration max_silence)
+	asio::awaitable<forwarder::send_outcome> forwarder::send(state_pointer state, routing::server_pointer server,
+		send_options options, duration max_silence, bool has_permit)
 	{
 		auto const& entry = server->entry;
 		auto const max_idle_for_call = state->matched_route->is_repeatable() || options.part == call_part::prefill
@@ -153,6 +159,16 @@
 			co_return send_failure::not_sent;
 		}
 		pooled_connection pooled(this->pool, entry, connection);
+		// Asked for last, so that the permit is used at once, also when the limit was stated meanwhile.
+		auto is_permitted = has_permit;
+		if (!is_permitted)
+		{
+			is_permitted = co_await this->obtain_permit(state, server);
+		}
+		if (!is_permitted)
+		{
+			co_return send_failure::not_permitted;
+		}
 		if (state->is_caller_gone || state->is_out_of_time() || server->is_leaving() ||
 			server->load.paused_for(monotonic_now()) > duration{})
 		{
@@ -220,7 +236,7 @@
 			state.no_retry_reason = "most_servers_tried";
 			return false;
 		}
-		if (failure == send_failure::not_sent)
+		if (failure == send_failure::not_sent || failure == send_failure::not_permitted)
 		{
 			return true;
 		}
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -1,12 +1,14 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
 
 #include "forwarder_state.hpp"
+#include "limit_events.hpp"
 
 namespace godwittrestle::gateway
 {
@@ -28,6 +30,7 @@
 				case send_failure::silent:
 					return routing::call_outcome::silent;
 				case send_failure::not_sent:
+				case send_failure::not_permitted:
 				case send_failure::wrong_server:
 				case send_failure::broken:
 					return routing::call_outcome::broken;
@@ -125,6 +128,11 @@
 	{
 		state.connection = nullptr;
 		state.failure = failure;
+		if (failure == send_failure::not_permitted)
+		{
+			// Says nothing about the server, which stays a candidate for this request.
+			return;
+		}
 		state.excluded.insert(server.entry.id);
 		if (failure == send_failure::not_sent)
 		{
@@ -171,6 +179,10 @@
 		auto const outcome = state.is_caller_gone ? "caller_gone" : "served";
 		this->totals->count_send(routing::to_string(server.entry.role), "served");
 		this->totals->count_request(routing::to_string(state.matched_route->kind), outcome);
+		if (state.was_limited)
+		{
+			this->totals->count_limited_request("moved");
+		}
 		std::vector<decide::event_field> fields{{"route", state.matched_route->name},
 			{"servers", fmt::format("{}", fmt::join(state.attempted_servers, ","))},
 			{"status", std::to_string(answer.head.status)}, {"took_ms", milliseconds_text(now - state.started)}};
@@ -227,11 +239,16 @@
 			co_return;
 		}
 		auto const status = routing::status_of_failure(state->may_have_run, state->is_out_of_time());
-		auto const reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
+		auto reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
 		std::optional<duration> retry_delay;
 		std::string remedy = "the request may have run: check before repeating it";
 		if (status == unavailable)
 		{
+			if (this->shared->servers.next_limited(state->service, monotonic_now()))
+			{
+				reason = "server_limits";
+				this->totals->count_limited_request("refused");
+			}
 			retry_delay = this->retry_after_delay(*state);
 			remedy = "come back after Retry-After";
 		}
@@ -243,12 +260,17 @@
 	{
 		auto const kind = state->matched_route == nullptr ? "none" : routing::to_string(state->matched_route->kind);
 		this->totals->count_request(kind, status == unavailable ? "refused" : "failed");
-		this->log_event(*state, "request_refused",
-			{{"status", std::to_string(status)}, {"reason", reason},
-				{"route", state->matched_route == nullptr ? "" : state->matched_route->name},
-				{"servers", fmt::format("{}", fmt::join(state->attempted_servers, ","))},
-				{"configuration", state->routes ? std::to_string(state->routes->version().count()) : "none"},
-				{"took_ms", milliseconds_text(monotonic_now() - state->started)}});
+		auto const now = monotonic_now();
+		std::vector<decide::event_field> fields{{"status", std::to_string(status)}, {"reason", reason},
+			{"route", state->matched_route == nullptr ? "" : state->matched_route->name},
+			{"servers", fmt::format("{}", fmt::join(state->attempted_servers, ","))},
+			{"configuration", state->routes ? std::to_string(state->routes->version().count()) : "none"},
+			{"took_ms", milliseconds_text(now - state->started)}};
+		if (auto const limited = this->shared->servers.next_limited(state->service, now))
+		{
+			std::ranges::move(limit_fields(*limited, now), std::back_inserter(fields));
+		}
+		this->log_event(*state, "request_refused", std::move(fields));
 		auto answer = http::make_error(status, "refused", reason, remedy);
 		if (retry_delay)
 		{
@@ -263,8 +285,11 @@
 	duration forwarder::retry_after_delay(request_state const& state)
 	{
 		auto const objective = state.matched_route == nullptr ? duration{} : state.matched_route->objective;
-		auto const pause = this->shared->servers.shortest_pause(state.service, monotonic_now());
-		return routing::retry_after(state.time_left(), objective, pause, this->draw());
+		auto const now = monotonic_now();
+		auto const pause = this->shared->servers.shortest_pause(state.service, now);
+		auto const limited = this->shared->servers.next_limited(state.service, now);
+		auto const wait = limited ? limited->limit.refused_for(now) : duration{};
+		return routing::retry_after(state.time_left(), objective, std::max(pause, wait), this->draw());
 	}
 
 	void forwarder::log_event(request_state const& state, std::string name, std::vector<decide::event_field> fields)
--- a/packages/gateway/impl/forwarder_limits.cpp
+++ b/packages/gateway/impl/forwarder_limits.cpp
@@ -1,17 +1,69 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
-#include <fmt/format.h>
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
 
 #include "forwarder_state.hpp"
+#include "limit_events.hpp"
 
 namespace godwittrestle::gateway
 {
 	namespace
 	{
-		std::string rate_text(std::optional<routing::request_rate> rate)
+		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
+		// The answer to a request for a permit may take this part of the route's objective, within the bounds below.
+		constexpr int objective_divisor = 4;
+		constexpr duration min_permit_timeout = milliseconds(20);
+		constexpr duration max_permit_timeout = milliseconds(200);
+		// A server whose issuer has not answered gets no requests for this long, so that few requests wait in vain.
+		constexpr duration unanswered_pause = milliseconds(500);
+	}
+
+	asio::awaitable<bool> forwarder::obtain_permit(state_pointer state, routing::server_pointer server)
+	{
+		if (!server->limit.rate())
+		{
+			co_return true;
+		}
+		if (server->limit.refused_for(monotonic_now()) > duration{})
+		{
+			co_return false;
+		}
+		auto const timeout =
+			std::clamp(state->matched_route->objective / objective_divisor, min_permit_timeout, max_permit_timeout);
+		auto const answer = co_await this->request_permit(server, timeout);
+		this->totals->count_permit(routing::to_string(answer.outcome));
+		if (answer.outcome == routing::permit_outcome::granted)
+		{
+			co_return true;
+		}
+		auto const now = monotonic_now();
+		server->limit.note_refusal(answer, now);
+		state->was_limited = true;
+		this->log_event(*state, "request_not_permitted", limit_fields(*server, now));
+		co_return false;
+	}
+
+	asio::awaitable<routing::permit_answer> forwarder::request_permit(routing::server_pointer server, duration timeout)
+	{
+		std::optional<routing::permit_answer> answer;
+		asio::steady_timer timer(this->executor);
+		auto const number = this->permits->request(*server, monotonic_now(),
+			[&](routing::permit_answer const& received)
+			{
+				answer = received;
+				timer.cancel();
+			});
+		if (!answer)
 		{
-			return rate ? fmt::format("{:.3f}", rate->per_second()) : "none";
+			timer.expires_after(timeout);
+			std::ignore = co_await timer.async_wait(wait_token);
 		}
+		this->permits->cancel(number);
+		co_return answer.value_or(routing::permit_answer{routing::permit_outcome::no_answer, unanswered_pause});
 	}
 
 	void forwarder::record_limit(routing::server_record& server, answer_metadata const& metadata, unsigned status,
@@ -24,9 +76,7 @@
 		auto const& statement = metadata.limit;
 		if (!statement.fault.empty() && server.limit.note_fault(statement.fault))
 		{
-			this->log(make_event("server_limit_unreadable",
-				{{"server", server.entry.id.str()}, {"reason", statement.fault},
-					{"used_per_s", rate_text(statement.rate)}, {"known_per_s", rate_text(rate_before)}}));
+			this->log(make_limit_unreadable_event(server, statement.fault, statement.rate));
 		}
 		routing::limit_report const report{statement.rate, now, this->shared->own_id};
 		auto const is_success = status >= first_success && status < first_redirect;
@@ -41,9 +91,7 @@
 		}
 		if (is_changed)
 		{
-			this->log(make_event("server_limit_changed",
-				{{"server", server.entry.id.str()}, {"limit_per_s", rate_text(server.limit.rate())},
-					{"before_per_s", rate_text(rate_before)}, {"heard_by", report.heard_by.str()}}));
+			this->log(make_limit_changed_event(server, rate_before));
 		}
 	}
 }
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -105,8 +105,10 @@
 			}
 			auto const has_engines =
 				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
-			auto const is_over =
-				stream_queue.should_refuse(ticket, gives_up_at, now) || this->must_refuse_before_stop(*state);
+			auto const limited = this->shared->servers.next_limited(state->service, now);
+			auto const is_beyond_limits = limited && now + limited->limit.refused_for(now) > gives_up_at;
+			auto const is_over = is_beyond_limits || stream_queue.should_refuse(ticket, gives_up_at, now) ||
+								 this->must_refuse_before_stop(*state);
 			if (granted || !has_engines || is_over)
 			{
 				break;
@@ -129,7 +131,14 @@
 		auto const longest = this->longest_reservation(state->service);
 		if (!longest)
 		{
-			co_return engines.empty() ? std::nullopt : std::optional<reserved_engine>({engines.front(), std::nullopt});
+			for (auto const& engine : engines)
+			{
+				if (co_await this->obtain_permit(state, engine))
+				{
+					co_return reserved_engine{engine, std::nullopt};
+				}
+			}
+			co_return std::nullopt;
 		}
 		auto const speed = this->engine_speed(*state);
 		auto const time_to_first_event = speed.prefill_time(state->call.prompt.count()) + speed.decode_start;
@@ -148,7 +157,14 @@
 			{
 				this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *probe));
 			}
-			if (!probe || state->is_caller_gone)
+			auto const is_wanted = probe && !state->is_caller_gone;
+			// Asked for last: a permit that is not used is lost for all daemons.
+			auto is_permitted = false;
+			if (is_wanted)
+			{
+				is_permitted = co_await this->obtain_permit(state, engine);
+			}
+			if (!is_permitted)
 			{
 				this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *reservation));
 			}
@@ -156,7 +172,7 @@
 			{
 				co_return std::nullopt;
 			}
-			if (!probe)
+			if (!is_permitted)
 			{
 				continue;
 			}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -164,6 +164,8 @@
 		std::uint64_t tokens_per_event = 0;
 		duration predicted_first_event{};
 		bool may_have_run = false;
+		// Whether a server's limit has kept this request from it.
+		bool was_limited = false;
 		bool is_caller_gone = false;
 		bool is_head_sent = false;
 		// Whether the decode engine has to prefill the prompt itself, because a separate prefill or the fetch of its KV
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -145,7 +145,8 @@
 			state->matched_route->is_repeatable() && state->sent_to.empty() ? first_event_timeout : default_timeout;
 		auto const sent_at = monotonic_now();
 		auto const is_first = !state->first_event_at;
-		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence);
+		constexpr auto has_permit = true;
+		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence, has_permit);
 		std::optional<send_failure> failure;
 		auto const* const rejected = std::get_if<send_failure>(&outcome);
 		if (reservation && !source && rejected != nullptr && *rejected == send_failure::not_run)
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -43,6 +43,16 @@
 			converted.idle_timeout = limits.idle_timeout;
 			return converted;
 		}
+
+		shared_state make_shared_state(gateway_settings const& settings)
+		{
+			shared_state state;
+			state.own_id = settings.instance;
+			state.servers = routing::directory(settings.servers);
+			state.retries = settings.retries;
+			state.data_centre = settings.data_centre;
+			return state;
+		}
 	}
 
 	serving_thread::serving_thread(gateway_settings const& given_settings, platform_adapter const& given_adapter,
@@ -52,16 +62,19 @@
 		, log(std::move(event_sink))
 		, dropped_lines(std::move(dropped))
 		, on_drained(std::move(drained))
+		, started(daemon::wall_clock_us())
 		, thread(std::make_unique<daemon::io_thread>())
 		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->apply_update(std::move(update)); })
-		, shared{given_settings.instance, nullptr, routing::directory(given_settings.servers), {}, {}, {}, false, 0, given_settings.retries,
-			  given_settings.data_centre, 1, std::nullopt}
-		, request_forwarder(
-			  this->thread->context().get_executor(), this->shared, given_adapter.calls, this->totals, this->log)
+		, shared(make_shared_state(given_settings))
+		, permits(this->shared,
+			  {given_settings.instance, this->started, http::to_string(given_settings.peer_address),
+				  [this](decide::send_peer message) { this->peers.push(std::move(message)); }},
+			  this->log)
+		, request_forwarder(this->thread->context().get_executor(), this->shared, this->permits, given_adapter.calls,
+			  this->totals, this->log)
 		, peer_messages(peer_ring_capacity, this->thread->context(),
-			  [this](wire::PeerMessage&& message)
-			  { this->exchange.receive(message, this->registry_state, monotonic_now()); })
+			  [this](wire::PeerMessage&& message) { this->receive(message); })
 		, peers({given_settings.peer_address, {}, {}, peer_ring_capacity},
 			  {[this](wire::PeerMessage message)
 				  {
@@ -70,7 +83,7 @@
 				  },
 				  [](instance_id const&) {
 				  }})
-		, exchange(given_settings.instance, incarnation(daemon::wall_clock_us()),
+		, exchange(given_settings.instance, this->started,
 			  http::to_string(given_settings.peer_address), this->shared,
 			  {[this](decide::send_peer message) { this->peers.push(std::move(message)); },
 				  [this](std::string text) { this->apply_configuration_text(std::move(text)); },
@@ -160,6 +173,15 @@
 			});
 	}
 
+	void serving_thread::receive(wire::PeerMessage const& message)
+	{
+		auto const now = monotonic_now();
+		if (!this->permits.receive(message, now))
+		{
+			this->exchange.receive(message, this->registry_state, now);
+		}
+	}
+
 	void serving_thread::apply_update(registry_update&& update)
 	{
 		auto const now = monotonic_now();
@@ -307,6 +329,7 @@
 			auto const now = monotonic_now();
 			for (auto const& gone : this->shared.servers.expire(now))
 			{
+				this->shared.permits.forget(gone->entry.id);
 				this->request_forwarder.connections().remove_server(gone->entry.id);
 				this->log_event("server_forgotten", {{"server", gone->entry.id.str()}});
 			}
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -33,6 +33,11 @@
 		void count_connection();
 		// Counts a call that was sent to a backend server that states a limit.
 		void count_limited_send();
+		// Counts a decision on a permit for a request to such a server. outcome: of routing::permit_outcome.
+		void count_permit(std::string_view outcome);
+		// Counts a caller's request that a limit kept from a server. outcome: moved (served by another server) or
+		// refused.
+		void count_limited_request(std::string_view outcome);
 		void set_limited_servers(std::size_t count);
 		void count_registry_call(std::string_view outcome);
 		void set_configuration(std::uint64_t version);
@@ -48,6 +53,8 @@
 		prometheus::Family<prometheus::Counter>* sends;
 		prometheus::Counter* connections;
 		prometheus::Counter* limited_sends;
+		prometheus::Family<prometheus::Counter>* permits;
+		prometheus::Family<prometheus::Counter>* limited_requests;
 		prometheus::Gauge* limited_servers;
 		prometheus::Family<prometheus::Counter>* registry_calls;
 		prometheus::Gauge* configuration;
--- a/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
@@ -6,7 +6,8 @@
 
 #include <godwittrestle/decide/action.hpp>
 #include <godwittrestle/gateway/event_log.hpp>
-#include <godwittrestle/gateway/forwarder.hpp>
+#include <godwittrestle/gateway/peer_sender.hpp>
+#include <godwittrestle/gateway/shared_state.hpp>
 #include <godwittrestle/routing.hpp>
 #include <godwittrestle/wire.hpp>
 
@@ -58,17 +59,16 @@
 		void handle_state_query(wire::PeerMessage const& message, wire::GatewayStateQuery const& query,
 			registry_snapshot const& registry_state);
 		void apply_update(wire::GatewayState const& state, registry_snapshot const& registry_state);
+		void apply_limits(wire::GatewayNotice const& notice, time_point now);
+		// Adds the limits that have changed a moment ago.
+		void add_limits(wire::GatewayNotice& notice, time_point now) const;
 		void apply_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now);
 		void add_observations(wire::GatewayNotice& notice) const;
 		void apply_observations(wire::GatewayNotice const& notice);
 		[[nodiscard]] wire::GatewayNotice make_notice(registry_snapshot const& registry_state, time_point now) const;
 		void query(std::string const& address, registry_snapshot const& registry_state, time_point now);
-		void send(std::string const& address, wire::PeerMessage message) const;
-		[[nodiscard]] wire::PeerMessage make_message() const;
 
-		instance_id own_id;
-		incarnation own_started;
-		std::string own_address;
+		peer_sender outgoing;
 		shared_state* shared;
 		exchange_hooks hooks;
 		event_log log;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -15,6 +15,7 @@
 #include <godwittrestle/gateway/connection_pool.hpp>
 #include <godwittrestle/gateway/counters.hpp>
 #include <godwittrestle/gateway/event_log.hpp>
+#include <godwittrestle/gateway/permit_exchange.hpp>
 #include <godwittrestle/gateway/protocols.hpp>
 #include <godwittrestle/gateway/settings.hpp>
 #include <godwittrestle/gateway/shared_state.hpp>
@@ -32,8 +33,8 @@
 	class forwarder
 	{
 	  public:
-		forwarder(asio::any_io_executor executor, shared_state& shared, call_protocol protocol, counters& totals,
-			event_log log);
+		forwarder(asio::any_io_executor executor, shared_state& shared, permit_exchange& permits,
+			call_protocol protocol, counters& totals, event_log log);
 
 		// Serves one request. When the coroutine ends, the caller has its answer, or the answer is missing or
 		// incomplete and http::server closes the connection.
@@ -62,8 +63,8 @@
 		struct request_state;
 		struct unread_answer;
 
-		// A decode engine with the reservation of a slot and memory for one stream. There is no reservation when the
-		// engines of the service do not offer them.
+		// A decode engine with the permit to send it one stream, and the reservation of a slot and memory for it. There
+		// is no reservation when the engines of the service do not offer them.
 		struct reserved_engine
 		{
 			routing::server_pointer engine;
@@ -90,9 +91,16 @@
 			routing::server_pointer engine, token_count tokens, duration lifetime);
 
 		// Sends the call to a server and waits for the head of its answer. Returns not_sent when no connection is
-		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused.
-		[[nodiscard]] asio::awaitable<send_outcome> send(
-			state_pointer state, routing::server_pointer server, send_options options, duration max_silence);
+		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused. Obtains
+		// the permit that a server with a limit requires, unless has_permit; returns not_permitted without one.
+		[[nodiscard]] asio::awaitable<send_outcome> send(state_pointer state, routing::server_pointer server,
+			send_options options, duration max_silence, bool has_permit = false);
+
+		// Obtains a permit to send one request to a server. Returns true at once when the server states no limit.
+		[[nodiscard]] asio::awaitable<bool> obtain_permit(state_pointer state, routing::server_pointer server);
+		// Asks the daemon that issues the permits for the server, and waits for its answer until the timeout.
+		[[nodiscard]] asio::awaitable<routing::permit_answer> request_permit(
+			routing::server_pointer server, duration timeout);
 
 		// Sends the prompt to a prefill engine. Returns where its KV cache can be fetched, or the failure.
 		[[nodiscard]] asio::awaitable<std::variant<kv_source, routing::send_failure>> prefill(
@@ -162,6 +170,7 @@
 
 		asio::any_io_executor executor;
 		shared_state* shared;
+		permit_exchange* permits;
 		call_protocol protocol;
 		counters* totals;
 		event_log log;
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -13,6 +13,7 @@
 #include <godwittrestle/gateway/event_log.hpp>
 #include <godwittrestle/gateway/fleet_exchange.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
+#include <godwittrestle/gateway/permit_exchange.hpp>
 #include <godwittrestle/gateway/registry_follower.hpp>
 #include <godwittrestle/gateway/role_orders.hpp>
 #include <godwittrestle/http/server.hpp>
@@ -50,6 +51,7 @@
 
 	  private:
 		void apply_update(registry_update&& update);
+		void receive(wire::PeerMessage const& message);
 		void apply_configuration_text(std::string text);
 		void apply_servers(std::vector<routing::registered_server> servers);
 		[[nodiscard]] asio::awaitable<void> exchange_with_peers();
@@ -72,11 +74,13 @@
 		event_log log;
 		std::function<std::uint64_t()> dropped_lines;
 		std::function<void()> on_drained;
+		incarnation started;
 		// Reset in the destructor: members that the loop's coroutines refer to would otherwise be destroyed first.
 		std::unique_ptr<daemon::io_thread> thread;
 		daemon::event_loop_queue<registry_update> updates;
 		shared_state shared;
 		counters totals;
+		permit_exchange permits;
 		forwarder request_forwarder;
 		daemon::event_loop_queue<wire::PeerMessage> peer_messages;
 		daemon::peer_link peers;
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -18,6 +18,7 @@
 		std::shared_ptr<routing::route_table const> routes;
 		routing::directory servers;
 		std::map<service_id, routing::retry_budget> retry_budgets;
+		routing::permit_issuer permits;
 		routing::admission_queue stream_queue;
 		std::map<service_id, routing::service_observations> observed;
 		// Whether this daemon has the smallest id of all live daemons, is not draining and can read the registry. Only
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -125,13 +125,36 @@
 		{
 			if (known->entry.service == service && known->is_ready() && !known->is_replaced)
 			{
-				auto const pause = known->load.paused_for(now);
+				auto const pause = std::max(known->load.paused_for(now), known->limit.refused_for(now));
 				shortest = std::min(shortest.value_or(pause), pause);
 			}
 		}
 		return shortest.value_or(duration{});
 	}
 
+	server_pointer directory::next_limited(service_id const& service, time_point now) const
+	{
+		server_pointer next;
+		for (auto const& known : this->servers | std::views::values)
+		{
+			if (known->entry.service != service || known->entry.role == server_role::prefill || !known->is_ready() ||
+				known->is_replaced || known->load.paused_for(now) > duration{})
+			{
+				continue;
+			}
+			auto const wait = known->limit.refused_for(now);
+			if (wait == duration{})
+			{
+				return nullptr;
+			}
+			if (!next || wait < next->limit.refused_for(now))
+			{
+				next = known;
+			}
+		}
+		return next;
+	}
+
 	server_pointer directory::find(server_id const& id) const
 	{
 		auto const found = this->servers.find(id);
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -21,13 +21,24 @@
 			return server.health.is_suspect(now) || server.load.silent_for(now) > max_silence;
 		}
 
-		// Removes excluded servers and those that requested a pause. Removes unreliable servers unless all remaining
-		// ones are unreliable.
+		// Returns whether the limit that the server states keeps it from getting the request.
+		bool is_limited(server_record const& server, placement_request const& request, time_point now)
+		{
+			return server.limit.refused_for(now) > duration{} ||
+				   (server.limit.rate().has_value() && !request.may_use_limited);
+		}
+
+		// Removes excluded servers, those that requested a pause and those whose limit allows no request now. Removes
+		// unreliable servers unless all remaining ones are unreliable.
 		std::vector<server_pointer> usable(
 			std::vector<server_pointer> candidates, placement_request const& request, time_point now)
 		{
-			std::erase_if(candidates, [&](server_pointer const& each)
-				{ return request.excluded.contains(each->entry.id) || each->load.is_paused(now); });
+			std::erase_if(candidates,
+				[&](server_pointer const& each)
+				{
+					return request.excluded.contains(each->entry.id) || each->load.is_paused(now) ||
+						   is_limited(*each, request, now);
+				});
 			auto const unreliable = [&](server_pointer const& each)
 			{
 				return is_unreliable(*each, now);
--- a/packages/routing/impl/retry_rules.cpp
+++ b/packages/routing/impl/retry_rules.cpp
@@ -21,6 +21,8 @@
 		{
 			case send_failure::not_sent:
 				return "not_sent";
+			case send_failure::not_permitted:
+				return "not_permitted";
 			case send_failure::not_run:
 				return "not_run";
 			case send_failure::wrong_server:
--- a/packages/routing/impl/server_limit.cpp
+++ b/packages/routing/impl/server_limit.cpp
@@ -1,5 +1,6 @@
 #include <godwittrestle/routing/server_limit.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace godwittrestle::routing
@@ -36,6 +37,17 @@
 		return is_new;
 	}
 
+	void server_limit::note_refusal(permit_answer const& answer, time_point now) noexcept
+	{
+		this->refusal = answer;
+		this->refused_until = now + answer.retry_after;
+	}
+
+	duration server_limit::refused_for(time_point now) const noexcept
+	{
+		return this->newest.rate ? std::max(duration{}, this->refused_until - now) : duration{};
+	}
+
 	std::optional<duration> server_limit::unchanged_for(time_point now) const noexcept
 	{
 		return this->changed_at ? std::optional<duration>(now - *this->changed_at) : std::nullopt;
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -7,6 +7,8 @@
 #include <godwittrestle/routing/engine_speed.hpp>
 #include <godwittrestle/routing/fleet.hpp>
 #include <godwittrestle/routing/output_estimate.hpp>
+#include <godwittrestle/routing/permit.hpp>
+#include <godwittrestle/routing/permit_issuer.hpp>
 #include <godwittrestle/routing/placement.hpp>
 #include <godwittrestle/routing/pool_balance.hpp>
 #include <godwittrestle/routing/request_rate.hpp>
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -132,9 +132,13 @@
 		[[nodiscard]] pool_sizes pools(service_id const& service, time_point now) const;
 
 		// Returns the shortest time until a ready server of the service may get work again after a pause that it
-		// requested; zero when a server has requested none, or when there is no ready server.
+		// requested or the refusal of a permit; zero when a server may get work now, or when there is no ready server.
 		[[nodiscard]] duration shortest_pause(service_id const& service, time_point now) const;
 
+		// Returns the ready server of the service whose limit allows the next request soonest; null when a ready server
+		// may get a request now. Prefill engines and paused servers are left out.
+		[[nodiscard]] server_pointer next_limited(service_id const& service, time_point now) const;
+
 		[[nodiscard]] server_pointer find(server_id const& id) const;
 
 		[[nodiscard]] std::map<server_id, server_pointer> const& all() const noexcept
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -46,6 +46,8 @@
 		duration first_event_limit = duration::max();
 		// False when only the decode engine itself may prefill the prompt.
 		bool may_use_prefill_engine = true;
+		// False when servers that state a limit are left out.
+		bool may_use_limited = true;
 	};
 
 	// Returns the server with the lowest load for a plain call, or null when no server may get work. Servers that are
--- a/packages/routing/include/godwittrestle/routing/retry_rules.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_rules.hpp
@@ -13,6 +13,8 @@
 	{
 		// No byte of the call was sent.
 		not_sent,
+		// No byte of the call was sent, since the limit that the server states allows no further request at present.
+		not_permitted,
 		// The server stated that it did not and will not run the call.
 		not_run,
 		// Another server answered at this address, and did not run the call.
@@ -30,8 +32,8 @@
 	// Returns whether the call certainly did not run.
 	[[nodiscard]] constexpr bool is_proved_not_run(send_failure failure) noexcept
 	{
-		return failure == send_failure::not_sent || failure == send_failure::not_run ||
-			   failure == send_failure::wrong_server;
+		return failure == send_failure::not_sent || failure == send_failure::not_permitted ||
+			   failure == send_failure::not_run || failure == send_failure::wrong_server;
 	}
 
 	// Returns whether a call may be sent to a backend server again after a failure without the risk of a forbidden
--- a/packages/routing/include/godwittrestle/routing/server_limit.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_limit.hpp
@@ -5,6 +5,7 @@
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing/permit.hpp>
 #include <godwittrestle/routing/request_rate.hpp>
 
 namespace godwittrestle::routing
@@ -36,6 +37,18 @@
 		// Records why the newest statement could not be used. Returns whether the fault differs from the last one.
 		[[nodiscard]] bool note_fault(std::string fault);
 
+		// Records that no permit for a request to this server was granted.
+		void note_refusal(permit_answer const& answer, time_point now) noexcept;
+
+		// Returns how much longer this daemon sends the server nothing and asks for no permit; zero without a limit.
+		[[nodiscard]] duration refused_for(time_point now) const noexcept;
+
+		// Returns the last answer without a permit.
+		[[nodiscard]] permit_answer const& last_refusal() const noexcept
+		{
+			return this->refusal;
+		}
+
 		// Returns the limit for the requests of all daemons together; nothing when the server states none.
 		[[nodiscard]] std::optional<request_rate> rate() const noexcept
 		{
@@ -56,5 +69,7 @@
 		limit_report newest;
 		std::optional<time_point> changed_at;
 		std::string last_fault;
+		permit_answer refusal;
+		time_point refused_until;
 	};
 }
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -33,8 +33,10 @@
 	{
 	  public:
 		explicit fixture(routing::route route, routing::service service = {})
-			: request_forwarder(this->loop.get_executor(), this->shared, make_test_protocol(), this->totals,
+			: permits(this->shared, {instance_id("d1"), incarnation(1), "d1:1", [](decide::send_peer const&) {}},
 				  [](decide::record_event const&) {})
+			, request_forwarder(this->loop.get_executor(), this->shared, this->permits, make_test_protocol(),
+				  this->totals, [](decide::record_event const&) {})
 			, caller_listener(this->loop.get_executor(), {"127.0.0.1", 0}, {},
 				  [this](http::request message, http::exchange& http_exchange)
 				  { return this->request_forwarder.serve(std::move(message), http_exchange); })
@@ -95,6 +97,7 @@
 		asio::io_context loop{1};
 		gateway::shared_state shared;
 		gateway::counters totals;
+		gateway::permit_exchange permits;
 		gateway::forwarder request_forwarder;
 		http::server caller_listener;
 
