Permit before the connection; a takeover without waiting for the next notice; tests of limits

A refused permit opened a connection to the server for nothing, which is what a server in need wants least: the permit is now obtained first, and once more if the limit was named while the connection was opened. A daemon that became the issuer counted the set of daemons before as in force until its next notice. A request for a permit for a server that the registry has not shown yet is refused instead of counted by the sender's word, so a malformed rate can't reach the bucket.

The fixture of the gateway's tests moves to a header that both files use.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -150,6 +150,15 @@
 		auto const max_idle_for_call = state->matched_route->is_repeatable() || options.part == call_part::prefill
 										   ? max_idle
 										   : max_idle_non_repeatable;
+		auto const had_limit = server->limit.rate().has_value();
+		if (!has_permit)
+		{
+			auto const is_permitted = co_await this->obtain_permit(state, server);
+			if (!is_permitted)
+			{
+				co_return send_failure::not_permitted;
+			}
+		}
 		auto const time_to_connect = std::min(connect_timeout, state->time_left());
 		auto const limit = this->connection_limit(entry);
 		state->attempted_servers.push_back(entry.id.str());
@@ -159,15 +168,14 @@
 			co_return send_failure::not_sent;
 		}
 		pooled_connection pooled(this->pool, entry, connection);
-		// Asked for last, so that the permit is used at once, also when the limit was stated meanwhile.
-		auto is_permitted = has_permit;
-		if (!is_permitted)
+		if (!has_permit && !had_limit)
 		{
-			is_permitted = co_await this->obtain_permit(state, server);
-		}
-		if (!is_permitted)
-		{
-			co_return send_failure::not_permitted;
+			// The server may have stated a limit while the connection was opened.
+			auto const is_permitted = co_await this->obtain_permit(state, server);
+			if (!is_permitted)
+			{
+				co_return send_failure::not_permitted;
+			}
 		}
 		if (state->is_caller_gone || state->is_out_of_time() || server->is_leaving() ||
 			server->load.paused_for(monotonic_now()) > duration{})
--- a/packages/gateway/impl/permit_exchange.cpp
+++ b/packages/gateway/impl/permit_exchange.cpp
@@ -12,6 +12,7 @@
 	{
 		// Upper bound for times in messages of other daemons; a longer one comes from a malformed message.
 		constexpr duration max_accepted_time = seconds(60);
+		constexpr duration unknown_server_retry = milliseconds(200);
 
 		duration accepted_time(std::uint64_t microseconds_count)
 		{
@@ -99,11 +100,10 @@
 		routing::server_record const& server, time_point now, answer_callback callback)
 	{
 		auto const number = ++this->last_number;
-		auto const limit = server.limit.rate().value_or(routing::request_rate{});
 		auto const* const issuer = this->shared->permits.issuer_of(server.entry.id);
 		if (issuer == nullptr)
 		{
-			callback(this->shared->permits.request(server.entry.id, limit, now));
+			callback(this->issue(server, now));
 			return number;
 		}
 		this->waiting.emplace(number, std::move(callback));
@@ -144,15 +144,11 @@
 		auto message = this->outgoing.make_message();
 		auto& reply = *message.mutable_send_permit_reply();
 		reply.set_number(request.number());
-		routing::permit_answer answer{routing::permit_outcome::granted, {}};
-		auto const limit = server ? server->limit.rate() : routing::request_rate(request.limit().rate());
-		// Without a limit, the issuer has heard later than the sender that the limit has ended.
-		if (limit)
-		{
-			answer = this->shared->permits.request(id, *limit, now);
-		}
+		// A server that the registry has not shown to this daemon yet gets no permits from it.
+		routing::permit_answer answer{routing::permit_outcome::not_issuer, unknown_server_retry};
 		if (server)
 		{
+			answer = this->issue(*server, now);
 			*reply.mutable_limit() = gateway::to_wire(*server, now);
 		}
 		reply.set_outcome(to_wire(answer.outcome));
@@ -161,6 +157,17 @@
 		this->outgoing.send(request.address(), std::move(message));
 	}
 
+	routing::permit_answer permit_exchange::issue(routing::server_record const& server, time_point now)
+	{
+		auto const limit = server.limit.rate();
+		if (!limit)
+		{
+			// This daemon has heard later than the sender that the limit has ended.
+			return {routing::permit_outcome::granted, {}};
+		}
+		return this->shared->permits.request(server.entry.id, *limit, now);
+	}
+
 	void permit_exchange::handle_reply(wire::SendPermitReply const& reply, time_point now)
 	{
 		apply_limit(reply.limit(), this->shared->servers, this->log, now);
--- a/packages/gateway/include/godwittrestle/gateway/permit_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/permit_exchange.hpp
@@ -43,6 +43,8 @@
 
 	  private:
 		void handle_request(wire::SendPermitRequest const& request, time_point now);
+		// Decides on a permit as the issuer.
+		[[nodiscard]] routing::permit_answer issue(routing::server_record const& server, time_point now);
 		void handle_reply(wire::SendPermitReply const& reply, time_point now);
 
 		shared_state* shared;
--- a/packages/routing/impl/permit_issuer.cpp
+++ b/packages/routing/impl/permit_issuer.cpp
@@ -146,11 +146,14 @@
 
 	bool permit_issuer::is_settled_issuer(server_id const& server, time_point now) const
 	{
-		if (this->history.empty() || this->history.front().since > now - this->settle_time())
+		auto const settled_since = now - this->settle_time();
+		if (this->history.empty() || this->history.front().since > settled_since)
 		{
 			return false;
 		}
-		return std::ranges::all_of(this->history,
+		// The set that was in force at that time, and all later ones.
+		auto const after = std::ranges::upper_bound(this->history, settled_since, {}, &membership::since);
+		return std::all_of(std::prev(after), this->history.end(),
 			[&](membership const& each)
 			{
 				auto const* const chosen = this->highest_ranked(server, each.daemons);
--- a/tests/contract/fleet_exchange.test.cpp
+++ b/tests/contract/fleet_exchange.test.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 
 #include <godwittrestle/gateway/fleet_exchange.hpp>
+#include <godwittrestle/gateway/permit_exchange.hpp>
 
 using namespace godwittrestle;
 
@@ -235,3 +236,69 @@
 	pair.exchange_round(100);
 	REQUIRE_FALSE(pair.other.server("e1").is_changing_role(at_ms(200)));
 }
+
+TEST_CASE("a limit that one daemon has heard reaches the others, and so does its end", "[fleet]")
+{
+	pair_of_peers pair;
+	pair.other.add_server("e1");
+	auto& heard = pair.informed.server("e1").limit;
+	auto const& told = pair.other.server("e1").limit;
+	REQUIRE(heard.note({routing::request_rate(5), at_ms(50), instance_id("a")}, at_ms(50)));
+	pair.exchange_round(100);
+	REQUIRE(told.rate() == routing::request_rate(5));
+	REQUIRE(told.report().heard_by == instance_id("a"));
+	// A newer statement that the other daemon heard itself is not replaced by the repeated news.
+	REQUIRE(pair.other.server("e1").limit.note({routing::request_rate(3), at_ms(150), instance_id("b")}, at_ms(150)));
+	pair.exchange_round(200);
+	pair.exchange_round(300);
+	REQUIRE(told.rate() == routing::request_rate(3));
+	REQUIRE(heard.rate() == routing::request_rate(3));
+	REQUIRE(heard.note_absence(at_ms(310), {std::nullopt, at_ms(320), instance_id("a")}, at_ms(320)));
+	pair.exchange_round(400);
+	REQUIRE_FALSE(told.rate());
+}
+
+TEST_CASE("malformed reports of limits and unknown servers are ignored", "[fleet]")
+{
+	peer receiver("a");
+	receiver.add_server("e1");
+	wire::StatedLimit report;
+	report.set_server("e1");
+	report.set_started(7);
+	report.set_is_stated(true);
+	auto const rate = GENERATE(-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity());
+	report.set_rate(rate);
+	auto const ignore_event = [](decide::record_event const&) {
+	};
+	gateway::apply_limit(report, receiver.shared.servers, ignore_event, at_ms(0));
+	REQUIRE_FALSE(receiver.server("e1").limit.rate());
+	report.set_rate(5);
+	report.set_started(8);
+	gateway::apply_limit(report, receiver.shared.servers, ignore_event, at_ms(0));
+	REQUIRE_FALSE(receiver.server("e1").limit.rate());
+	report.set_started(7);
+	report.set_age(std::numeric_limits<std::uint64_t>::max());
+	gateway::apply_limit(report, receiver.shared.servers, ignore_event, at_ms(0));
+	REQUIRE(receiver.server("e1").limit.rate() == routing::request_rate(5));
+	// A request for a permit for a server that is not known gets an answer, without a permit.
+	gateway::permit_exchange permits(receiver.shared,
+		{instance_id("a"), incarnation(1), "a:1",
+			[&](decide::send_peer message)
+			{
+				receiver.outbox.push_back(std::move(message));
+			}},
+		ignore_event);
+	wire::PeerMessage message;
+	auto& request = *message.mutable_send_permit_request();
+	request.set_number(3);
+	request.set_address("b:1");
+	request.mutable_limit()->set_server("unknown");
+	REQUIRE(permits.receive(message, at_ms(0)));
+	auto const& reply = receiver.outbox.front().message.send_permit_reply();
+	REQUIRE(reply.number() == 3);
+	REQUIRE(reply.outcome() == wire::SendPermitReply::NOT_ISSUER);
+	REQUIRE(reply.retry_after() > 0);
+	// A reply that nobody waits for is ignored.
+	message.mutable_send_permit_reply()->set_number(99);
+	REQUIRE(permits.receive(message, at_ms(0)));
+}
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -1,17 +1,9 @@
 #include <catch2/catch.hpp>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
-#include <godwittrestle/daemon/core_loop.hpp>
-#include <godwittrestle/gateway/forwarder.hpp>
-
+#include "gateway_fixture.hpp"
 #include "scripted_http_server.hpp"
-#include "test_protocol.hpp"
-#include "test_servers.hpp"
 
 using namespace godwittrestle;
 using namespace godwittrestle::testing;
@@ -20,120 +12,8 @@
 
 namespace
 {
-	namespace asio = boost::asio;
-	using asio::ip::tcp;
 	using after_response = fixed_response_server::after_response;
-
-	constexpr auto token = asio::as_tuple(asio::use_awaitable);
-	std::string const attempt_header = "Attempt: r1\r\n";
-	std::string const mac_header = "Server-Mac: s1\r\n";
-
-	// A forwarder behind an HTTP server, with one route and the backend servers that a test adds.
-	class fixture
-	{
-	  public:
-		explicit fixture(routing::route route, routing::service service = {})
-			: permits(this->shared, {instance_id("d1"), incarnation(1), "d1:1", [](decide::send_peer const&) {}},
-				  [](decide::record_event const&) {})
-			, request_forwarder(this->loop.get_executor(), this->shared, this->permits, make_test_protocol(),
-				  this->totals, [](decide::record_event const&) {})
-			, caller_listener(this->loop.get_executor(), {"127.0.0.1", 0}, {},
-				  [this](http::request message, http::exchange& http_exchange)
-				  { return this->request_forwarder.serve(std::move(message), http_exchange); })
-		{
-			routing::configuration config;
-			config.version = platform_version(1);
-			config.routes = {std::move(route)};
-			config.services = {{service_id("s"), std::move(service)}};
-			this->shared.routes = std::make_shared<routing::route_table const>(std::move(config));
-			this->shared.retries = {0.2, seconds(10), 50};
-			this->caller_listener.start();
-		}
-
-		void add_server(std::string name, std::string address, server_role role = server_role::plain)
-		{
-			routing::registered_server server;
-			server.id = server_id(std::move(name));
-			server.service = service_id("s");
-			server.address = std::move(address);
-			server.role = role;
-			this->shared.servers.put(server);
-		}
-
-		// Sends one request and returns all bytes that are received until the connection closes.
-		[[nodiscard]] std::string send_request(
-			std::string const& method = "POST", duration time_left = milliseconds(1400))
-		{
-			return run_to_end(this->loop, this->exchange(request_text(method, time_left)));
-		}
-
-		// Sends one request with a long time limit and closes the connection when the condition holds.
-		template <typename Condition>
-		void send_request_and_disconnect(Condition condition)
-		{
-			tcp::socket socket(this->loop);
-			socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->caller_listener.port()));
-			asio::write(socket, asio::buffer(request_text("POST", seconds(1000))));
-			this->run_until(condition);
-			socket.close();
-		}
-
-		// Runs the loop until the condition holds. Throws std::runtime_error after 60 s.
-		template <typename Condition>
-		void run_until(Condition condition)
-		{
-			auto const give_up_at = daemon::monotonic_now() + seconds(60);
-			this->loop.restart();
-			while (!condition())
-			{
-				if (daemon::monotonic_now() > give_up_at)
-				{
-					throw std::runtime_error("the condition did not hold within 60 s");
-				}
-				this->loop.run_for(std::chrono::milliseconds(5));
-			}
-		}
-
-		asio::io_context loop{1};
-		gateway::shared_state shared;
-		gateway::counters totals;
-		gateway::permit_exchange permits;
-		gateway::forwarder request_forwarder;
-		http::server caller_listener;
-
-	  private:
-		static std::string request_text(std::string const& method, duration time_left)
-		{
-			return fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\n"
-							   "Time-Left-Ms: {}\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
-				method, std::chrono::floor<std::chrono::milliseconds>(time_left).count());
-		}
-
-		asio::awaitable<std::string> exchange(std::string text)
-		{
-			tcp::socket socket(this->loop);
-			tcp::endpoint const listen_address(asio::ip::make_address("127.0.0.1"), this->caller_listener.port());
-			std::ignore = co_await socket.async_connect(listen_address, token);
-			std::ignore = co_await asio::async_write(socket, asio::buffer(text), token);
-			std::string received;
-			auto buffer = asio::dynamic_buffer(received);
-			std::ignore = co_await asio::async_read(socket, buffer, token);
-			co_return received;
-		}
-	};
-
-	std::string stream_answer(std::string const& events, bool is_complete)
-	{
-		return fmt::format(
-			"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{}{}Transfer-Encoding: chunked\r\n\r\n"
-			"{:x}\r\n{}\r\n{}",
-			attempt_header, mac_header, events.size(), events, is_complete ? "0\r\n\r\n" : "");
-	}
-
-	bool is_complete_stream(std::string const& answer)
-	{
-		return answer.ends_with("0\r\n\r\n");
-	}
+	using fixture = gateway_fixture;
 }
 
 TEST_CASE("a server's answer is passed on with its status, its MAC and its body", "[gateway]")
