Daemons that start are told the limits that others know

Cause: a daemon that has just started, or restarted, knows no limit and sends each server what it likes until the first answer; news of a limit were told for 3 s after a change only. 20 daemons that join 30 others sent 17 requests in 4 s to a server with a limit of 1 a second, allowed 11 (callers at once, 1 request a second each). Change: while a daemon has just started, notices name all limits, at most 8 of them drawn at random. After: 5 requests; the test of fleet_limits failed before. The test under kills, freezes and cuts now loads each daemon with twice the limit: without the unused part of lost daemons it fails (369 of 305 at 6 daemons and 50 a second).

--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include <godwittrestle/base/algorithm.hpp>
+
 #include <godwittrestle/decide/rendezvous.hpp>
 #include <godwittrestle/gateway/permit_exchange.hpp>
 
@@ -21,9 +23,10 @@
 		// Upper bound for the remaining time of a role change that another daemon announces: a longer time comes from
 		// a malformed message.
 		constexpr duration max_accepted_role_change = seconds(30);
-		// A change of a server's limit is told for this long; the bound on their number keeps a notice small.
+		// A change of a server's limit is told for this long, and all limits for this long after a daemon has started.
+		// The bound on their number keeps a notice small.
 		constexpr duration limit_news_time = seconds(3);
-		constexpr int max_limits = 8;
+		constexpr std::size_t max_limits = 8;
 		constexpr duration query_interval = milliseconds(250);
 		constexpr duration observations_interval = seconds(1);
 		// A higher fencing number is ignored as malformed: accepting it would leave too few numbers for further orders.
@@ -198,13 +201,18 @@
 
 	void fleet_exchange::add_limits(wire::GatewayNotice& notice, time_point now) const
 	{
-		for (auto const& server : this->shared->servers.all() | std::views::values)
-		{
-			auto const unchanged = server->limit.unchanged_for(now);
-			if (unchanged && *unchanged <= limit_news_time && notice.limits_size() < max_limits)
+		auto const last_start = this->members.last_start();
+		auto const has_new_members = last_start && now - *last_start <= limit_news_time;
+		std::vector<routing::server_pointer> told;
+		std::ranges::copy_if(this->shared->servers.all() | std::views::values, std::back_inserter(told),
+			[&](routing::server_pointer const& each)
 			{
-				*notice.add_limits() = to_wire(*server, now);
-			}
+				auto const unchanged = each->limit.unchanged_for(now);
+				return unchanged && (*unchanged <= limit_news_time || (has_new_members && each->limit.rate()));
+			});
+		for (auto const& server : random_sample(std::move(told), max_limits, this->hooks.draw))
+		{
+			*notice.add_limits() = to_wire(*server, now);
 		}
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
@@ -60,7 +60,7 @@
 			registry_snapshot const& registry_state);
 		void apply_update(wire::GatewayState const& state, registry_snapshot const& registry_state);
 		void apply_limits(wire::GatewayNotice const& notice, time_point now);
-		// Adds the limits that have changed a moment ago.
+		// Adds the limits that have changed a moment ago; all limits while a daemon has just started.
 		void add_limits(wire::GatewayNotice& notice, time_point now) const;
 		void apply_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now);
 		void add_observations(wire::GatewayNotice& notice) const;
--- a/packages/routing/impl/fleet.cpp
+++ b/packages/routing/impl/fleet.cpp
@@ -25,20 +25,6 @@
 		constexpr duration min_notice_interval = milliseconds(100);
 		constexpr duration notice_interval_per_member = milliseconds(10);
 		constexpr duration max_notice_interval = milliseconds(500);
-
-		// Returns max_count items drawn at random, or all items when there are no more.
-		template <typename T>
-		std::vector<T> random_sample(std::vector<T> items, std::size_t max_count, std::function<double()> const& draw)
-		{
-			auto const wanted = std::min(max_count, items.size());
-			for (std::size_t chosen = 0; chosen < wanted; ++chosen)
-			{
-				auto const left = static_cast<double>(items.size() - chosen);
-				std::swap(items[chosen], items[chosen + static_cast<std::size_t>(draw() * left)]);
-			}
-			items.resize(wanted);
-			return items;
-		}
 	}
 
 	fleet::fleet(instance_id own, std::string address)
@@ -63,6 +49,10 @@
 		{
 			return false;
 		}
+		if (sender.started > known.started)
+		{
+			this->started_at = sender.heard_at;
+		}
 		known = sender;
 		return true;
 	}
@@ -77,6 +67,7 @@
 		if (known == this->members.end() || known->second.started < reported.started)
 		{
 			this->members.insert_or_assign(reported.id, reported);
+			this->started_at = now;
 			return;
 		}
 		if (known->second.started == reported.started)
--- a/packages/routing/include/godwittrestle/routing/fleet.hpp
+++ b/packages/routing/include/godwittrestle/routing/fleet.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,12 @@
 		// Records a daemon that another daemon reported. Ignores a report that is older than the stored data.
 		void note_member_report(fleet_member const& reported, time_point now);
 
+		// Returns the time at which a daemon was last seen to have started; nothing when none was.
+		[[nodiscard]] std::optional<time_point> last_start() const noexcept
+		{
+			return this->started_at;
+		}
+
 		// Removes a daemon that has left.
 		void remove(instance_id const& daemon);
 
@@ -66,6 +73,7 @@
 		std::string own_address;
 		std::vector<std::string> seeds;
 		std::map<instance_id, fleet_member> members;
+		std::optional<time_point> started_at;
 		time_point seeds_contacted_at;
 	};
 }
--- a/tests/unit/fleet_limits.test.cpp
+++ b/tests/unit/fleet_limits.test.cpp
@@ -123,7 +123,8 @@
 	{
 		return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
 	};
-	fleet.set_load(even_load(daemons, std::max(3 * limit, 60.0)));
+	// Each daemon alone could use the whole limit.
+	fleet.set_load(std::vector<double>(daemons, std::max(2 * limit, 2.0)));
 	start_all(fleet);
 	fleet.set_limit(limit);
 	fleet.run_for(seconds(8));
@@ -165,6 +166,28 @@
 	}
 }
 
+TEST_CASE("daemons that start learn of a limit before they have sent many requests", "[fleet_limits]")
+{
+	constexpr std::size_t running = 30;
+	constexpr std::size_t joining = 20;
+	constexpr double limit = 1;
+	limited_fleet fleet(running + joining, 3);
+	fleet.set_load(std::vector<double>(running + joining, 1));
+	for (std::size_t daemon = 0; daemon < running; ++daemon)
+	{
+		fleet.start(daemon);
+	}
+	fleet.set_limit(limit);
+	fleet.run_for(seconds(10));
+	auto const joined_at = fleet.now();
+	for (std::size_t daemon = running; daemon < running + joining; ++daemon)
+	{
+		fleet.start(daemon);
+	}
+	fleet.run_for(seconds(8));
+	REQUIRE(static_cast<double>(fleet.most_arrivals(joined_at, window)) <= allowed_arrivals(limit));
+}
+
 TEST_CASE("the part of a lost daemon stays unused for 15 s and is used afterwards", "[fleet_limits]")
 {
 	constexpr std::size_t daemons = 6;
