A signal that interrupts the messaging thread no longer ends the daemon

What callers saw: connections of one daemon closed at once; it started again a second later. Cause: a signal's handler may run on any thread of the process; on the thread of peer_link it interrupts a call of ZeroMQ, which reports EINTR as an exception that nothing caught. Ruled out: the limits; no message about them was in flight. Change: such an interruption ends one round of the thread's loop, which starts anew.

--- a/packages/daemon/impl/peer_link.cpp
+++ b/packages/daemon/impl/peer_link.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/daemon/peer_link.hpp>
 
 #include <array>
+#include <cerrno>
 #include <cstdint>
 #include <utility>
 
@@ -90,15 +91,31 @@
 			{{this->incoming.handle(), 0, ZMQ_POLLIN, 0}, {nullptr, this->wakeup_descriptor, ZMQ_POLLIN, 0}}};
 		while (!this->is_stopping)
 		{
-			zmq::poll(items.data(), items.size(), poll_timeout);
-			std::uint64_t count = 0;
-			[[maybe_unused]] auto const taken = read(this->wakeup_descriptor, &count, sizeof(count));
-			while (auto const message = this->inputs.try_pop())
+			try
 			{
-				this->send(*message);
+				this->exchange_messages(items);
 			}
-			this->receive_all();
+			catch (zmq::error_t const& error)
+			{
+				// A signal may interrupt any call of the library. At most one message is lost, as on any link.
+				if (error.num() != EINTR)
+				{
+					throw;
+				}
+			}
+		}
+	}
+
+	void peer_link::exchange_messages(std::span<zmq::pollitem_t> items)
+	{
+		zmq::poll(items.data(), items.size(), poll_timeout);
+		std::uint64_t count = 0;
+		[[maybe_unused]] auto const taken = read(this->wakeup_descriptor, &count, sizeof(count));
+		while (auto const message = this->inputs.try_pop())
+		{
+			this->send(*message);
 		}
+		this->receive_all();
 	}
 
 	void peer_link::send(decide::send_peer const& message)
--- a/packages/daemon/include/godwittrestle/daemon/peer_link.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/peer_link.hpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <thread>
 
@@ -58,6 +59,8 @@
 
 	  private:
 		void run();
+		// Waits for a message in either direction or the timeout, then sends and receives all that are there.
+		void exchange_messages(std::span<zmq::pollitem_t> items);
 		void send(decide::send_peer const& outgoing);
 		void receive_all();
 		// Returns the socket that is connected to the peer's address; replaces it when the address has changed.
