Bounds over all daemons: what each daemon alone may do, added up

The share of a server's connections moves from the forwarder to routing/server, unchanged, so that it can be added up in a test.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -305,13 +305,7 @@
 
 	std::size_t forwarder::connection_limit(routing::registered_server const& server) const
 	{
-		constexpr std::size_t minimum = 2;
-		constexpr std::size_t default_limit = 64;
 		auto const* const terms = this->shared->routes ? this->shared->routes->find_service(server.service) : nullptr;
-		if (terms == nullptr || terms->max_connections == 0)
-		{
-			return default_limit;
-		}
-		return std::max<std::size_t>(minimum, terms->max_connections / std::max(1U, this->shared->daemon_count));
+		return routing::connection_share(terms == nullptr ? 0 : terms->max_connections, this->shared->daemon_count);
 	}
 }
--- a/tests/unit/fleet_limits.test.cpp
+++ b/tests/unit/fleet_limits.test.cpp
@@ -166,6 +166,19 @@
 	}
 }
 
+TEST_CASE("without a limit no message is sent for it, and all requests reach the server", "[fleet_limits]")
+{
+	constexpr double total = 120;
+	limited_fleet fleet(6, 3);
+	fleet.set_load(even_load(6, total));
+	start_all(fleet);
+	fleet.run_for(seconds(10));
+	fleet.start(3);
+	fleet.run_for(seconds(10));
+	REQUIRE(fleet.messages_about_limits() == 0);
+	REQUIRE(static_cast<double>(fleet.arrivals_since(seconds(2))) > 0.9 * total * 18);
+}
+
 TEST_CASE("daemons that start learn of a limit before they have sent many requests", "[fleet_limits]")
 {
 	constexpr std::size_t running = 30;
--- a/tests/unit/limited_fleet.cpp
+++ b/tests/unit/limited_fleet.cpp
@@ -163,6 +163,11 @@
 		return this->byte_count;
 	}
 
+	std::uint64_t limited_fleet::messages_about_limits() const noexcept
+	{
+		return this->limit_message_count;
+	}
+
 	std::size_t limited_fleet::size() const noexcept
 	{
 		return this->daemons.size();
@@ -204,6 +209,10 @@
 	{
 		++this->message_count;
 		this->byte_count += message.message.ByteSizeLong();
+		auto const& body = message.message;
+		auto const names_limits = body.gateway_notice().limits_size() > 0;
+		auto const is_about_permits = body.has_send_permit_request() || body.has_send_permit_reply();
+		this->limit_message_count += names_limits || is_about_permits ? 1 : 0;
 		auto const numbers = std::views::iota(std::size_t{0}, this->daemons.size());
 		auto const to =
 			std::ranges::find_if(numbers, [&](std::size_t each) { return address_of(each) == message.address; });
--- a/tests/unit/limited_fleet.hpp
+++ b/tests/unit/limited_fleet.hpp
@@ -53,6 +53,8 @@
 		[[nodiscard]] duration now() const noexcept;
 		[[nodiscard]] std::uint64_t sent_messages() const noexcept;
 		[[nodiscard]] std::uint64_t sent_bytes() const noexcept;
+		// Returns the messages that ask for or answer about permits, and the notices that name limits.
+		[[nodiscard]] std::uint64_t messages_about_limits() const noexcept;
 		[[nodiscard]] std::size_t size() const noexcept;
 
 	  private:
@@ -81,5 +83,6 @@
 		std::uint64_t incarnations = 0;
 		std::uint64_t message_count = 0;
 		std::uint64_t byte_count = 0;
+		std::uint64_t limit_message_count = 0;
 	};
 }
