A stream that no engine's limit lets begin in time is refused at once

Change: it is refused as soon as the next permit is later than its start for its objective; one that is late already, or has begun, as before. Retry-After names the time of the next permit or later.

--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -105,9 +105,8 @@
 			}
 			auto const has_engines =
 				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
-			auto const limited = this->shared->servers.next_limited(state->service, now);
-			auto const is_beyond_limits = limited && now + limited->limit.refused_for(now) > gives_up_at;
-			auto const is_over = is_beyond_limits || stream_queue.should_refuse(ticket, gives_up_at, now) ||
+			auto const is_over = this->is_beyond_limits(*state, waiting, gives_up_at, now) ||
+								 stream_queue.should_refuse(ticket, gives_up_at, now) ||
 								 this->must_refuse_before_stop(*state);
 			if (granted || !has_engines || is_over)
 			{
@@ -125,6 +124,15 @@
 		co_return granted;
 	}
 
+	bool forwarder::is_beyond_limits(request_state const& state, routing::waiting_stream const& waiting,
+		time_point gives_up_at, time_point now) const
+	{
+		auto const limited = this->shared->servers.next_limited(state.service, now);
+		auto const is_late = waiting.has_begun || now > waiting.start_deadline;
+		auto const must_start_by = is_late ? gives_up_at : std::min(waiting.start_deadline, gives_up_at);
+		return limited && now + limited->limit.refused_for(now) > must_start_by;
+	}
+
 	asio::awaitable<std::optional<forwarder::reserved_engine>> forwarder::try_reserve(
 		state_pointer state, std::vector<routing::server_pointer> engines, bool is_late)
 	{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -81,6 +81,10 @@
 		// Waits in the queue until a decode engine has memory for the stream. Returns nothing when the service has no
 		// decode engine, the wait is too long, the caller has disconnected or this daemon is about to stop.
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> wait_for_reservation(state_pointer state);
+		// Returns whether all decode engines are at the limits that they state, and the next permit comes too late for
+		// the stream. gives_up_at: time at which it stops waiting for memory.
+		[[nodiscard]] bool is_beyond_limits(request_state const& state, routing::waiting_stream const& waiting,
+			time_point gives_up_at, time_point now) const;
 		// Tries to reserve memory at the decode engines, best first. is_late: whether the stream can no longer meet its
 		// objective.
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> try_reserve(
--- a/tests/contract/gateway_limits.test.cpp
+++ b/tests/contract/gateway_limits.test.cpp
@@ -129,7 +129,9 @@
 TEST_CASE("a stream whose decode engine is at its limit is not prefilled in vain", "[gateway]")
 {
 	auto route = make_route(call_kind::streaming, 2, true);
-	route.caller_patience = milliseconds(300);
+	// The stream could wait for a permit, but it would be late: it is refused at once.
+	route.caller_patience = seconds(100);
+	route.timeout = seconds(200);
 	gateway_fixture fixture(route);
 	set_daemons(fixture);
 	fixed_response_server prefill_engine(
@@ -139,7 +141,10 @@
 	fixture.add_server("p", prefill_engine.address(), server_role::prefill);
 	fixture.add_server("a", decode_engine.address(), server_role::decode);
 	state_limit(fixture, "a", low_limit);
-	REQUIRE(fixture.send_request().starts_with("HTTP/1.1 503"));
+	auto const answer = fixture.send_request("POST", seconds(200));
+	REQUIRE(answer.starts_with("HTTP/1.1 503"));
+	REQUIRE(retry_after_seconds(answer) > 1);
+	REQUIRE(logged(fixture, "request_refused", "reason") == "server_limits");
 	REQUIRE(prefill_engine.received().empty());
 	REQUIRE(decode_engine.received().empty());
 }
--- a/tests/unit/fleet_bounds.test.cpp
+++ b/tests/unit/fleet_bounds.test.cpp
@@ -76,7 +76,7 @@
 		}
 	}
 	// One second's worth may be saved up before.
-	REQUIRE(admitted <= rate * (measured_seconds + 1));
+	REQUIRE(admitted <= std::size_t{rate} * (measured_seconds + 1));
 }
 
 TEST_CASE(
