--- a/packages/routing/include/godwittrestle/routing/server.hpp
+++ b/packages/routing/include/godwittrestle/routing/server.hpp
@@ -42,8 +42,8 @@
 		[[nodiscard]] bool operator==(registered_server const&) const = default;
 	};
 
-	// Returns the number of connections that each daemon may open to a server. max_connections: the most that the server
-	// accepts from all daemons together; 0 when it is unknown.
+	// Returns the number of connections that each daemon may open to a server. max_connections: the most that the
+	// server accepts from all daemons together; 0 when it is unknown.
 	[[nodiscard]] std::size_t connection_share(std::uint32_t max_connections, std::uint32_t daemons) noexcept;
 
 	// Number of prefill and of decode engines of one service.
