A server whose limit changes is asked for at once

A daemon without a permit waits for the time that the issuer named, up to 2 s; when the limit rose meanwhile it still waited, and callers were refused or moved for nothing. The wait now ends with a change of the rate. Unit server_limit; failed before (1.2 s left).

--- a/packages/routing/impl/server_limit.cpp
+++ b/packages/routing/impl/server_limit.cpp
@@ -58,6 +58,8 @@
 		if (this->newest.rate != report.rate)
 		{
 			this->changed_at = now;
+			// The time that the last refusal named followed from the old rate.
+			this->refused_until = now;
 		}
 		this->newest = report;
 	}
--- a/tests/unit/server_limit.test.cpp
+++ b/tests/unit/server_limit.test.cpp
@@ -56,6 +56,21 @@
 	REQUIRE(limit.rate() == request_rate(7));
 }
 
+TEST_CASE("after a refusal the server gets nothing until the named time, or until its limit changes", "[server_limit]")
+{
+	routing::server_limit limit;
+	REQUIRE(limit.note(report(0.2, 100), at_ms(100)));
+	limit.note_refusal({routing::permit_outcome::limit_reached, seconds(2)}, at_ms(200));
+	REQUIRE(limit.refused_for(at_ms(700)) == milliseconds(1500));
+	REQUIRE_FALSE(limit.note(report(0.2, 800), at_ms(800)));
+	REQUIRE(limit.refused_for(at_ms(900)) == milliseconds(1300));
+	REQUIRE(limit.note(report(50, 1000), at_ms(1000)));
+	REQUIRE(limit.refused_for(at_ms(1000)) == duration{});
+	limit.note_refusal({routing::permit_outcome::limit_reached, seconds(2)}, at_ms(1100));
+	REQUIRE(limit.note_absence(at_ms(1200), report(std::nullopt, 1300), at_ms(1300)));
+	REQUIRE(limit.refused_for(at_ms(1300)) == duration{});
+}
+
 TEST_CASE("an unreadable statement leaves the limit as it is and is reported once", "[server_limit]")
 {
 	routing::server_limit limit;
