A limit that another server at the same address states is ignored

An answer 421 from a server that has taken over an address was read for the limit of the server that was there before, and told to the other daemons. Contract gateway_limits; failed before (5 a second).

--- a/packages/gateway/impl/forwarder_limits.cpp
+++ b/packages/gateway/impl/forwarder_limits.cpp
@@ -71,6 +71,11 @@
 	{
 		constexpr unsigned first_success = 200;
 		constexpr unsigned first_redirect = 300;
+		if (metadata.is_misdirected && metadata.server != server.entry.id)
+		{
+			// Another server answered at this address.
+			return;
+		}
 		auto const now = monotonic_now();
 		auto const rate_before = server.limit.rate();
 		auto const& statement = metadata.limit;
--- a/tests/contract/gateway_limits.test.cpp
+++ b/tests/contract/gateway_limits.test.cpp
@@ -183,6 +183,19 @@
 	REQUIRE(limited.received().empty());
 }
 
+TEST_CASE("a limit that another server at the same address states is not taken for the server's own", "[gateway]")
+{
+	gateway_fixture fixture(make_route(call_kind::idempotent, 1, false));
+	set_daemons(fixture);
+	fixed_response_server other(fixture.loop,
+		http_answer("421 Misdirected Request", attempt_header + "Answered-By: b\r\nLimit: 5\r\n", ""),
+		after_response::closes);
+	fixture.add_server("a", other.address());
+	std::ignore = fixture.send_request();
+	REQUIRE(other.received().size() == 1);
+	REQUIRE_FALSE(fixture.shared.servers.find(server_id("a"))->limit.rate());
+}
+
 TEST_CASE("a server states a limit in any answer, and ends it with a successful answer only", "[gateway]")
 {
 	gateway_fixture fixture(make_route(call_kind::idempotent, 1, false));
