Observability: prompt parts, progress and ends of servers in the logs of failed calls

The lines of failed calls could not tell whether one request, the load or the servers are at fault. Now: fingerprints of the shared prompt parts, events since the call was sent, one connection attempt after a connection broke before an answer had begun. No decision is changed.

--- a/packages/base/include/godwittrestle/base/ids.hpp
+++ b/packages/base/include/godwittrestle/base/ids.hpp
@@ -24,4 +24,6 @@
 	using platform_version = strong_count<struct platform_version_tag, std::uint64_t>;
 	// Id of one call to a backend server; unique within a daemon.
 	using call_id = strong_count<struct call_id_tag, std::uint64_t>;
+	// Hash of a part of a request. It identifies the part without showing what the caller sent.
+	using fingerprint = strong_count<struct fingerprint_tag, std::uint64_t>;
 }
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -40,6 +40,7 @@
 		, totals(&metrics)
 		, log(std::move(event_sink))
 		, pool(io_executor, [this] { this->totals->count_connection(); })
+		, end_check(io_executor, this->log)
 		, random(std::random_device{}())
 		, started(monotonic_now())
 	{
@@ -53,6 +54,7 @@
 		state->message = std::move(message);
 		state->http_exchange = &http_exchange;
 		state->call = this->protocol.read_call(state->message);
+		state->identity = identify(state->call);
 		state->joiner = stream_joiner(state->call.last_event);
 		state->routes = this->shared->routes;
 		state->deadline = state->started + state->call.time_left.value_or(default_timeout);
@@ -189,6 +191,8 @@
 		state->connection = connection;
 		state->sent_to.insert(entry.id);
 		auto const sent_at = monotonic_now();
+		state->sent_at = sent_at;
+		state->events_before_send = state->joiner.events();
 		if (server->limit.rate())
 		{
 			this->totals->count_limited_send();
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -158,7 +158,30 @@
 		this->log_event(state, "request_send_failed",
 			{{"server", server.entry.id.str()}, {"failure", std::string(routing::to_string(failure))},
 				{"servers_tried", std::to_string(state.attempted_servers.size())},
+				{"events", std::to_string(state.joiner.events() - state.events_before_send)},
+				{"since_sent_ms", state.sent_at ? milliseconds_text(monotonic_now() - *state.sent_at) : ""},
+				{"shared_parts", to_text(state.identity.shared_parts)},
 				{"left_ms", milliseconds_text(state.time_left())}});
+		if (failure == send_failure::broken && state.is_unanswered())
+		{
+			this->check_server_end(state, server);
+		}
+	}
+
+	void forwarder::check_server_end(request_state const& state, routing::server_record const& server)
+	{
+		this->end_check.start(server.entry,
+			[this, server = server.entry.id, attempt = state.call.attempt, identity = state.identity](
+				http::port_state port)
+			{
+				if (port == http::port_state::refused)
+				{
+					this->log(make_event("server_ended_with_request",
+						{{"server", server.str()}, {"prompt", to_text(identity.prompt)},
+							{"shared_parts", to_text(identity.shared_parts)}},
+						attempt));
+				}
+			});
 	}
 
 	void forwarder::record_duration(request_state const& state, time_point now)
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <godwittrestle/daemon/core_loop.hpp>
+#include <godwittrestle/gateway/fingerprints.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
 
 namespace godwittrestle::gateway
@@ -133,6 +134,7 @@
 		http::request message;
 		http::exchange* http_exchange = nullptr;
 		request_metadata call;
+		routing::request_identity identity;
 		std::shared_ptr<routing::route_table const> routes;
 		routing::route const* matched_route = nullptr;
 		service_id service;
@@ -151,6 +153,9 @@
 		std::optional<http::response> server_failure;
 		stream_joiner joiner{std::nullopt};
 		http::upstream_pointer connection;
+		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
+		std::optional<time_point> sent_at;
+		std::uint64_t events_before_send = 0;
 		// Times of the first and the last event that were passed on, and the longest gap between two events.
 		std::optional<time_point> first_event_at;
 		time_point last_event_at;
@@ -195,6 +200,12 @@
 			return token_count(static_cast<std::uint32_t>(this->joiner.events() * this->tokens_per_event));
 		}
 
+		// Returns whether no event has been passed on since the call was last sent to a server.
+		[[nodiscard]] bool is_unanswered() const noexcept
+		{
+			return this->sent_at && this->joiner.events() == this->events_before_send;
+		}
+
 		void note_event(time_point now)
 		{
 			if (this->first_event_at)
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -277,7 +277,8 @@
 	void serving_thread::set_seeds(std::vector<http::endpoint> const& seeds)
 	{
 		std::vector<std::string> addresses;
-		std::ranges::transform(seeds, std::back_inserter(addresses), http::to_string);
+		std::ranges::transform(
+			seeds, std::back_inserter(addresses), [](http::endpoint const& each) { return http::to_string(each); });
 		this->exchange.set_seeds(std::move(addresses));
 	}
 
--- /dev/null
+++ b/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/routing/request_identity.hpp>
+
+namespace godwittrestle::gateway
+{
+	// Returns the fingerprints of a request. Equal prompt parts of requests for different models have different
+	// fingerprints.
+	[[nodiscard]] routing::request_identity identify(request_metadata const& call);
+
+	// Returns a fingerprint as 16 hexadecimal digits.
+	[[nodiscard]] std::string to_text(fingerprint value);
+
+	// Returns fingerprints separated by commas.
+	[[nodiscard]] std::string to_text(std::vector<fingerprint> const& values);
+}
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -17,6 +17,7 @@
 #include <godwittrestle/gateway/event_log.hpp>
 #include <godwittrestle/gateway/permit_exchange.hpp>
 #include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/gateway/server_end_check.hpp>
 #include <godwittrestle/gateway/settings.hpp>
 #include <godwittrestle/gateway/shared_state.hpp>
 #include <godwittrestle/gateway/stream_joiner.hpp>
@@ -141,6 +142,8 @@
 		// Records a failed call in the request, the server's state, the metrics and the log. The server is not tried
 		// again for this request.
 		void record_failure(request_state& state, routing::server_record& server, routing::send_failure failure);
+		// Finds out whether a server has ended while it had a request that it had not begun to answer, and logs that.
+		void check_server_end(request_state const& state, routing::server_record const& server);
 		// Records how long a stream has taken for its tokens so far, unless it has stalled or failed over.
 		void record_duration(request_state const& state, time_point now);
 		void record_success(request_state& state, routing::server_record& server, unread_answer& answer);
@@ -179,6 +182,7 @@
 		counters* totals;
 		event_log log;
 		connection_pool pool;
+		server_end_check end_check;
 		std::mt19937_64 random;
 		time_point started;
 		std::size_t in_progress = 0;
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -32,6 +32,11 @@
 		token_count max_output;
 		// The id of the last event of the stream that the caller already has.
 		std::optional<std::string> last_event;
+		// The model that the caller asks for; empty when the caller names none.
+		std::string model;
+		// Ids of the parts of the prompt, in order. Requests share parts; the last part belongs to this request or to
+		// its session.
+		std::vector<std::string> prompt_parts;
 	};
 
 	// Where a decode engine fetches the KV cache of a prefilled prompt.
