A server's end is checked only after it closed or reset the connection

The check added with the observability also connected to servers whose answers were malformed: a new connection for nothing, found by the contract test on endless and invalid answers (2 connections instead of 1).

--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -126,7 +126,8 @@
 
 	void forwarder::record_failure(request_state& state, routing::server_record& server, send_failure failure)
 	{
-		state.connection = nullptr;
+		auto const connection = std::exchange(state.connection, nullptr);
+		auto const was_closed = connection && connection->was_closed_by_peer();
 		state.failure = failure;
 		if (failure == send_failure::not_permitted)
 		{
@@ -162,7 +163,7 @@
 				{"since_sent_ms", state.sent_at ? milliseconds_text(monotonic_now() - *state.sent_at) : ""},
 				{"shared_parts", to_text(state.identity.shared_parts)},
 				{"left_ms", milliseconds_text(state.time_left())}});
-		if (failure == send_failure::broken && state.is_unanswered())
+		if (failure == send_failure::broken && was_closed && state.is_unanswered())
 		{
 			this->check_server_end(state, server);
 		}
--- a/packages/http/impl/upstream.cpp
+++ b/packages/http/impl/upstream.cpp
@@ -51,6 +51,14 @@
 			return message;
 		}
 
+		// Returns whether a read failed because the peer had closed or reset the connection.
+		bool is_closed_by_peer(error_code const& error)
+		{
+			return error == asio::error::eof || error == asio::error::connection_reset ||
+				   error == asio::error::broken_pipe || error == beast::http::error::end_of_stream ||
+				   error == beast::http::error::partial_message;
+		}
+
 		// Returns the timeout, in seconds, from the value of a Keep-Alive header, such as "timeout=5, max=100".
 		std::optional<duration> parse_idle_timeout(std::string_view value)
 		{
@@ -126,6 +134,7 @@
 		// Writing the request failed before any byte was sent.
 		bool has_sent_nothing = false;
 		bool is_timed_out = false;
+		bool was_closed_by_peer = false;
 	};
 
 	upstream::upstream(asio::any_io_executor executor, endpoint where)
@@ -194,6 +203,7 @@
 			if (error)
 			{
 				state.cancel_timeout();
+				state.was_closed_by_peer = is_closed_by_peer(error);
 				co_return state.failure();
 			}
 			is_final = state.parser->get().result_int() >= first_final_status;
@@ -224,6 +234,7 @@
 			if (error && error != beast::http::error::need_buffer)
 			{
 				state.cancel_timeout();
+				state.was_closed_by_peer = is_closed_by_peer(error);
 				co_return state.failure();
 			}
 			received.assign(state.piece.data(), state.piece.size() - state.parser->get().body().size);
@@ -273,6 +284,11 @@
 		return this->impl->keep_alive;
 	}
 
+	bool upstream::was_closed_by_peer() const noexcept
+	{
+		return this->impl->was_closed_by_peer;
+	}
+
 	void upstream::close()
 	{
 		error_code ignored;
