--- a/tests/contract/server_limits.test.cpp
+++ b/tests/contract/server_limits.test.cpp
@@ -7,19 +7,14 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/daemon/io_thread.hpp>
-#include <godwittrestle/gateway/serving_thread.hpp>
+#include <godwittrestle/http/server.hpp>
 
+#include "daemon_group.hpp"
 #include "test_protocol.hpp"
-#include "test_servers.hpp"
 
 using namespace godwittrestle;
 using namespace godwittrestle::testing;
@@ -27,7 +22,6 @@
 namespace
 {
 	namespace asio = boost::asio;
-	using asio::ip::tcp;
 	using daemon::monotonic_now;
 
 	// A backend server that answers each request at once, states a limit in each answer and records the arrivals.
@@ -84,76 +78,6 @@
 		http::server server;
 	};
 
-	// Daemons that know each other, with one route and one backend server, and without a registry.
-	class daemons
-	{
-	  public:
-		daemons(std::size_t count, std::string const& server_address)
-		{
-			std::vector<http::endpoint> peers(count);
-			std::ranges::generate(peers, free_endpoint);
-			for (std::size_t number = 0; number < count; ++number)
-			{
-				gateway::gateway_settings settings;
-				settings.instance = instance_id(fmt::format("d{}", number));
-				settings.caller_address = free_endpoint();
-				settings.readiness_address = free_endpoint();
-				settings.peer_address = peers[number];
-				settings.metrics_address = free_endpoint();
-				settings.seeds = peers;
-				gateway::platform_adapter adapter;
-				adapter.calls = make_test_protocol();
-				this->caller_addresses.push_back(settings.caller_address);
-				this->serving.push_back(std::make_unique<gateway::serving_thread>(
-					settings, adapter, [](decide::record_event const&) {}, [] { return 0U; }, [] {}));
-				this->serving.back()->start();
-				this->serving.back()->push(make_update(server_address));
-			}
-		}
-
-		[[nodiscard]] std::vector<http::endpoint> const& addresses() const noexcept
-		{
-			return this->caller_addresses;
-		}
-
-	  private:
-		static gateway::registry_update make_update(std::string const& server_address)
-		{
-			gateway::published_configuration published;
-			published.value.version = platform_version(1);
-			published.value.routes = {make_route(routing::call_kind::idempotent, 1, false)};
-			routing::registered_server server;
-			server.id = server_id("a");
-			server.service = service_id("s");
-			server.address = server_address;
-			server.slots = 64;
-			gateway::registry_update update;
-			update.is_complete_list = true;
-			update.changes.emplace_back(std::move(published));
-			update.changes.emplace_back(std::move(server));
-			return update;
-		}
-
-		std::vector<http::endpoint> caller_addresses;
-		std::vector<std::unique_ptr<gateway::serving_thread>> serving;
-	};
-
-	// Sends one request and returns the status line of the answer.
-	std::string send_request(http::endpoint const& where, std::string const& attempt)
-	{
-		asio::io_context loop;
-		tcp::socket socket(loop);
-		socket.connect(tcp::endpoint(asio::ip::make_address(where.address), where.port));
-		auto const text = fmt::format("GET /x/y HTTP/1.1\r\nHost: a.example\r\nAttempt: {}\r\nTime-Left-Ms: 1400\r\n"
-									  "Connection: close\r\n\r\n",
-			attempt);
-		asio::write(socket, asio::buffer(text));
-		std::string received;
-		boost::system::error_code read_error;
-		asio::read(socket, asio::dynamic_buffer(received), read_error);
-		return received.substr(0, received.find('\r'));
-	}
-
 	// Returns the most arrivals within any window of this length that begins after a time.
 	std::size_t most_arrivals(std::vector<time_point> const& times, time_point after, duration window)
 	{
@@ -179,7 +103,8 @@
 	constexpr auto request_interval = std::chrono::milliseconds(100);
 
 	limiting_server server(limit);
-	daemons fleet(daemon_count, server.address());
+	daemon_group fleet(daemon_count, make_route(routing::call_kind::idempotent, 1, false),
+		{make_server("a", server.address(), routing::server_role::plain)});
 	std::atomic<bool> is_over = false;
 	std::vector<std::thread> callers;
 	for (auto const& address : fleet.addresses())
@@ -189,7 +114,8 @@
 			{
 				for (int number = 0; !is_over; ++number)
 				{
-					std::ignore = send_request(address, fmt::format("{}-{}", address.port, number));
+					std::ignore =
+						send_to_daemon(address, "GET", {{"Attempt", fmt::format("{}-{}", address.port, number)}});
 					std::this_thread::sleep_for(request_interval);
 				}
 			});
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -1,5 +1,6 @@
 #include "test_protocol.hpp"
 
+#include <boost/algorithm/string/split.hpp>
 #include <fmt/format.h>
 
 #include <godwittrestle/base/digest.hpp>
@@ -14,6 +15,10 @@
 			gateway::request_metadata call;
 			call.attempt = request_id(message.find_header("Attempt"));
 			call.time_left = milliseconds(parse_number(message.find_header("Time-Left-Ms")).value());
+			if (auto const parts = message.find_header("Parts"); !parts.empty())
+			{
+				boost::algorithm::split(call.prompt_parts, parts, [](char each) { return each == ','; });
+			}
 			return call;
 		};
 		protocol.write_call = [](http::request const& original, gateway::send_options const& options)
