Requests with a prompt part that ends servers are blocked by all daemons

Cause: no daemon connects the end of a server with what its unanswered requests have in common; each end looks like a server's own, and the request is carried to the next server, by each daemon and each repeat. Evidence: each end had an unanswered request with the same two prompt parts, and nobody listened at the server's port afterwards (38 of 38). Ruled out: overload (the calls that broke in mid-answer have nothing in common), faulty servers (the ends are at all addresses).

Change: routing/crash_evidence. A daemon that loses an unanswered request to a server whose port then refuses connections reports the server and the request's parts to all daemons, and answers to parts that reports name. A part is blocked when three servers have ended under two different requests with it and no request with it was answered since (five servers, if it had been answered before). What one block explains does not count against the other parts of the same requests. A blocked part is tried again with one request by one daemon, after 10, 40 and 160 s. Why this works: the reports are merged as sets, so all daemons decide alike from the ends that each has seen alone.

--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -50,6 +50,21 @@
 				  .Help("Backend servers that state a limit")
 				  .Register(this->registry)
 				  .Add({}))
+		, crash_reports(&prometheus::BuildCounter()
+				  .Name("godwittrestle_crash_reports_total")
+				  .Help(
+					  "Servers that ended while they had an unanswered request of this daemon, a line for each request")
+				  .Register(this->registry)
+				  .Add({}))
+		, blocked_requests(&prometheus::BuildCounter()
+				  .Name("godwittrestle_blocked_requests_total")
+				  .Help("Requests of callers that were blocked because requests like them end servers, by outcome")
+				  .Register(this->registry))
+		, request_blocks(&prometheus::BuildGauge()
+				  .Name("godwittrestle_request_blocks")
+				  .Help("Blocks of requests that end servers, in force at present")
+				  .Register(this->registry)
+				  .Add({}))
 		, registry_calls(&prometheus::BuildCounter()
 				  .Name("godwittrestle_registry_calls_total")
 				  .Help("Calls to the registry, by outcome")
@@ -113,6 +128,21 @@
 		this->limited_servers->Set(static_cast<double>(count));
 	}
 
+	void counters::count_crash_report()
+	{
+		this->crash_reports->Increment();
+	}
+
+	void counters::count_blocked_request(std::string_view outcome)
+	{
+		this->blocked_requests->Add({{"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::set_request_blocks(std::size_t count)
+	{
+		this->request_blocks->Set(static_cast<double>(count));
+	}
+
 	void counters::count_registry_call(std::string_view outcome)
 	{
 		this->registry_calls->Add({{"outcome", std::string(outcome)}}).Increment();
--- /dev/null
+++ b/packages/gateway/impl/crash_messages.cpp
@@ -0,0 +1,147 @@
+#include "crash_messages.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <godwittrestle/base/algorithm.hpp>
+#include <godwittrestle/gateway/fingerprints.hpp>
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// News are told for this long.
+		constexpr duration news_time = seconds(3);
+		constexpr std::size_t max_told = 16;
+		// Reports and answers that are told again when there are no news.
+		constexpr std::size_t told_again = 1;
+		// Bounds for messages of other daemons; a report with more comes from a malformed message.
+		constexpr int max_accepted_parts = 64;
+		constexpr duration max_accepted_age = std::chrono::hours(24);
+
+		std::uint64_t age_of(time_point at, time_point now)
+		{
+			return static_cast<std::uint64_t>(std::max(duration{}, now - at).count());
+		}
+
+		time_point time_of(std::uint64_t age, time_point now)
+		{
+			auto const bounded = std::min<std::uint64_t>(age, max_accepted_age.count());
+			return now - duration(static_cast<duration::rep>(bounded));
+		}
+
+		wire::CrashReport to_wire(routing::crash_report const& report, time_point now)
+		{
+			wire::CrashReport message;
+			message.set_server(report.server.str());
+			message.set_started(report.started.count());
+			message.set_prompt(report.request.prompt.count());
+			std::ranges::for_each(
+				report.request.shared_parts, [&](fingerprint part) { message.add_shared_parts(part.count()); });
+			std::ranges::for_each(
+				report.answered_before, [&](fingerprint part) { message.add_answered_before(part.count()); });
+			message.set_age(age_of(report.at, now));
+			message.set_reported_by(report.reported_by.str());
+			message.set_is_trial(report.is_trial);
+			return message;
+		}
+
+		routing::crash_report from_wire(wire::CrashReport const& message, time_point now)
+		{
+			auto const to_fingerprint = [](std::uint64_t value)
+			{
+				return fingerprint(value);
+			};
+			routing::crash_report report;
+			report.server = server_id(message.server());
+			report.started = incarnation(message.started());
+			report.request.prompt = fingerprint(message.prompt());
+			std::ranges::transform(
+				message.shared_parts(), std::back_inserter(report.request.shared_parts), to_fingerprint);
+			std::ranges::transform(message.answered_before(),
+				std::inserter(report.answered_before, report.answered_before.end()), to_fingerprint);
+			report.at = time_of(message.age(), now);
+			report.reported_by = instance_id(message.reported_by());
+			report.is_trial = message.is_trial();
+			return report;
+		}
+
+		// Returns the items to tell. learnt_at: returns the time at which this daemon learnt of an item.
+		template <typename Item, typename LearntAt>
+		std::vector<Item> choose(std::vector<Item> const& items, LearntAt learnt_at, bool has_new_members,
+			std::function<double()> const& draw, time_point now)
+		{
+			std::vector<Item> news;
+			std::ranges::copy_if(items, std::back_inserter(news),
+				[&](Item const& each) { return has_new_members || now - learnt_at(each) <= news_time; });
+			return news.empty() ? random_sample(items, told_again, draw)
+								: random_sample(std::move(news), max_told, draw);
+		}
+	}
+
+	void add_crash_evidence(wire::GatewayNotice& notice, routing::crash_evidence const& evidence, bool has_new_members,
+		std::function<double()> const& draw, time_point now)
+	{
+		using routing::crash_evidence;
+		auto const report_learnt_at = [](crash_evidence::known_report const& each)
+		{
+			return each.learnt_at;
+		};
+		for (auto const& each : choose(evidence.reports(), report_learnt_at, has_new_members, draw, now))
+		{
+			*notice.add_crashes() = to_wire(each.report, now);
+		}
+		std::vector<std::pair<fingerprint, crash_evidence::known_answer>> answers;
+		std::ranges::copy(evidence.answers(), std::back_inserter(answers));
+		auto const answer_learnt_at = [](auto const& each)
+		{
+			return each.second.learnt_at;
+		};
+		for (auto const& [part, answer] : choose(answers, answer_learnt_at, has_new_members, draw, now))
+		{
+			auto& message = *notice.add_answers();
+			message.set_part(part.count());
+			message.set_age(age_of(answer.answered_at, now));
+		}
+	}
+
+	void apply_crash_evidence(wire::GatewayNotice const& notice, routing::crash_evidence& evidence, time_point now)
+	{
+		for (auto const& each : notice.crashes())
+		{
+			if (each.shared_parts_size() <= max_accepted_parts && each.answered_before_size() <= max_accepted_parts)
+			{
+				evidence.note_crash(from_wire(each, now), now);
+			}
+		}
+		for (auto const& each : notice.answers())
+		{
+			evidence.note_answer(fingerprint(each.part()), time_of(each.age(), now), now);
+		}
+	}
+
+	void log_block_changes(routing::crash_evidence& evidence, event_log const& log, time_point now)
+	{
+		for (auto const& change : evidence.take_changes())
+		{
+			auto const is_blocked = change.what == routing::block_change::kind::blocked;
+			log(make_event(is_blocked ? "requests_blocked" : "requests_released", block_fields(change.block, now)));
+		}
+	}
+
+	std::vector<decide::event_field> block_fields(routing::crash_block const& block, time_point now)
+	{
+		auto const reporters =
+			block.reported_by | std::views::transform([](instance_id const& each) { return each.str(); });
+		return {{"blocked_parts", to_text({block.parts.begin(), block.parts.end()})},
+			{"crashes", std::to_string(block.crashes)}, {"crashed_requests", std::to_string(block.requests)},
+			{"trials", std::to_string(block.trials)},
+			{"first_crash_age_ms", fmt::format("{:.1f}", to_milliseconds(now - block.first_crash_at))},
+			{"last_crash_age_ms", fmt::format("{:.1f}", to_milliseconds(now - block.last_crash_at))},
+			{"reported_by", fmt::format("{}", fmt::join(reporters.begin(), reporters.end(), ","))}};
+	}
+}
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -12,6 +12,7 @@
 #include <godwittrestle/decide/rendezvous.hpp>
 #include <godwittrestle/gateway/permit_exchange.hpp>
 
+#include "crash_messages.hpp"
 #include "observation_messages.hpp"
 
 namespace godwittrestle::gateway
@@ -25,7 +26,7 @@
 		constexpr duration max_accepted_role_change = seconds(30);
 		// A change of a server's limit is told for this long, and all limits for this long after a daemon has started.
 		// The bound on their number keeps a notice small.
-		constexpr duration limit_news_time = seconds(3);
+		constexpr duration news_time = seconds(3);
 		constexpr std::size_t max_limits = 8;
 		constexpr duration query_interval = milliseconds(250);
 		constexpr duration observations_interval = seconds(1);
@@ -89,6 +90,7 @@
 		this->shared->daemon_count = this->members.size(now);
 		auto const live_now = this->members.live(now);
 		this->shared->permits.set_daemons(live_now, now);
+		this->shared->live_daemons = live_now;
 		this->shared->is_coordinator = !this->is_leaving && !registry_state.is_lost &&
 									   std::ranges::none_of(live_now, [this](routing::fleet_member const& each)
 										   { return each.id < this->outgoing.own_id(); });
@@ -98,6 +100,7 @@
 		std::ranges::for_each(notice.role_changes(), [&](auto const& each) { shares += each.server(); });
 		std::ranges::for_each(
 			notice.limits(), [&](auto const& each) { shares += fmt::format("{}={}", each.server(), each.rate()); });
+		shares += fmt::format("crashes={}", this->shared->crashes.revision());
 		auto const is_due =
 			shares != this->last_sent_shares || live_now.empty() || now - this->last_notice_at >= max_notice_interval;
 		if (is_due)
@@ -174,6 +177,8 @@
 			this->shared->permits.note_leaving(sender);
 		}
 		this->apply_limits(notice, now);
+		apply_crash_evidence(notice, this->shared->crashes, now);
+		log_block_changes(this->shared->crashes, this->log, now);
 		this->apply_shares(sender, notice, now);
 		this->apply_observations(notice);
 		if (notice.highest_fence() <= max_accepted_fence)
@@ -199,16 +204,21 @@
 		}
 	}
 
-	void fleet_exchange::add_limits(wire::GatewayNotice& notice, time_point now) const
+	bool fleet_exchange::has_new_members(time_point now) const
 	{
 		auto const last_start = this->members.last_start();
-		auto const has_new_members = last_start && now - *last_start <= limit_news_time;
+		return last_start && now - *last_start <= news_time;
+	}
+
+	void fleet_exchange::add_limits(wire::GatewayNotice& notice, time_point now) const
+	{
+		auto const has_new_members = this->has_new_members(now);
 		std::vector<routing::server_pointer> told;
 		std::ranges::copy_if(this->shared->servers.all() | std::views::values, std::back_inserter(told),
 			[&](routing::server_pointer const& each)
 			{
 				auto const unchanged = each->limit.unchanged_for(now);
-				return unchanged && (*unchanged <= limit_news_time || (has_new_members && each->limit.rate()));
+				return unchanged && (*unchanged <= news_time || (has_new_members && each->limit.rate()));
 			});
 		for (auto const& server : random_sample(std::move(told), max_limits, this->hooks.draw))
 		{
@@ -352,6 +362,7 @@
 			}
 		}
 		this->add_limits(notice, now);
+		add_crash_evidence(notice, this->shared->crashes, this->has_new_members(now), this->hooks.draw, now);
 		return notice;
 	}
 
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -152,6 +152,10 @@
 		auto const max_idle_for_call = state->matched_route->is_repeatable() || options.part == call_part::prefill
 										   ? max_idle
 										   : max_idle_non_repeatable;
+		if (this->is_blocked(*state, monotonic_now()))
+		{
+			co_return send_failure::blocked;
+		}
 		auto const had_limit = server->limit.rate().has_value();
 		if (!has_permit)
 		{
@@ -185,6 +189,10 @@
 			connection->close();
 			co_return send_failure::not_sent;
 		}
+		if (!this->begin_send(*state, monotonic_now()))
+		{
+			co_return send_failure::blocked;
+		}
 		options.time_left = state->time_left();
 		options.server = entry.id;
 		auto const outgoing = this->protocol.write_call(state->message, options);
@@ -238,6 +246,11 @@
 
 	bool forwarder::authorize_retry(request_state& state, send_failure failure)
 	{
+		if (failure == send_failure::blocked)
+		{
+			state.no_retry_reason = "blocked";
+			return false;
+		}
 		if (state.is_caller_gone || state.is_out_of_time() || !routing::may_retry(*state.matched_route, failure))
 		{
 			state.no_retry_reason = "must_not_be_repeated";
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -31,6 +31,7 @@
 					return routing::call_outcome::silent;
 				case send_failure::not_sent:
 				case send_failure::not_permitted:
+				case send_failure::blocked:
 				case send_failure::wrong_server:
 				case send_failure::broken:
 					return routing::call_outcome::broken;
@@ -129,7 +130,7 @@
 		auto const connection = std::exchange(state.connection, nullptr);
 		auto const was_closed = connection && connection->was_closed_by_peer();
 		state.failure = failure;
-		if (failure == send_failure::not_permitted)
+		if (failure == send_failure::not_permitted || failure == send_failure::blocked)
 		{
 			// Says nothing about the server, which stays a candidate for this request.
 			return;
@@ -167,22 +168,7 @@
 		{
 			this->check_server_end(state, server);
 		}
-	}
-
-	void forwarder::check_server_end(request_state const& state, routing::server_record const& server)
-	{
-		this->end_check.start(server.entry,
-			[this, server = server.entry.id, attempt = state.call.attempt, identity = state.identity](
-				http::port_state port)
-			{
-				if (port == http::port_state::refused)
-				{
-					this->log(make_event("server_ended_with_request",
-						{{"server", server.str()}, {"prompt", to_text(identity.prompt)},
-							{"shared_parts", to_text(identity.shared_parts)}},
-						attempt));
-				}
-			});
+		state.is_trial = false;
 	}
 
 	void forwarder::record_duration(request_state const& state, time_point now)
@@ -212,6 +198,7 @@
 			{"status", std::to_string(answer.head.status)}, {"took_ms", milliseconds_text(now - state.started)}};
 		if (state.first_event_at)
 		{
+			this->record_answer_begun(state, now);
 			this->record_duration(state, now);
 			if (!state.is_caller_gone && !state.call.last_event)
 			{
@@ -251,6 +238,11 @@
 					{"not_repeated", std::string(state->no_retry_reason)}});
 			co_return;
 		}
+		if (state->failure == send_failure::blocked)
+		{
+			co_await this->refuse_blocked(state);
+			co_return;
+		}
 		if (state->server_failure && !state->is_out_of_time())
 		{
 			auto const status = state->server_failure->status;
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -92,6 +92,11 @@
 		while (!state->is_caller_gone && !state->is_out_of_time())
 		{
 			auto const now = monotonic_now();
+			if (this->is_blocked(*state, now))
+			{
+				state->failure = routing::send_failure::blocked;
+				break;
+			}
 			if (stream_queue.may_reserve(ticket, now))
 			{
 				auto engines =
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -28,6 +28,8 @@
 	// Answers up to this size are buffered until they are complete; larger ones are streamed to the caller.
 	inline constexpr std::size_t max_buffered_answer_bytes = 262'144;
 	inline constexpr duration default_timeout = seconds(60);
+	// A server that has sent this many events of a stream, or the whole stream, can answer the request.
+	inline constexpr std::uint64_t min_events_of_answer = 4;
 	// A stream's objective divided by this number is kept in reserve for unpredicted delays before its first event.
 	inline constexpr int objective_reserve_divisor = 10;
 
@@ -156,6 +158,8 @@
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
+		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
+		bool is_trial = false;
 		// Times of the first and the last event that were passed on, and the longest gap between two events.
 		std::optional<time_point> first_event_at;
 		time_point last_event_at;
@@ -200,10 +204,10 @@
 			return token_count(static_cast<std::uint32_t>(this->joiner.events() * this->tokens_per_event));
 		}
 
-		// Returns whether no event has been passed on since the call was last sent to a server.
+		// Returns whether the server that the call was last sent to has not shown yet that it can answer the call.
 		[[nodiscard]] bool is_unanswered() const noexcept
 		{
-			return this->sent_at && this->joiner.events() == this->events_before_send;
+			return this->sent_at && this->joiner.events() < this->events_before_send + min_events_of_answer;
 		}
 
 		void note_event(time_point now)
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -46,6 +46,11 @@
 			{
 				break;
 			}
+			if (this->shared->crashes.find_block(state->identity) != nullptr)
+			{
+				// A trial uses one server only.
+				state->is_separate_prefill_disabled = true;
+			}
 			auto request = this->placement_for(*state);
 			request.may_use_prefill_engine = !state->is_separate_prefill_disabled && !state->joiner.last_event();
 			request.idle_split_limit = this->is_recently_started()
@@ -303,6 +308,11 @@
 				server->load.note_progress(call, progress_at);
 				server->load.set_committed(call, this->needed_tokens(*state));
 				state->note_event(progress_at);
+				auto const begun_at = state->events_before_send + min_events_of_answer;
+				if (events_before < begun_at && state->joiner.events() >= begun_at)
+				{
+					this->record_answer_begun(*state, progress_at);
+				}
 				if (state->joiner.events() >= min_events_for_rate && events_before < min_events_for_rate)
 				{
 					this->record_duration(*state, progress_at);
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -15,6 +15,8 @@
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/daemon/wall_clock.hpp>
 
+#include "crash_messages.hpp"
+
 namespace godwittrestle::gateway
 {
 	namespace
@@ -338,6 +340,9 @@
 			auto const limited = std::ranges::count_if(this->shared.servers.all() | std::views::values,
 				[](routing::server_pointer const& each) { return each->limit.rate().has_value(); });
 			this->totals.set_limited_servers(static_cast<std::size_t>(limited));
+			this->shared.crashes.expire(now);
+			log_block_changes(this->shared.crashes, this->log, now);
+			this->totals.set_request_blocks(this->shared.crashes.blocks().size());
 			this->request_forwarder.connections().close_expired(now);
 		}
 	}
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -39,6 +39,12 @@
 		// refused.
 		void count_limited_request(std::string_view outcome);
 		void set_limited_servers(std::size_t count);
+		// Counts a server that ended while it had an unanswered request of this daemon.
+		void count_crash_report();
+		// Counts a caller's request that was blocked because requests like it end servers. outcome: refused or tried.
+		void count_blocked_request(std::string_view outcome);
+		// Sets the number of blocks in force.
+		void set_request_blocks(std::size_t count);
 		void count_registry_call(std::string_view outcome);
 		void set_configuration(std::uint64_t version);
 		void set_servers(std::size_t count);
@@ -56,6 +62,9 @@
 		prometheus::Family<prometheus::Counter>* permits;
 		prometheus::Family<prometheus::Counter>* limited_requests;
 		prometheus::Gauge* limited_servers;
+		prometheus::Counter* crash_reports;
+		prometheus::Family<prometheus::Counter>* blocked_requests;
+		prometheus::Gauge* request_blocks;
 		prometheus::Family<prometheus::Counter>* registry_calls;
 		prometheus::Gauge* configuration;
 		prometheus::Gauge* servers;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -142,8 +142,18 @@
 		// Records a failed call in the request, the server's state, the metrics and the log. The server is not tried
 		// again for this request.
 		void record_failure(request_state& state, routing::server_record& server, routing::send_failure failure);
-		// Finds out whether a server has ended while it had a request that it had not begun to answer, and logs that.
+		// Returns whether no server may get the request, since requests like it have ended servers. A request that may
+		// be tried in spite of that is not blocked.
+		[[nodiscard]] bool is_blocked(request_state const& state, time_point now) const;
+		// Prepares to send a request. Returns false when it is blocked.
+		[[nodiscard]] bool begin_send(request_state& state, time_point now);
+		// Finds out whether a server has ended while it had a request that it had not answered, and reports that.
 		void check_server_end(request_state const& state, routing::server_record const& server);
+		// Records that a server can answer a request.
+		void record_answer_begun(request_state const& state, time_point now);
+		[[nodiscard]] asio::awaitable<void> refuse_blocked(state_pointer state);
+		// Returns how many live daemons come before this one in the order in which daemons try a blocked request.
+		[[nodiscard]] std::size_t trial_position(routing::crash_block const& block) const;
 		// Records how long a stream has taken for its tokens so far, unless it has stalled or failed over.
 		void record_duration(request_state const& state, time_point now);
 		void record_success(request_state& state, routing::server_record& server, unread_answer& answer);
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
@@ -19,6 +20,7 @@
 		routing::directory servers;
 		std::map<service_id, routing::retry_budget> retry_budgets;
 		routing::permit_issuer permits;
+		routing::crash_evidence crashes;
 		routing::admission_queue stream_queue;
 		std::map<service_id, routing::service_observations> observed;
 		// Whether this daemon has the smallest id of all live daemons, is not draining and can read the registry. Only
@@ -31,6 +33,8 @@
 		// Number of live daemons, including this one. The retry budget and the connection limits of the servers are
 		// divided among them.
 		std::uint32_t daemon_count = 1;
+		// The other daemons that are live.
+		std::vector<routing::fleet_member> live_daemons;
 		// Set when this daemon starts to drain: the time at which it aborts the requests that are still running.
 		std::optional<time_point> shutdown_deadline;
 	};
--- a/packages/routing/impl/retry_rules.cpp
+++ b/packages/routing/impl/retry_rules.cpp
@@ -23,6 +23,8 @@
 				return "not_sent";
 			case send_failure::not_permitted:
 				return "not_permitted";
+			case send_failure::blocked:
+				return "blocked";
 			case send_failure::not_run:
 				return "not_run";
 			case send_failure::wrong_server:
--- /dev/null
+++ b/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing/request_identity.hpp>
+
+namespace godwittrestle::routing
+{
+	// Says that a server ended while it had a request that it had not answered yet.
+	struct crash_report
+	{
+		server_id server;
+		// The start of the server that has ended.
+		incarnation started;
+		request_identity request;
+		// Those of the request's shared parts with which the reporting daemon had seen an answer before.
+		std::set<fingerprint> answered_before;
+		time_point at;
+		instance_id reported_by;
+		// Whether the request was sent, although it was blocked, to find out whether it still ends servers.
+		bool is_trial = false;
+	};
+
+	// Requests that get to no server, and why.
+	struct crash_block
+	{
+		// A request is blocked when it has all of these parts: the reports can't tell them apart.
+		std::set<fingerprint> parts;
+		// Number of servers that have ended, and of different requests that they had.
+		std::size_t crashes = 0;
+		std::size_t requests = 0;
+		// Number of trials among them.
+		std::size_t trials = 0;
+		time_point first_crash_at;
+		time_point last_crash_at;
+		std::set<instance_id> reported_by;
+	};
+
+	// A block that began or ended.
+	struct block_change
+	{
+		enum class kind : std::uint8_t
+		{
+			blocked,
+			// A request with these parts was answered, or the evidence has expired.
+			released,
+		};
+
+		kind what = kind::blocked;
+		crash_block block;
+	};
+
+	// What an operator has set about blocking.
+	struct crash_settings
+	{
+		bool is_blocking_enabled = true;
+		// Parts that are never blocked.
+		std::set<fingerprint> allowed;
+
+		[[nodiscard]] bool operator==(crash_settings const&) const = default;
+	};
+
+	// Decides which requests are blocked because they end the servers that begin to answer them, a circuit breaker for
+	// what requests have in common. A server that ends takes sound requests with it, and servers end for other reasons
+	// too. So a part of a request counts as the cause only when several servers have ended, each while it had an
+	// unanswered request with that part, and no request with that part has been answered since. Reports of all daemons
+	// count; equal reports and answers lead to the same blocks, in whichever order and however often they arrive.
+	//
+	// A blocked part is tried again with one request after a while, later after each further crash.
+	class crash_evidence
+	{
+	  public:
+		crash_evidence() = default;
+		explicit crash_evidence(crash_settings given);
+
+		// Returns a report with the present knowledge about the request's parts.
+		[[nodiscard]] crash_report make_report(server_id server, incarnation started, request_identity const& request,
+			instance_id reporter, time_point at) const;
+
+		// Records a report of this or another daemon.
+		void note_crash(crash_report report, time_point now);
+
+		// Records that a server has begun to answer a request with these parts.
+		void note_answer(request_identity const& request, time_point now);
+
+		// Records that another daemon has seen an answer to a request with a part.
+		void note_answer(fingerprint part, time_point answered_at, time_point now);
+
+		// Drops expired evidence. Must be called at regular intervals.
+		void expire(time_point now);
+
+		// Returns the block that holds for a request; null when there is none.
+		[[nodiscard]] crash_block const* find_block(request_identity const& request) const;
+
+		// Returns whether one request may be sent in spite of a block. position: number of live daemons that come
+		// before this one in the order in which daemons try; 0 for the first.
+		[[nodiscard]] bool may_try(crash_block const& block, std::size_t position, time_point now) const;
+
+		// Records that this daemon sends a request in spite of a block.
+		void begin_trial(crash_block const& block, time_point now);
+
+		// Returns the time from which the first daemon may try again.
+		[[nodiscard]] time_point next_trial_at(crash_block const& block) const;
+
+		// Returns the blocks that began or ended since the last call.
+		[[nodiscard]] std::vector<block_change> take_changes();
+
+		[[nodiscard]] std::vector<crash_block> const& blocks() const noexcept
+		{
+			return this->blocked;
+		}
+
+		// Returns a number that grows with each report and answer that is new to this daemon.
+		[[nodiscard]] std::uint64_t revision() const noexcept
+		{
+			return this->news;
+		}
+
+		// A report or an answer with the time at which this daemon learnt of it.
+		struct known_report
+		{
+			crash_report report;
+			time_point learnt_at;
+		};
+
+		struct known_answer
+		{
+			time_point answered_at;
+			time_point learnt_at;
+		};
+
+		[[nodiscard]] std::vector<known_report> const& reports() const noexcept
+		{
+			return this->known_reports;
+		}
+
+		// Returns the newest answers to requests with the parts that reports name.
+		[[nodiscard]] std::map<fingerprint, known_answer> const& answers() const noexcept
+		{
+			return this->known_answers;
+		}
+
+	  private:
+		struct suspicion;
+
+		[[nodiscard]] bool is_reported(fingerprint part) const;
+		// Returns whether a report still counts against a part.
+		[[nodiscard]] bool counts_against(crash_report const& report, fingerprint part) const;
+		[[nodiscard]] std::map<fingerprint, suspicion> gather_suspicions() const;
+		[[nodiscard]] crash_block make_block(
+			std::set<fingerprint> parts, std::set<std::size_t> const& supporting_reports) const;
+		[[nodiscard]] std::vector<crash_block> find_blocks() const;
+		// Decides anew which requests are blocked.
+		void review();
+		void limit_reports();
+		void remember_answered(fingerprint part, time_point now);
+
+		crash_settings settings;
+		std::vector<known_report> known_reports;
+		std::map<fingerprint, known_answer> known_answers;
+		// Parts of requests that were answered, with the time of the last answer.
+		std::map<fingerprint, time_point> answered_parts;
+		std::uint64_t news = 0;
+		std::vector<crash_block> blocked;
+		std::vector<block_change> changes;
+		// Trials of this daemon: the time of the last one and their number, by the blocked parts.
+		std::map<std::set<fingerprint>, std::pair<time_point, std::size_t>> own_trials;
+	};
+}
--- a/packages/routing/include/godwittrestle/routing/retry_rules.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_rules.hpp
@@ -15,6 +15,8 @@
 		not_sent,
 		// No byte of the call was sent, since the limit that the server states allows no further request at present.
 		not_permitted,
+		// No byte of the call was sent, since requests like it have ended the servers that began to answer them.
+		blocked,
 		// The server stated that it did not and will not run the call.
 		not_run,
 		// Another server answered at this address, and did not run the call.
@@ -33,7 +35,8 @@
 	[[nodiscard]] constexpr bool is_proved_not_run(send_failure failure) noexcept
 	{
 		return failure == send_failure::not_sent || failure == send_failure::not_permitted ||
-			   failure == send_failure::not_run || failure == send_failure::wrong_server;
+			   failure == send_failure::blocked || failure == send_failure::not_run ||
+			   failure == send_failure::wrong_server;
 	}
 
 	// Returns whether a call may be sent to a backend server again after a failure without the risk of a forbidden
