--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -53,6 +53,7 @@
 			state.servers = routing::directory(settings.servers);
 			state.retries = settings.retries;
 			state.data_centre = settings.data_centre;
+			state.crashes = routing::crash_evidence(settings.crashes);
 			return state;
 		}
 	}
--- a/packages/gateway/include/godwittrestle/gateway.hpp
+++ b/packages/gateway/include/godwittrestle/gateway.hpp
@@ -3,6 +3,7 @@
 #include <godwittrestle/gateway/application.hpp>
 #include <godwittrestle/gateway/connection_pool.hpp>
 #include <godwittrestle/gateway/counters.hpp>
+#include <godwittrestle/gateway/environment.hpp>
 #include <godwittrestle/gateway/event_log.hpp>
 #include <godwittrestle/gateway/fingerprints.hpp>
 #include <godwittrestle/gateway/forwarder.hpp>
--- a/packages/gateway/include/godwittrestle/gateway/settings.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/settings.hpp
@@ -9,6 +9,7 @@
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
 #include <godwittrestle/http/message.hpp>
+#include <godwittrestle/routing/crash_evidence.hpp>
 #include <godwittrestle/routing/directory.hpp>
 #include <godwittrestle/routing/retry_budget.hpp>
 
@@ -43,6 +44,7 @@
 		std::vector<http::endpoint> seeds;
 		routing::retry_budget_settings retries;
 		routing::directory_settings servers;
+		routing::crash_settings crashes;
 		registry_timing registry;
 		// Time between SIGTERM and SIGKILL.
 		duration termination_grace = seconds(8);
