Observability: the fingerprint of a request in the logs of failed calls and ended servers

Repeats of a request have new ids, so no line showed that it was the same one. No decision is changed.

--- a/packages/gateway/impl/fingerprints.cpp
+++ b/packages/gateway/impl/fingerprints.cpp
@@ -17,28 +17,33 @@
 		constexpr std::size_t max_parts = 32;
 	}
 
-	routing::request_identity identify(request_metadata const& call)
+	routing::request_identity identify(http::request const& message, request_metadata const& call)
 	{
 		routing::request_identity identity;
-		if (call.prompt_parts.empty())
-		{
-			return identity;
-		}
 		auto const model_hash = decide::hash_bytes(call.model);
 		auto const hash_part = [&](std::string const& part)
 		{
 			return fingerprint(decide::hash_bytes(part, model_hash));
 		};
-		// The last part belongs to the request itself.
-		auto const shared = std::min(call.prompt_parts.size() - 1, max_parts);
-		std::ranges::transform(
-			call.prompt_parts | std::views::take(shared), std::back_inserter(identity.shared_parts), hash_part);
 		auto whole = model_hash;
-		for (auto const& part : call.prompt_parts)
+		if (!call.prompt_parts.empty())
 		{
-			whole = decide::hash_bytes(part, whole);
+			// The last part belongs to the request itself.
+			auto const shared = std::min(call.prompt_parts.size() - 1, max_parts);
+			std::ranges::transform(
+				call.prompt_parts | std::views::take(shared), std::back_inserter(identity.shared_parts), hash_part);
+			for (auto const& part : call.prompt_parts)
+			{
+				whole = decide::hash_bytes(part, whole);
+			}
+			identity.prompt = fingerprint(whole);
 		}
-		identity.prompt = fingerprint(whole);
+		whole = decide::hash_bytes(message.method, whole);
+		whole = decide::hash_bytes(message.find_header("Host"), whole);
+		whole = decide::hash_bytes(message.target, whole);
+		whole = decide::hash_bytes(message.find_header("Authorization"), whole);
+		whole = decide::hash_bytes(message.body, whole);
+		identity.request = fingerprint(whole);
 		return identity;
 	}
 
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -54,7 +54,7 @@
 		state->message = std::move(message);
 		state->http_exchange = &http_exchange;
 		state->call = this->protocol.read_call(state->message);
-		state->identity = identify(state->call);
+		state->identity = identify(state->message, state->call);
 		state->joiner = stream_joiner(state->call.last_event);
 		state->routes = this->shared->routes;
 		state->deadline = state->started + state->call.time_left.value_or(default_timeout);
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -162,6 +162,7 @@
 				{"servers_tried", std::to_string(state.attempted_servers.size())},
 				{"events", std::to_string(state.joiner.events() - state.events_before_send)},
 				{"since_sent_ms", state.sent_at ? milliseconds_text(monotonic_now() - *state.sent_at) : ""},
+				{"fingerprint", to_text(state.identity.request)},
 				{"shared_parts", to_text(state.identity.shared_parts)},
 				{"left_ms", milliseconds_text(state.time_left())}});
 		if (failure == send_failure::broken && was_closed && state.is_unanswered())
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -57,7 +57,8 @@
 				}
 				auto const now = monotonic_now();
 				this->log(make_event("server_ended_with_request",
-					{{"server", report.server.str()}, {"prompt", to_text(report.request.prompt)},
+					{{"server", report.server.str()}, {"fingerprint", to_text(report.request.request)},
+						{"prompt", to_text(report.request.prompt)},
 						{"shared_parts", to_text(report.request.shared_parts)},
 						{"trial", report.is_trial ? "yes" : "no"}},
 					attempt));
--- a/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
@@ -5,13 +5,14 @@
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/gateway/protocols.hpp>
+#include <godwittrestle/http/message.hpp>
 #include <godwittrestle/routing/request_identity.hpp>
 
 namespace godwittrestle::gateway
 {
-	// Returns the fingerprints of a request. Equal prompt parts of requests for different models have different
-	// fingerprints.
-	[[nodiscard]] routing::request_identity identify(request_metadata const& call);
+	// Returns the fingerprints of a request. The whole body is hashed. Equal prompt parts of requests for different
+	// models have different fingerprints.
+	[[nodiscard]] routing::request_identity identify(http::request const& message, request_metadata const& call);
 
 	// Returns a fingerprint as 16 hexadecimal digits.
 	[[nodiscard]] std::string to_text(fingerprint value);
--- a/tests/unit/crash_evidence.test.cpp
+++ b/tests/unit/crash_evidence.test.cpp
@@ -27,7 +27,7 @@
 	request_identity make_request(std::uint64_t number, std::vector<fingerprint> parts)
 	{
 		constexpr std::uint64_t first_prompt = 1'000'000;
-		return {fingerprint(first_prompt + number), std::move(parts)};
+		return {fingerprint(first_prompt + number), fingerprint(first_prompt + number), std::move(parts)};
 	}
 
 	// Builds the reports of servers that end one after the other.
