--- a/tests/contract/crashing_server.cpp
+++ b/tests/contract/crashing_server.cpp
@@ -1,6 +1,7 @@
 #include "crashing_server.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -28,12 +29,22 @@
 		constexpr std::chrono::milliseconds start_time{20};
 		constexpr std::chrono::milliseconds restart_time{300};
 
-		std::string attempt_of(std::string const& text)
+		// Returns the value of a header; empty when there is none.
+		std::string header_value(std::string const& text, std::string const& name)
 		{
-			std::string const name = "Attempt: ";
-			auto const begin = text.find(name);
-			auto const end = text.find('\r', begin);
-			return begin == std::string::npos ? "" : text.substr(begin + name.size(), end - begin - name.size());
+			auto const begin = text.find("\n" + name + ": ");
+			if (begin == std::string::npos)
+			{
+				return "";
+			}
+			auto const value = begin + name.size() + 3;
+			return text.substr(value, text.find('\r', value) - value);
+		}
+
+		std::size_t content_length(std::string const& head)
+		{
+			auto const value = header_value(head, "Content-Length");
+			return value.empty() ? 0 : std::stoul(value);
 		}
 	}
 
@@ -113,6 +124,7 @@
 	asio::awaitable<void> crashing_server::serve(socket_pointer socket)
 	{
 		std::string buffered;
+		std::array<char, 4096> piece{};
 		for (;;)
 		{
 			auto const [error, size] =
@@ -121,8 +133,18 @@
 			{
 				co_return;
 			}
-			auto const text = buffered.substr(0, size);
-			buffered.erase(0, size);
+			auto const whole_size = size + content_length(buffered.substr(0, size));
+			while (buffered.size() < whole_size)
+			{
+				auto const [body_error, more] = co_await socket->async_read_some(asio::buffer(piece), token);
+				if (body_error)
+				{
+					co_return;
+				}
+				buffered.append(piece.data(), more);
+			}
+			auto const text = buffered.substr(0, whole_size);
+			buffered.erase(0, whole_size);
 			asio::steady_timer timer(this->thread.context(), start_time);
 			std::ignore = co_await timer.async_wait(token);
 			if (!socket->is_open())
@@ -140,7 +162,7 @@
 			}
 			auto const answer = fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt: {}\r\n"
 											"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n",
-				attempt_of(text));
+				header_value(text, "Attempt"));
 			std::ignore = co_await asio::async_write(*socket, asio::buffer(answer), token);
 		}
 	}
--- a/tests/contract/crashing_server.hpp
+++ b/tests/contract/crashing_server.hpp
@@ -23,7 +23,7 @@
 	class crashing_server
 	{
 	  public:
-		// Returns whether the server ends when it begins to answer a request. text: the head of the request.
+		// Returns whether the server ends when it begins to answer a request. text: the head and body of the request.
 		using deadly_test = std::function<bool(std::string const& text)>;
 
 		explicit crashing_server(deadly_test is_deadly);
--- a/tests/contract/daemon_group.cpp
+++ b/tests/contract/daemon_group.cpp
@@ -71,20 +71,20 @@
 		return server;
 	}
 
-	std::string send_to_daemon(
-		http::endpoint const& where, std::string const& method, std::vector<http::header> const& headers)
+	std::string send_to_daemon(http::endpoint const& where, std::string const& method,
+		std::vector<http::header> const& headers, std::string const& body)
 	{
 		asio::io_context loop;
 		tcp::socket socket(loop);
 		socket.connect(tcp::endpoint(asio::ip::make_address(where.address), where.port));
-		auto text = fmt::format(
-			"{} /x/y HTTP/1.1\r\nHost: a.example\r\nTime-Left-Ms: 1400\r\nContent-Length: 0\r\nConnection: close\r\n",
-			method);
+		auto text = fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nTime-Left-Ms: 1400\r\nContent-Length: {}\r\n"
+								"Connection: close\r\n",
+			method, body.size());
 		for (auto const& each : headers)
 		{
 			text += fmt::format("{}: {}\r\n", each.name, each.value);
 		}
-		text += "\r\n";
+		text += "\r\n" + body;
 		asio::write(socket, asio::buffer(text));
 		std::string received;
 		boost::system::error_code read_error;
--- a/tests/contract/daemon_group.hpp
+++ b/tests/contract/daemon_group.hpp
@@ -32,7 +32,7 @@
 	[[nodiscard]] routing::registered_server make_server(
 		std::string id, std::string address, routing::server_role role);
 
-	// Sends one request without a body, on a connection of its own, and returns all bytes received until it closes.
-	[[nodiscard]] std::string send_to_daemon(
-		http::endpoint const& where, std::string const& method, std::vector<http::header> const& headers);
+	// Sends one request on a connection of its own and returns all bytes received until it closes.
+	[[nodiscard]] std::string send_to_daemon(http::endpoint const& where, std::string const& method,
+		std::vector<http::header> const& headers, std::string const& body = "");
 }
