A request that ends servers is blocked by all daemons, under whatever ids it comes

Cause: repeats of a request have new ids, so no daemon knows that it is the same one, and the block of prompt parts asks for two different requests. Ruled out: a shared part (one fingerprint only), load (no other fingerprint in more than two ends). Change: the fingerprint of the request counts as evidence like a part, for plain requests too; answers of plain requests count against it. Only a part that no single request explains is blocked; parts are looked at first, since they explain single requests as well. What else was lost with servers whose end a block explains isn't suspected, so sound requests of a batch stay free.

--- a/packages/gateway/impl/crash_messages.cpp
+++ b/packages/gateway/impl/crash_messages.cpp
@@ -39,7 +39,7 @@
 			wire::CrashReport message;
 			message.set_server(report.server.str());
 			message.set_started(report.started.count());
-			message.set_prompt(report.request.prompt.count());
+			message.set_request(report.request.request.count());
 			std::ranges::for_each(
 				report.request.shared_parts, [&](fingerprint part) { message.add_shared_parts(part.count()); });
 			std::ranges::for_each(
@@ -59,7 +59,7 @@
 			routing::crash_report report;
 			report.server = server_id(message.server());
 			report.started = incarnation(message.started());
-			report.request.prompt = fingerprint(message.prompt());
+			report.request.request = fingerprint(message.request());
 			std::ranges::transform(
 				message.shared_parts(), std::back_inserter(report.request.shared_parts), to_fingerprint);
 			std::ranges::transform(message.answered_before(),
@@ -101,10 +101,10 @@
 		{
 			return each.second.learnt_at;
 		};
-		for (auto const& [part, answer] : choose(answers, answer_learnt_at, has_new_members, draw, now))
+		for (auto const& [value, answer] : choose(answers, answer_learnt_at, has_new_members, draw, now))
 		{
 			auto& message = *notice.add_answers();
-			message.set_part(part.count());
+			message.set_fingerprint(value.count());
 			message.set_age(age_of(answer.answered_at, now));
 		}
 	}
@@ -120,7 +120,7 @@
 		}
 		for (auto const& each : notice.answers())
 		{
-			evidence.note_answer(fingerprint(each.part()), time_of(each.age(), now), now);
+			evidence.note_answer(fingerprint(each.fingerprint()), time_of(each.age(), now), now);
 		}
 	}
 
@@ -137,7 +137,7 @@
 	{
 		auto const reporters =
 			block.reported_by | std::views::transform([](instance_id const& each) { return each.str(); });
-		return {{"blocked_parts", to_text({block.parts.begin(), block.parts.end()})},
+		return {{"blocked_fingerprints", to_text({block.fingerprints.begin(), block.fingerprints.end()})},
 			{"crashes", std::to_string(block.crashes)}, {"crashed_requests", std::to_string(block.requests)},
 			{"trials", std::to_string(block.trials)},
 			{"first_crash_age_ms", fmt::format("{:.1f}", to_milliseconds(now - block.first_crash_at))},
--- a/packages/gateway/impl/fingerprints.cpp
+++ b/packages/gateway/impl/fingerprints.cpp
@@ -36,7 +36,6 @@
 			{
 				whole = decide::hash_bytes(part, whole);
 			}
-			identity.prompt = fingerprint(whole);
 		}
 		whole = decide::hash_bytes(message.method, whole);
 		whole = decide::hash_bytes(message.find_header("Host"), whole);
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -197,9 +197,9 @@
 		std::vector<decide::event_field> fields{{"route", state.matched_route->name},
 			{"servers", fmt::format("{}", fmt::join(state.attempted_servers, ","))},
 			{"status", std::to_string(answer.head.status)}, {"took_ms", milliseconds_text(now - state.started)}};
+		this->record_answer_begun(state, now);
 		if (state.first_event_at)
 		{
-			this->record_answer_begun(state, now);
 			this->record_duration(state, now);
 			if (!state.is_caller_gone && !state.call.last_event)
 			{
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -58,7 +58,6 @@
 				auto const now = monotonic_now();
 				this->log(make_event("server_ended_with_request",
 					{{"server", report.server.str()}, {"fingerprint", to_text(report.request.request)},
-						{"prompt", to_text(report.request.prompt)},
 						{"shared_parts", to_text(report.request.shared_parts)},
 						{"trial", report.is_trial ? "yes" : "no"}},
 					attempt));
@@ -79,25 +78,24 @@
 		auto const now = monotonic_now();
 		auto const* const block = this->shared->crashes.find_block(state->identity);
 		std::optional<duration> retry_delay;
-		std::string parts;
+		std::string fingerprints;
 		if (block != nullptr)
 		{
-			parts = to_text({block->parts.begin(), block->parts.end()});
+			fingerprints = to_text({block->fingerprints.begin(), block->fingerprints.end()});
 			retry_delay = std::max(min_retry_after_block, this->shared->crashes.next_trial_at(*block) - now);
 			this->log_event(*state, "request_blocked", block_fields(*block, now));
 		}
 		this->totals->count_blocked_request("refused");
 		auto const status = routing::status_of_failure(state->may_have_run, false);
-		auto const remedy = fmt::format("send it without the prompt part with fingerprint {}, or ask the operator to "
-										"allow this fingerprint",
-			parts);
+		auto const remedy =
+			fmt::format("don't repeat it unchanged, or ask the operator to allow fingerprint {}", fingerprints);
 		co_await this->refuse(state, status, "servers have ended when they began to answer such requests", remedy,
 			state->may_have_run ? std::nullopt : retry_delay);
 	}
 
 	std::size_t forwarder::trial_position(routing::crash_block const& block) const
 	{
-		auto const key = to_text({block.parts.begin(), block.parts.end()});
+		auto const key = to_text({block.fingerprints.begin(), block.fingerprints.end()});
 		auto const own_rank = decide::rank(key, this->shared->own_id.str());
 		auto const before = std::ranges::count_if(this->shared->live_daemons,
 			[&](routing::fleet_member const& each) { return decide::rank(key, each.id.str()) > own_rank; });
--- a/packages/routing/impl/crash_evidence.cpp
+++ b/packages/routing/impl/crash_evidence.cpp
@@ -9,12 +9,11 @@
 {
 	namespace
 	{
-		// Number of servers that have to end before a part counts as the cause. A part with which requests were
+		// Number of servers that have to end before a fingerprint counts as the cause. A part with which requests were
 		// answered before needs more: something else must have changed.
 		constexpr std::size_t min_crashes = 3;
 		constexpr std::size_t min_crashes_if_answered_before = 5;
-		// A single request may itself be the cause, and a single server may be faulty.
-		constexpr std::size_t min_requests = 2;
+		// A single server may be faulty.
 		constexpr std::size_t min_servers = 2;
 		// Evidence that is older proves nothing any more.
 		constexpr duration report_lifetime = std::chrono::hours(1);
@@ -29,21 +28,31 @@
 		constexpr std::size_t max_turns = 10;
 	}
 
-	// What speaks against one part.
+	// What speaks against one fingerprint.
 	struct crash_evidence::suspicion
 	{
-		// Positions of the reports that count against the part.
+		// Positions of the reports that count against it.
 		std::set<std::size_t> reports;
-		std::set<std::pair<server_id, incarnation>> crashes;
+		std::set<crash> crashes;
 		std::set<server_id> servers;
-		std::set<fingerprint> requests;
+		// The crashes that each request was lost with.
+		std::map<fingerprint, std::set<crash>> by_request;
 		bool was_answered_before = false;
+		bool is_request = false;
+
+		// Returns whether one request was lost with each of the crashes: the other parts of it may explain them as
+		// well.
+		[[nodiscard]] bool is_explained_by_one_request() const
+		{
+			return std::ranges::any_of(this->by_request | std::views::values,
+				[this](std::set<crash> const& each) { return each.size() == this->crashes.size(); });
+		}
 
-		[[nodiscard]] bool is_sufficient() const noexcept
+		[[nodiscard]] bool is_sufficient() const
 		{
 			auto const needed = this->was_answered_before ? min_crashes_if_answered_before : min_crashes;
-			return this->crashes.size() >= needed && this->requests.size() >= min_requests &&
-				   this->servers.size() >= min_servers;
+			return this->crashes.size() >= needed && this->servers.size() >= min_servers &&
+				   (this->is_request || !this->is_explained_by_one_request());
 		}
 	};
 
@@ -68,7 +77,7 @@
 
 	void crash_evidence::note_crash(crash_report report, time_point now)
 	{
-		if (report.request.shared_parts.empty() || now - report.at >= report_lifetime)
+		if (now - report.at >= report_lifetime)
 		{
 			return;
 		}
@@ -76,7 +85,7 @@
 			[&](known_report const& each)
 			{
 				return each.report.server == report.server && each.report.started == report.started &&
-					   each.report.request.prompt == report.request.prompt;
+					   each.report.request.request == report.request.request;
 			});
 		if (same != this->known_reports.end())
 		{
@@ -107,15 +116,16 @@
 			this->remember_answered(part, now);
 			this->note_answer(part, now, now);
 		}
+		this->note_answer(request.request, now, now);
 	}
 
-	void crash_evidence::note_answer(fingerprint part, time_point answered_at, time_point now)
+	void crash_evidence::note_answer(fingerprint value, time_point answered_at, time_point now)
 	{
 		auto const is_news = std::ranges::any_of(this->known_reports, [&](known_report const& each)
-			{ return each.report.at < answered_at && this->counts_against(each.report, part); });
+			{ return each.report.at < answered_at && this->counts_against(each.report, value); });
 		if (is_news)
 		{
-			this->known_answers.insert_or_assign(part, known_answer{answered_at, now});
+			this->known_answers.insert_or_assign(value, known_answer{answered_at, now});
 			++this->news;
 			this->review();
 		}
@@ -135,8 +145,7 @@
 	{
 		auto const holds = [&](crash_block const& block)
 		{
-			return std::ranges::all_of(block.parts, [&](fingerprint part)
-				{ return std::ranges::find(request.shared_parts, part) != request.shared_parts.end(); });
+			return std::ranges::all_of(block.fingerprints, [&](fingerprint value) { return request.has(value); });
 		};
 		auto const found = std::ranges::find_if(this->blocked, holds);
 		return found == this->blocked.end() ? nullptr : &*found;
@@ -146,7 +155,7 @@
 	{
 		auto trials = block.trials;
 		auto last = block.last_crash_at;
-		if (auto const own = this->own_trials.find(block.parts); own != this->own_trials.end())
+		if (auto const own = this->own_trials.find(block.fingerprints); own != this->own_trials.end())
 		{
 			last = std::max(last, own->second.first);
 			trials = std::max(trials, own->second.second);
@@ -171,7 +180,7 @@
 
 	void crash_evidence::begin_trial(crash_block const& block, time_point now)
 	{
-		auto& [last, count] = this->own_trials[block.parts];
+		auto& [last, count] = this->own_trials[block.fingerprints];
 		last = now;
 		++count;
 	}
@@ -181,104 +190,120 @@
 		return std::exchange(this->changes, {});
 	}
 
-	bool crash_evidence::is_reported(fingerprint part) const
+	bool crash_evidence::is_reported(fingerprint value) const
 	{
-		return std::ranges::any_of(this->known_reports,
-			[&](known_report const& each)
-			{
-				auto const& parts = each.report.request.shared_parts;
-				return std::ranges::find(parts, part) != parts.end();
-			});
+		return std::ranges::any_of(
+			this->known_reports, [&](known_report const& each) { return each.report.request.has(value); });
 	}
 
-	bool crash_evidence::counts_against(crash_report const& report, fingerprint part) const
+	bool crash_evidence::counts_against(crash_report const& report, fingerprint value) const
 	{
-		auto const& parts = report.request.shared_parts;
-		if (std::ranges::find(parts, part) == parts.end())
+		if (!report.request.has(value))
 		{
 			return false;
 		}
-		auto const answer = this->known_answers.find(part);
+		auto const answer = this->known_answers.find(value);
 		return answer == this->known_answers.end() || answer->second.answered_at <= report.at;
 	}
 
-	std::map<fingerprint, crash_evidence::suspicion> crash_evidence::gather_suspicions() const
+	crash_evidence::suspicions crash_evidence::gather_suspicions(bool of_requests) const
 	{
-		std::map<fingerprint, suspicion> suspicions;
+		suspicions gathered;
 		for (std::size_t position = 0; position < this->known_reports.size(); ++position)
 		{
 			auto const& report = this->known_reports[position].report;
-			for (auto const part : report.request.shared_parts)
+			auto const values =
+				of_requests ? std::vector<fingerprint>{report.request.request} : report.request.shared_parts;
+			for (auto const value : values)
 			{
-				if (!this->counts_against(report, part) || this->settings.allowed.contains(part))
+				if (this->counts_against(report, value) && !this->settings.allowed.contains(value))
 				{
-					continue;
+					auto& against = gathered[value];
+					against.is_request = of_requests;
+					against.was_answered_before = against.was_answered_before || report.answered_before.contains(value);
+					this->add_report(against, position);
 				}
-				auto& against = suspicions[part];
-				against.reports.insert(position);
-				against.crashes.insert({report.server, report.started});
-				against.servers.insert(report.server);
-				against.requests.insert(report.request.prompt);
-				against.was_answered_before = against.was_answered_before || report.answered_before.contains(part);
 			}
 		}
-		return suspicions;
+		return gathered;
+	}
+
+	void crash_evidence::add_report(suspicion& against, std::size_t position) const
+	{
+		auto const& report = this->known_reports[position].report;
+		crash const lost{report.server, report.started};
+		against.reports.insert(position);
+		against.crashes.insert(lost);
+		against.servers.insert(report.server);
+		against.by_request[report.request.request].insert(lost);
 	}
 
 	std::vector<crash_block> crash_evidence::find_blocks() const
 	{
-		std::vector<crash_block> found;
-		auto suspicions = this->gather_suspicions();
+		std::vector<crash_block> blocks;
+		std::set<crash> explained;
+		// A shared part first: it also explains the crashes of the single requests.
+		this->add_blocks(this->gather_suspicions(false), explained, blocks);
+		this->add_blocks(this->gather_suspicions(true), explained, blocks);
+		return blocks;
+	}
+
+	void crash_evidence::add_blocks(
+		suspicions remaining, std::set<crash>& explained, std::vector<crash_block>& blocks) const
+	{
 		while (true)
 		{
-			std::erase_if(suspicions, [](auto const& item) { return !item.second.is_sufficient(); });
-			// The part with most crashes explains them. One that was answered before is the less likely cause, and so
-			// is one that more of the lost requests have.
+			std::ranges::for_each(
+				remaining | std::views::values, [&](suspicion& each) { this->remove_explained(each, explained); });
+			std::erase_if(remaining, [](auto const& item) { return !item.second.is_sufficient(); });
+			// The fingerprint with most crashes explains them. One that was answered before is the less likely cause,
+			// and so is one that more of the lost requests have.
 			auto const strength = [](auto const& item)
 			{
 				auto const& against = item.second;
 				auto const report_count = static_cast<std::ptrdiff_t>(against.reports.size());
 				return std::tuple(!against.was_answered_before, against.crashes.size(), -report_count);
 			};
-			auto const strongest = std::ranges::max_element(suspicions, {}, strength);
-			if (strongest == suspicions.end())
+			auto const strongest = std::ranges::max_element(remaining, {}, strength);
+			if (strongest == remaining.end())
 			{
-				return found;
+				return;
 			}
-			auto const explained = strongest->second.reports;
-			std::set<fingerprint> parts;
-			for (auto const& [part, against] : suspicions)
+			auto const reports = strongest->second.reports;
+			std::set<fingerprint> alike;
+			for (auto const& [value, against] : remaining)
 			{
-				if (against.reports == explained)
+				if (against.reports == reports)
 				{
-					parts.insert(part);
+					alike.insert(value);
 				}
 			}
-			found.push_back(this->make_block(std::move(parts), explained));
-			// What this block explains does not count against other parts of the same requests.
-			for (auto& against : suspicions | std::views::values)
+			explained.insert(strongest->second.crashes.begin(), strongest->second.crashes.end());
+			blocks.push_back(this->make_block(std::move(alike), reports));
+		}
+	}
+
+	void crash_evidence::remove_explained(suspicion& against, std::set<crash> const& explained) const
+	{
+		suspicion left;
+		left.was_answered_before = against.was_answered_before;
+		left.is_request = against.is_request;
+		for (auto const position : against.reports)
+		{
+			auto const& report = this->known_reports[position].report;
+			if (!explained.contains({report.server, report.started}))
 			{
-				suspicion left;
-				left.was_answered_before = against.was_answered_before;
-				std::ranges::set_difference(
-					against.reports, explained, std::inserter(left.reports, left.reports.end()));
-				for (auto const position : left.reports)
-				{
-					auto const& report = this->known_reports[position].report;
-					left.crashes.insert({report.server, report.started});
-					left.servers.insert(report.server);
-					left.requests.insert(report.request.prompt);
-				}
-				against = std::move(left);
+				this->add_report(left, position);
 			}
 		}
+		against = std::move(left);
 	}
 
 	crash_block crash_evidence::make_block(
-		std::set<fingerprint> parts, std::set<std::size_t> const& supporting_reports) const
+		std::set<fingerprint> fingerprints, std::set<std::size_t> const& supporting_reports) const
 	{
 		crash_block block;
-		block.parts = std::move(parts);
+		block.fingerprints = std::move(fingerprints);
 		std::set<std::pair<server_id, incarnation>> crashes;
 		std::set<fingerprint> requests;
 		block.first_crash_at = time_point::max();
@@ -287,7 +312,7 @@
 		{
 			auto const& report = this->known_reports[position].report;
 			crashes.insert({report.server, report.started});
-			requests.insert(report.request.prompt);
+			requests.insert(report.request.request);
 			block.trials += report.is_trial ? 1 : 0;
 			block.first_crash_at = std::min(block.first_crash_at, report.at);
 			block.last_crash_at = std::max(block.last_crash_at, report.at);
@@ -308,15 +333,15 @@
 		}
 		auto const is_among = [](std::vector<crash_block> const& blocks, crash_block const& block)
 		{
-			return std::ranges::find(blocks, block.parts, &crash_block::parts) != blocks.end();
+			return std::ranges::find(blocks, block.fingerprints, &crash_block::fingerprints) != blocks.end();
 		};
 		for (auto& each : before)
 		{
 			if (!is_among(this->blocked, each))
 			{
-				this->own_trials.erase(each.parts);
+				this->own_trials.erase(each.fingerprints);
 				this->changes.push_back({block_change::kind::released, std::move(each)});
-				each.parts.clear();
+				each.fingerprints.clear();
 			}
 		}
 		for (auto const& each : this->blocked)
@@ -340,8 +365,8 @@
 		};
 		auto const is_cleared = [this](known_report const& each)
 		{
-			return std::ranges::none_of(each.report.request.shared_parts,
-				[&](fingerprint part) { return this->counts_against(each.report, part); });
+			return std::ranges::none_of(
+				each.report.request.all(), [&](fingerprint value) { return this->counts_against(each.report, value); });
 		};
 		// Drops a report that counts against nothing any more, else the oldest one that blocks nothing.
 		auto const least_useful = std::ranges::min_element(this->known_reports, {}, [&](known_report const& each)
--- a/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
@@ -31,8 +31,8 @@
 	// Requests that get to no server, and why.
 	struct crash_block
 	{
-		// A request is blocked when it has all of these parts: the reports can't tell them apart.
-		std::set<fingerprint> parts;
+		// A request is blocked when it has all of these fingerprints: the reports can't tell them apart.
+		std::set<fingerprint> fingerprints;
 		// Number of servers that have ended, and of different requests that they had.
 		std::size_t crashes = 0;
 		std::size_t requests = 0;
@@ -61,19 +61,20 @@
 	struct crash_settings
 	{
 		bool is_blocking_enabled = true;
-		// Parts that are never blocked.
+		// Fingerprints of requests and parts that are never blocked.
 		std::set<fingerprint> allowed;
 
 		[[nodiscard]] bool operator==(crash_settings const&) const = default;
 	};
 
 	// Decides which requests are blocked because they end the servers that begin to answer them, a circuit breaker for
-	// what requests have in common. A server that ends takes sound requests with it, and servers end for other reasons
-	// too. So a part of a request counts as the cause only when several servers have ended, each while it had an
-	// unanswered request with that part, and no request with that part has been answered since. Reports of all daemons
-	// count; equal reports and answers lead to the same blocks, in whichever order and however often they arrive.
+	// single requests and for what requests have in common. A server that ends takes sound requests with it, and
+	// servers end for other reasons too. So a request, or a part that requests share, counts as the cause only when
+	// several servers have ended, each while it had such an unanswered request, and none such has been answered since.
+	// Reports of all daemons count; equal reports and answers lead to the same blocks, in whichever order and however
+	// often they arrive.
 	//
-	// A blocked part is tried again with one request after a while, later after each further crash.
+	// What is blocked is tried again with one request after a while, later after each further crash.
 	class crash_evidence
 	{
 	  public:
@@ -87,11 +88,11 @@
 		// Records a report of this or another daemon.
 		void note_crash(crash_report report, time_point now);
 
-		// Records that a server has begun to answer a request with these parts.
+		// Records that a server has begun to answer a request.
 		void note_answer(request_identity const& request, time_point now);
 
-		// Records that another daemon has seen an answer to a request with a part.
-		void note_answer(fingerprint part, time_point answered_at, time_point now);
+		// Records that a request with a fingerprint was answered, here or at another daemon.
+		void note_answer(fingerprint value, time_point answered_at, time_point now);
 
 		// Drops expired evidence. Must be called at regular intervals.
 		void expire(time_point now);
@@ -141,7 +142,7 @@
 			return this->known_reports;
 		}
 
-		// Returns the newest answers to requests with the parts that reports name.
+		// Returns the newest answers to requests with the fingerprints that reports name.
 		[[nodiscard]] std::map<fingerprint, known_answer> const& answers() const noexcept
 		{
 			return this->known_answers;
@@ -149,14 +150,23 @@
 
 	  private:
 		struct suspicion;
-
-		[[nodiscard]] bool is_reported(fingerprint part) const;
-		// Returns whether a report still counts against a part.
-		[[nodiscard]] bool counts_against(crash_report const& report, fingerprint part) const;
-		[[nodiscard]] std::map<fingerprint, suspicion> gather_suspicions() const;
+		using crash = std::pair<server_id, incarnation>;
+		using suspicions = std::map<fingerprint, suspicion>;
+
+		[[nodiscard]] bool is_reported(fingerprint value) const;
+		// Returns whether a report still counts against a fingerprint.
+		[[nodiscard]] bool counts_against(crash_report const& report, fingerprint value) const;
+		// Returns what speaks against the shared parts, and against the requests themselves.
+		[[nodiscard]] suspicions gather_suspicions(bool of_requests) const;
+		void add_report(suspicion& against, std::size_t position) const;
 		[[nodiscard]] crash_block make_block(
-			std::set<fingerprint> parts, std::set<std::size_t> const& supporting_reports) const;
+			std::set<fingerprint> fingerprints, std::set<std::size_t> const& supporting_reports) const;
 		[[nodiscard]] std::vector<crash_block> find_blocks() const;
+		// Adds the blocks that the suspicions lead to. explained: the crashes that blocks explain;
+		// what else was lost with them is not their cause.
+		void add_blocks(suspicions remaining, std::set<crash>& explained, std::vector<crash_block>& blocks) const;
+		// Removes the explained crashes from what speaks against a fingerprint.
+		void remove_explained(suspicion& against, std::set<crash> const& explained) const;
 		// Decides anew which requests are blocked.
 		void review();
 		void limit_reports();
@@ -170,7 +180,7 @@
 		std::uint64_t news = 0;
 		std::vector<crash_block> blocked;
 		std::vector<block_change> changes;
-		// Trials of this daemon: the time of the last one and their number, by the blocked parts.
+		// Trials of this daemon: the time of the last one and their number, by the blocked fingerprints.
 		std::map<std::set<fingerprint>, std::pair<time_point, std::size_t>> own_trials;
 	};
 }
--- a/tests/unit/crash_evidence.test.cpp
+++ b/tests/unit/crash_evidence.test.cpp
@@ -26,8 +26,8 @@
 	// A request whose prompt is like no other, with these shared parts.
 	request_identity make_request(std::uint64_t number, std::vector<fingerprint> parts)
 	{
-		constexpr std::uint64_t first_prompt = 1'000'000;
-		return {fingerprint(first_prompt + number), fingerprint(first_prompt + number), std::move(parts)};
+		constexpr std::uint64_t first_request = 1'000'000;
+		return {fingerprint(first_request + number), std::move(parts)};
 	}
 
 	// Builds the reports of servers that end one after the other.
@@ -114,10 +114,78 @@
 		{
 			ends.end_server(evidence, {deadly}, at_ms(end));
 		}
+		REQUIRE(is_blocked(evidence, deadly));
 		REQUIRE_FALSE(is_blocked(evidence, make_request(2, {first_part, deadly_part})));
 	}
 }
 
+TEST_CASE(
+	"a request under which three servers have ended is blocked, those that share its parts are not", "[crash_evidence]")
+{
+	crash_evidence evidence;
+	crashes ends;
+	auto const deadly = make_request(1, {first_part, fingerprint(7)});
+	auto const sound = make_request(2, {first_part, fingerprint(7)});
+	ends.end_server(evidence, {deadly}, at_ms(0));
+	// A sound request of the same caller is lost with one of the servers, before any answer was seen.
+	ends.end_server(evidence, {deadly, sound}, at_ms(100), "d2");
+	REQUIRE_FALSE(is_blocked(evidence, deadly));
+	ends.end_server(evidence, {deadly}, at_ms(200), "d3");
+	REQUIRE(is_blocked(evidence, deadly));
+	REQUIRE_FALSE(is_blocked(evidence, sound));
+	REQUIRE_FALSE(is_blocked(evidence, make_request(3, {first_part})));
+}
+
+TEST_CASE("a plain request, which has no parts, is blocked too, and let in when it is answered", "[crash_evidence]")
+{
+	crash_evidence evidence;
+	crashes ends;
+	auto const deadly = make_request(1, {});
+	for (int end = 0; end < 3; ++end)
+	{
+		ends.end_server(evidence, {deadly, make_request(10 + end, {})}, at_ms(end));
+	}
+	REQUIRE(is_blocked(evidence, deadly));
+	REQUIRE(evidence.blocks().size() == 1);
+	evidence.note_answer(deadly, at_ms(10'500));
+	REQUIRE_FALSE(is_blocked(evidence, deadly));
+}
+
+TEST_CASE("a part that several requests share explains the ends under each of them", "[crash_evidence]")
+{
+	crash_evidence evidence;
+	crashes ends;
+	// The first request is repeated until it is blocked itself; the second one shows what they share.
+	auto const first = make_request(1, {first_part, deadly_part});
+	for (int end = 0; end < 3; ++end)
+	{
+		ends.end_server(evidence, {first}, at_ms(end));
+	}
+	REQUIRE(evidence.blocks().front().fingerprints == std::set{first.request});
+	ends.end_server(evidence, {make_request(2, {first_part, deadly_part})}, at_ms(100));
+	REQUIRE(evidence.blocks().size() == 1);
+	REQUIRE(evidence.blocks().front().fingerprints.contains(deadly_part));
+	REQUIRE(is_blocked(evidence, first));
+	REQUIRE(is_blocked(evidence, make_request(3, {first_part, deadly_part})));
+}
+
+TEST_CASE(
+	"of two requests lost with the same servers, the one that goes on to end servers stays blocked", "[crash_evidence]")
+{
+	crash_evidence evidence;
+	crashes ends;
+	auto const deadly = make_request(1, {});
+	auto const unlucky = make_request(2, {});
+	for (int end = 0; end < 3; ++end)
+	{
+		ends.end_server(evidence, {deadly, unlucky}, at_ms(end));
+	}
+	REQUIRE(evidence.blocks().size() == 1);
+	ends.end_server(evidence, {deadly}, at_ms(100));
+	REQUIRE(is_blocked(evidence, deadly));
+	REQUIRE_FALSE(is_blocked(evidence, unlucky));
+}
+
 TEST_CASE("sound requests of a server that ended are not blocked", "[crash_evidence]")
 {
 	constexpr std::uint64_t batch_size = 30;
@@ -259,7 +327,7 @@
 		}
 		CAPTURE(seed);
 		REQUIRE(other.blocks().size() == 1);
-		REQUIRE(other.blocks().front().parts == origin.blocks().front().parts);
+		REQUIRE(other.blocks().front().fingerprints == origin.blocks().front().fingerprints);
 		REQUIRE(other.blocks().front().crashes == origin.blocks().front().crashes);
 		REQUIRE(other.blocks().front().requests == origin.blocks().front().requests);
 	}
--- a/tests/unit/fingerprints.test.cpp
+++ b/tests/unit/fingerprints.test.cpp
@@ -35,7 +35,6 @@
 	call.time_left = seconds(3);
 	auto const second = gateway::identify(message, call);
 	REQUIRE(first.request == second.request);
-	REQUIRE(first.prompt == second.prompt);
 	REQUIRE(first.shared_parts == second.shared_parts);
 }
 
