--- a/packages/http/impl/port_probe.cpp
+++ b/packages/http/impl/port_probe.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/http/port_probe.hpp>
 
 #include <memory>
+#include <tuple>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -47,7 +48,7 @@
 				boost::system::error_code ignored;
 				if (!error)
 				{
-					socket->close(ignored);
+					std::ignore = socket->close(ignored);
 				}
 			});
 		auto const [error] = co_await socket->async_connect(target, token);
--- a/packages/routing/impl/crash_evidence.cpp
+++ b/packages/routing/impl/crash_evidence.cpp
@@ -326,7 +326,7 @@
 	void crash_evidence::review()
 	{
 		std::erase_if(this->known_answers, [this](auto const& item) { return !this->is_reported(item.first); });
-		auto before = std::exchange(this->blocked, {});
+		auto const before = std::exchange(this->blocked, {});
 		if (this->settings.is_blocking_enabled)
 		{
 			this->blocked = this->find_blocks();
@@ -335,13 +335,12 @@
 		{
 			return std::ranges::find(blocks, block.fingerprints, &crash_block::fingerprints) != blocks.end();
 		};
-		for (auto& each : before)
+		for (auto const& each : before)
 		{
 			if (!is_among(this->blocked, each))
 			{
 				this->own_trials.erase(each.fingerprints);
-				this->changes.push_back({block_change::kind::released, std::move(each)});
-				each.fingerprints.clear();
+				this->changes.push_back({block_change::kind::released, each});
 			}
 		}
 		for (auto const& each : this->blocked)
--- a/tests/contract/crashing_server.cpp
+++ b/tests/contract/crashing_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -87,12 +88,12 @@
 	void crashing_server::end()
 	{
 		boost::system::error_code ignored;
-		this->acceptor.close(ignored);
+		std::ignore = this->acceptor.close(ignored);
 		for (auto const& each : std::exchange(this->open, {}))
 		{
 			if (auto const socket = each.lock())
 			{
-				socket->close(ignored);
+				std::ignore = socket->close(ignored);
 			}
 		}
 		this->restart_timer.expires_after(restart_time);
--- a/tests/unit/crash_evidence.test.cpp
+++ b/tests/unit/crash_evidence.test.cpp
@@ -252,12 +252,14 @@
 	for (int end = 0; end < ends_of_the_day; ++end)
 	{
 		auto const now = at_ms(std::int64_t{2000} * end);
-		std::vector<request_identity> batch;
-		for (int number = 0; number < 3; ++number)
-		{
-			auto const account = fingerprint(100 + random() % accounts);
-			batch.push_back(make_request(random(), {first_part, account}));
-		}
+		constexpr std::size_t batch_size = 3;
+		std::vector<request_identity> batch(batch_size);
+		std::ranges::generate(batch,
+			[&]
+			{
+				auto const account = fingerprint(100 + random() % accounts);
+				return make_request(random(), {first_part, account});
+			});
 		ends.end_server(evidence, batch, now);
 		std::ranges::for_each(
 			batch, [&](request_identity const& each) { evidence.note_answer(each, now + milliseconds(300)); });
