A stream that ends inside an event, or before its first one without a length, is broken off

What callers saw: a stream whose server ended inside an event was completed as if it were whole when the framing allowed it (chunks closed, or an answer that ends with its connection). Class: an end of the transport taken for an end of the content. The joiner now has no end inside an event; such a stream is resumed at another server or left incomplete.

--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -128,7 +128,7 @@
 	void forwarder::record_failure(request_state& state, routing::server_record& server, send_failure failure)
 	{
 		auto const connection = std::exchange(state.connection, nullptr);
-		auto const was_closed = connection && connection->was_closed_by_peer();
+		auto const was_closed = connection && (connection->was_closed_by_peer() || connection->ends_with_connection());
 		state.failure = failure;
 		if (failure == send_failure::not_permitted || failure == send_failure::blocked)
 		{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -291,13 +291,16 @@
 			auto const& received = std::get<std::string>(piece);
 			auto const is_end = received.empty();
 			auto const events_before = state->joiner.events();
-			auto text = is_end ? state->joiner.finish() : state->joiner.feed(received);
-			if (state->joiner.is_overlong())
+			auto const passed_on = is_end ? state->joiner.finish() : state->joiner.feed(received);
+			auto const is_empty_without_length =
+				is_end && events_before == state->events_before_send && answer.connection->ends_with_connection();
+			if (!passed_on || is_empty_without_length || state->joiner.is_overlong())
 			{
 				answer.connection->close();
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
+			auto text = *passed_on;
 			if (text.empty() && !is_end)
 			{
 				continue;
--- a/packages/gateway/impl/stream_joiner.cpp
+++ b/packages/gateway/impl/stream_joiner.cpp
@@ -90,8 +90,12 @@
 		return this->searched_bytes - std::min(this->searched_bytes, longest_blank_line - 1);
 	}
 
-	std::string stream_joiner::finish()
+	std::optional<std::string> stream_joiner::finish()
 	{
+		if (this->pending.find_first_not_of("\r\n") != std::string::npos)
+		{
+			return std::nullopt;
+		}
 		this->searched_bytes = 0;
 		return std::exchange(this->pending, {});
 	}
--- a/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
@@ -22,8 +22,9 @@
 		// Adds received bytes. Returns the events that they complete, unchanged.
 		[[nodiscard]] std::string feed(std::string_view piece);
 
-		// Returns the remaining bytes at the end of a complete stream.
-		[[nodiscard]] std::string finish();
+		// Returns the remaining line ends at the end of a stream; nothing when the stream ends inside an event, which
+		// means that it was broken off.
+		[[nodiscard]] std::optional<std::string> finish();
 
 		// Discards the incomplete event of a broken stream.
 		void restart();
--- a/packages/http/impl/upstream.cpp
+++ b/packages/http/impl/upstream.cpp
@@ -284,6 +284,11 @@
 		return this->impl->keep_alive;
 	}
 
+	bool upstream::ends_with_connection() const
+	{
+		return this->impl->parser && this->impl->parser->need_eof();
+	}
+
 	bool upstream::was_closed_by_peer() const noexcept
 	{
 		return this->impl->was_closed_by_peer;
--- a/packages/http/include/godwittrestle/http/upstream.hpp
+++ b/packages/http/include/godwittrestle/http/upstream.hpp
@@ -73,6 +73,9 @@
 		// Returns the values from the latest answer.
 		[[nodiscard]] keep_alive_terms const& keep_alive() const noexcept;
 
+		// Returns whether the answer has neither a length nor chunks, so that it ends with the connection.
+		[[nodiscard]] bool ends_with_connection() const;
+
 		// Returns whether the last read failed because the peer had closed or reset the connection.
 		[[nodiscard]] bool was_closed_by_peer() const noexcept;
 
--- a/tests/contract/test_servers.cpp
+++ b/tests/contract/test_servers.cpp
@@ -59,6 +59,14 @@
 			auto const [ended, size] = co_await socket.async_read_some(asio::buffer(received), token);
 			this->requests.emplace_back(received.data(), size);
 			std::ignore = co_await asio::async_write(socket, asio::buffer(this->bytes), token);
+			if (this->after == after_response::resets)
+			{
+				asio::steady_timer timer(this->acceptor.get_executor(), std::chrono::milliseconds(30));
+				std::ignore = co_await timer.async_wait(token);
+				socket.set_option(tcp::socket::linger(true, 0));
+				socket.close();
+				continue;
+			}
 			if (this->after == after_response::stays_silent)
 			{
 				open.push_back(std::move(socket));
--- a/tests/contract/test_servers.hpp
+++ b/tests/contract/test_servers.hpp
@@ -27,6 +27,8 @@
 			closes,
 			// Keeps the connection open and sends nothing more.
 			stays_silent,
+			// Resets the connection, shortly after the bytes have been sent.
+			resets,
 		};
 
 		fixed_response_server(boost::asio::io_context& loop, std::string bytes, after_response after);
--- a/tests/unit/stream_joiner.test.cpp
+++ b/tests/unit/stream_joiner.test.cpp
@@ -11,7 +11,7 @@
 	REQUIRE(joiner.feed("ta: x\n\nid: 2\n") == "id: 1\ndata: x\n\n");
 	REQUIRE(joiner.feed("data: y\n\n") == "id: 2\ndata: y\n\n");
 	REQUIRE(joiner.last_event() == "2");
-	REQUIRE(joiner.finish().empty());
+	REQUIRE(joiner.finish() == "");
 }
 
 TEST_CASE("a stream resumed on another server repeats no event and drops the partial one", "[joiner]")
@@ -33,8 +33,8 @@
 {
 	stream_joiner joiner(std::nullopt);
 	REQUIRE(joiner.feed("id: 1\r\ndata: x\r\n\r\n: note\n\n") == "id: 1\r\ndata: x\r\n\r\n: note\n\n");
-	REQUIRE(joiner.feed("data: rest").empty());
-	REQUIRE(joiner.finish() == "data: rest");
+	REQUIRE(joiner.feed("\r\n").empty());
+	REQUIRE(joiner.finish() == "\r\n");
 }
 
 TEST_CASE("an overlong event is detected while the buffer stays bounded", "[joiner]")
@@ -76,3 +76,15 @@
 	REQUIRE(joiner.feed(": still here\n\n") == ": still here\n\n");
 	REQUIRE(joiner.events() == 0);
 }
+
+TEST_CASE("a stream that ends inside an event or a comment has no end", "[joiner]")
+{
+	for (auto const* const rest : {"data: rest", "id: 2\ndata: rest\n", ": note"})
+	{
+		CAPTURE(rest);
+		stream_joiner joiner(std::nullopt);
+		REQUIRE_FALSE(joiner.feed("id: 1\ndata: x\n\n").empty());
+		REQUIRE(joiner.feed(rest).empty());
+		REQUIRE(joiner.finish() == std::nullopt);
+	}
+}
