--- a/tests/unit/crash_evidence.test.cpp
+++ b/tests/unit/crash_evidence.test.cpp
@@ -188,14 +188,16 @@
 
 TEST_CASE("sound requests of a server that ended are not blocked", "[crash_evidence]")
 {
-	constexpr std::uint64_t batch_size = 30;
+	constexpr std::size_t batch_size = 30;
 	crash_evidence evidence;
 	crashes ends;
-	std::vector<request_identity> batch;
-	for (std::uint64_t number = 0; number < batch_size; ++number)
-	{
-		batch.push_back(make_request(100 + number, {first_part, fingerprint(100 + number)}));
-	}
+	std::vector<request_identity> batch(batch_size);
+	std::ranges::generate(batch,
+		[number = std::uint64_t{100}]() mutable
+		{
+			++number;
+			return make_request(number, {first_part, fingerprint(number)});
+		});
 	for (int end = 0; end < 3; ++end)
 	{
 		// The sound requests of the batch are served elsewhere between two ends.
