--- a/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
@@ -49,7 +49,7 @@
 		enum class kind : std::uint8_t
 		{
 			blocked,
-			// A request with these parts was answered, or the evidence has expired.
+			// Such a request was answered, or the evidence has expired.
 			released,
 		};
 
