Retry budget: each further prefill of a request, and each rejected one, is a retry

A stream that is tried again is prefilled again and decoded again, two arrivals, and one retry was spent. The users count only the first accepted call that prefills as free; a rejected one counts. Evidence: contract test "each further prefill of a request, and each rejected one, draws on the retry budget"; before: two prefills with budget for one retry, and a stream served with a budget that a rejected prefill had used up. Without budget the decode engine prefills the prompt itself.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -265,12 +265,17 @@
 		{
 			return true;
 		}
-		auto& budget = this->shared->retry_budgets[state.service];
-		auto const is_granted = budget.try_spend(this->shared->retries, this->shared->daemon_count, monotonic_now());
+		auto const is_granted = this->spend_retry(state);
 		state.no_retry_reason = is_granted ? "no_room" : "retry_budget_spent";
 		return is_granted;
 	}
 
+	bool forwarder::spend_retry(request_state const& state)
+	{
+		auto& budget = this->shared->retry_budgets[state.service];
+		return budget.try_spend(this->shared->retries, this->shared->daemon_count, monotonic_now());
+	}
+
 	asio::awaitable<std::optional<http::response>> forwarder::call_server(
 		routing::server_pointer server, http::request message, duration timeout)
 	{
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -172,6 +172,8 @@
 		bool has_separate_prefill = false;
 		std::uint64_t tokens_per_event = 0;
 		duration predicted_first_event{};
+		// Whether a prefill engine has got the prompt, apart from engines that rejected it.
+		bool was_prefilled = false;
 		bool may_have_run = false;
 		// Whether a server's limit has kept this request from it.
 		bool was_limited = false;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "forwarder_state.hpp"
@@ -198,12 +199,21 @@
 		state_pointer state, routing::stream_placement const& placement)
 	{
 		auto const server = placement.prefill;
-		if (!server)
+		// The users count each further prefill as a retry.
+		auto const may_prefill = server && (!state->was_prefilled || this->spend_retry(*state));
+		if (!may_prefill)
 		{
 			co_return std::nullopt;
 		}
 		auto const max_silence = 2 * placement.first_event + prefill_margin;
 		auto source = co_await this->prefill(state, server, max_silence);
+		auto const* const rejected = std::get_if<send_failure>(&source);
+		if (rejected != nullptr && *rejected == send_failure::not_run)
+		{
+			// A rejected prefill counts too; only the first accepted one is free.
+			std::ignore = this->spend_retry(*state);
+		}
+		state->was_prefilled = state->was_prefilled || rejected == nullptr || !routing::is_proved_not_run(*rejected);
 		if (auto* const kept = std::get_if<kv_source>(&source))
 		{
 			state->prompt_cache_address = server->entry.address;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -132,6 +132,8 @@
 		// Returns whether the call may be sent once more. Spends one retry of the budget unless the failed call was
 		// never sent.
 		[[nodiscard]] bool authorize_retry(request_state& state, routing::send_failure failure);
+		// Spends one retry of the budget of the request's service. Returns false when none is left.
+		[[nodiscard]] bool spend_retry(request_state const& state);
 		// Records what an answer says about its server: that the server is alive, whether it is leaving, and whether it
 		// asks for a pause.
 		void record_server_state(routing::server_record& server, answer_metadata const& metadata);
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -176,6 +176,38 @@
 	REQUIRE(resumed.find("Fetch-From: " + prefill_engine.address() + "\r\n") != std::string::npos);
 }
 
+TEST_CASE("each further prefill of a request, and each rejected one, draws on the retry budget", "[gateway]")
+{
+	// A stream that is broken off before its first event.
+	auto const broken_answer = "HTTP/1.1 200 OK\r\n" + attempt_header + "Transfer-Encoding: chunked\r\n\r\n";
+	auto const accepted = http_answer("200 OK", attempt_header, "h1");
+	auto const rejected = http_answer("503 Service Unavailable", attempt_header + "Not-Run: 1\r\n", "");
+	struct budget_case
+	{
+		// Retries that the budget allows.
+		int retries;
+		std::string prefill_answer;
+		std::size_t prefills;
+		bool is_served;
+	};
+	auto const expected = GENERATE_COPY(budget_case{1, accepted, 1, true}, budget_case{2, accepted, 2, true},
+		budget_case{1, rejected, 1, false}, budget_case{2, rejected, 1, true});
+	fixture fixture(make_route(call_kind::streaming, 2, true));
+	// A daemon uses 0.8 of the budget.
+	constexpr double slack_per_retry = 1.3;
+	fixture.shared.retries = {0, seconds(10), slack_per_retry * expected.retries};
+	fixed_response_server prefill_engine(fixture.loop, expected.prefill_answer, after_response::closes);
+	fixed_response_server cut(fixture.loop, broken_answer, after_response::closes);
+	fixed_response_server second(fixture.loop, stream_answer("id: 1\ndata: y\n\n", true), after_response::closes);
+	fixture.add_server("p", prefill_engine.address(), server_role::prefill);
+	fixture.add_server("a", cut.address(), server_role::decode);
+	fixture.add_server("b", second.address(), server_role::decode);
+	fixture.shared.servers.find(server_id("b"))->load.set_share(instance_id("o"), {1, 0, 100}, daemon::monotonic_now());
+	CAPTURE(expected.retries, expected.prefills, expected.is_served);
+	REQUIRE(is_complete_stream(fixture.send_request()) == expected.is_served);
+	REQUIRE(prefill_engine.received().size() == expected.prefills);
+}
+
 TEST_CASE("an engine without a memory margin beyond the stream's own need gets no stream", "[gateway]")
 {
 	routing::service service;
