A repeated refusal is no answer to the same call, nor to a reservation

What callers would see: an engine that refuses a stream, since it can't fetch the KV cache, is sent the same call again, under the same id and on the kept connection. A second copy of the refusal passed for the answer: callers of a stream that can't be resumed were told 'not run' while the engine ran it. And a late answer to a caller's request was taken for the answer to a reservation or order on the same connection. Now a connection on which such a call was refused isn't used again, and all calls skip answers that name another attempt, by one function.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -206,42 +206,56 @@
 			this->totals->count_limited_send();
 		}
 		connection->send(outgoing);
+		auto const may_be_sent_again_here = options.source.has_value();
+		auto const wait = std::min(max_silence, state->time_left());
+		auto head = co_await this->read_own_head(connection, state->call.attempt, wait);
+		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
+		{
+			connection->close();
+			co_return to_send_failure(*failure);
+		}
+		auto& answer = std::get<http::response>(head);
+		auto const metadata = this->protocol.read_answer(answer);
+		this->record_server_state(*server, metadata);
+		this->record_limit(*server, metadata, answer.status, sent_at);
+		if (metadata.is_misdirected || metadata.is_not_run)
+		{
+			std::ignore = co_await connection->read_rest(drain_body_timeout, max_small_body_bytes);
+			if (may_be_sent_again_here)
+			{
+				// A second copy of this refusal would pass for the answer to the same call without a KV source.
+				connection->close();
+			}
+			// If the server's id matches, only its role differs: it did not run the call and was not replaced.
+			auto const is_other = metadata.is_misdirected && metadata.server != entry.id;
+			co_return is_other ? send_failure::wrong_server : send_failure::not_run;
+		}
+		co_return unread_answer{std::move(answer), std::move(pooled)};
+	}
+
+	asio::awaitable<std::variant<http::response, http::upstream_failure>> forwarder::read_own_head(
+		http::upstream_pointer connection, request_id attempt, duration wait)
+	{
 		for (int stray = 0; stray < max_stray_answers; ++stray)
 		{
-			auto const wait = std::min(max_silence, state->time_left());
 			auto head = co_await connection->read_head(wait);
-			if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
+			auto const* const answer = std::get_if<http::response>(&head);
+			if (answer == nullptr)
 			{
-				connection->close();
-				co_return to_send_failure(*failure);
+				co_return head;
 			}
-			auto& answer = std::get<http::response>(head);
-			auto const metadata = this->protocol.read_answer(answer);
-			auto const is_stray = !metadata.attempt.empty() && metadata.attempt != state->call.attempt;
-			if (is_stray)
+			auto const answered = this->protocol.read_answer(*answer).attempt;
+			if (answered.empty() || answered == attempt)
 			{
-				// A late answer to an earlier request. The answer to this request follows it.
-				auto const skipped = co_await connection->read_rest(wait, max_buffered_answer_bytes);
-				if (std::holds_alternative<http::upstream_failure>(skipped))
-				{
-					connection->close();
-					co_return send_failure::broken;
-				}
-				continue;
+				co_return head;
 			}
-			this->record_server_state(*server, metadata);
-			this->record_limit(*server, metadata, answer.status, sent_at);
-			if (metadata.is_misdirected || metadata.is_not_run)
+			auto const skipped = co_await connection->read_rest(wait, max_buffered_answer_bytes);
+			if (std::holds_alternative<http::upstream_failure>(skipped))
 			{
-				std::ignore = co_await connection->read_rest(drain_body_timeout, max_small_body_bytes);
-				// If the server's id matches, only its role differs: it did not run the call and was not replaced.
-				auto const is_other = metadata.is_misdirected && metadata.server != entry.id;
-				co_return is_other ? send_failure::wrong_server : send_failure::not_run;
+				break;
 			}
-			co_return unread_answer{std::move(answer), std::move(pooled)};
 		}
-		connection->close();
-		co_return send_failure::broken;
+		co_return http::upstream_failure::broken;
 	}
 
 	bool forwarder::authorize_retry(request_state& state, send_failure failure)
@@ -292,7 +306,8 @@
 		pooled_connection const pooled(this->pool, server->entry, connection);
 		message.headers.push_back({"Host", server->entry.address});
 		connection->send(message);
-		auto head = co_await connection->read_head(timeout);
+		auto const no_attempt = request_id();
+		auto head = co_await this->read_own_head(connection, no_attempt, timeout);
 		if (auto* const answer = std::get_if<http::response>(&head))
 		{
 			auto const metadata = this->protocol.read_answer(*answer);
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -101,6 +101,11 @@
 		[[nodiscard]] asio::awaitable<send_outcome> send(state_pointer state, routing::server_pointer server,
 			send_options options, duration max_silence, bool has_permit = false);
 
+		// Reads the head of the answer to the call just sent. Skips late answers to earlier requests. attempt: the
+		// caller's attempt id; empty for calls of this daemon's own, whose answers name none.
+		[[nodiscard]] asio::awaitable<std::variant<http::response, http::upstream_failure>> read_own_head(
+			http::upstream_pointer connection, request_id attempt, duration wait);
+
 		// Obtains a permit to send one request to a server. Returns true at once when the server states no limit.
 		[[nodiscard]] asio::awaitable<bool> obtain_permit(state_pointer state, routing::server_pointer server);
 		// Asks the daemon that issues the permits for the server, and waits for its answer until the timeout.
--- a/tests/contract/answer_ends.test.cpp
+++ b/tests/contract/answer_ends.test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "gateway_fixture.hpp"
+#include "scripted_http_server.hpp"
 
 using namespace godwittrestle;
 using namespace godwittrestle::testing;
@@ -125,6 +126,42 @@
 	REQUIRE(other.received().empty());
 }
 
+TEST_CASE(
+	"a refusal that is written once more is no answer to the same call, sent again to the same engine", "[answer_ends]")
+{
+	gateway_fixture fixture(make_route(call_kind::streaming, 2, false));
+	auto const refusal = http_answer("503 Service Unavailable", attempt_header + "Not-Run: 1\r\n", "");
+	// The engine refuses the call, since it can't fetch the KV cache, and is sent it again without one.
+	scripted_http_server engine({refusal, stream_answer("id: 1\ndata: x\n\n", true)}, refusal);
+	fixed_response_server prefill_engine(
+		fixture.loop, http_answer("200 OK", attempt_header, "k1"), after_response::closes);
+	fixture.add_server("a", http::to_string(engine.listen_address()), server_role::decode);
+	fixture.add_server("p", prefill_engine.address(), server_role::prefill);
+	auto const answer = fixture.send_request();
+	CAPTURE(answer, engine.calls());
+	REQUIRE(is_complete_stream(answer));
+}
+
+TEST_CASE("a late answer to a caller's request is no answer to a reservation", "[answer_ends]")
+{
+	routing::service service;
+	service.engine = routing::engine_properties{};
+	service.engine->kv_capacity = token_count(1000);
+	service.engine->longest_reservation = seconds(1);
+	gateway_fixture fixture(make_route(call_kind::streaming, 1, false), service);
+	auto const late = http_answer("503 Service Unavailable", "Attempt: r0\r\nNot-Run: 1\r\n", "");
+	auto const granted = http_answer("200 OK", "", "h1");
+	// Answers to the reservation of the stream's memory and to that of the margin; the stream gets none.
+	scripted_http_server engine({late + granted, granted});
+	fixture.add_server("a", http::to_string(engine.listen_address()), server_role::decode);
+	std::ignore = fixture.send_request();
+	auto const calls = engine.calls();
+	CAPTURE(calls);
+	REQUIRE(
+		std::ranges::count_if(calls, [](std::string const& each) { return each.starts_with("POST /reserve"); }) == 2);
+	REQUIRE(std::ranges::count(calls, "POST /x/y") == 1);
+}
+
 TEST_CASE("the error of the next server does not get into a stream that has begun", "[answer_ends]")
 {
 	auto const error = GENERATE(as<std::string>{}, "500 Internal Server Error", "503 Service Unavailable");
--- a/tests/contract/scripted_http_server.cpp
+++ b/tests/contract/scripted_http_server.cpp
@@ -36,8 +36,9 @@
 		}
 	}
 
-	scripted_http_server::scripted_http_server(std::deque<std::string> answers)
-		: acceptor(this->loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+	scripted_http_server::scripted_http_server(std::deque<std::string> answers, std::string late)
+		: late_bytes(std::move(late))
+		, acceptor(this->loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
 		, script(std::move(answers))
 		, runner([this] { this->run(); })
 	{
@@ -82,7 +83,7 @@
 	asio::awaitable<void> scripted_http_server::serve(tcp::socket socket)
 	{
 		std::string bytes;
-		while (true)
+		for (int call = 0;; ++call)
 		{
 			auto [error, size] =
 				co_await asio::async_read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n", token);
@@ -97,7 +98,8 @@
 				std::ignore = co_await asio::async_read(
 					socket, asio::dynamic_buffer(bytes), asio::transfer_exactly(request_size - bytes.size()), token);
 			}
-			auto const answer = this->next_answer(bytes.substr(0, bytes.find(" HTTP/")));
+			auto const scripted = this->next_answer(bytes.substr(0, bytes.find(" HTTP/")));
+			auto const answer = call > 0 && !scripted.empty() ? this->late_bytes + scripted : scripted;
 			bytes.erase(0, request_size);
 			if (!answer.empty())
 			{
--- a/tests/contract/scripted_http_server.hpp
+++ b/tests/contract/scripted_http_server.hpp
@@ -21,7 +21,8 @@
 	class scripted_http_server
 	{
 	  public:
-		explicit scripted_http_server(std::deque<std::string> script);
+		// late_bytes: sent before the answers to all but the first call of a connection.
+		explicit scripted_http_server(std::deque<std::string> script, std::string late_bytes = "");
 		~scripted_http_server();
 
 		scripted_http_server(scripted_http_server const&) = delete;
@@ -46,6 +47,7 @@
 		boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 		[[nodiscard]] std::string next_answer(std::string call);
 
+		std::string late_bytes;
 		boost::asio::io_context loop{1};
 		boost::asio::ip::tcp::acceptor acceptor;
 		std::mutex mutex;
