--- a/packages/gateway/impl/crash_messages.cpp
+++ b/packages/gateway/impl/crash_messages.cpp
@@ -10,12 +10,12 @@
 #include <godwittrestle/base/algorithm.hpp>
 #include <godwittrestle/gateway/fingerprints.hpp>
 
+#include "message_time.hpp"
+
 namespace godwittrestle::gateway
 {
 	namespace
 	{
-		// News are told for this long.
-		constexpr duration news_time = seconds(3);
 		constexpr std::size_t max_told = 16;
 		// Reports and answers that are told again when there are no news.
 		constexpr std::size_t told_again = 1;
@@ -23,17 +23,6 @@
 		constexpr int max_accepted_parts = 64;
 		constexpr duration max_accepted_age = std::chrono::hours(24);
 
-		std::uint64_t age_of(time_point at, time_point now)
-		{
-			return static_cast<std::uint64_t>(std::max(duration{}, now - at).count());
-		}
-
-		time_point time_of(std::uint64_t age, time_point now)
-		{
-			auto const bounded = std::min<std::uint64_t>(age, max_accepted_age.count());
-			return now - duration(static_cast<duration::rep>(bounded));
-		}
-
 		wire::CrashReport to_wire(routing::crash_report const& report, time_point now)
 		{
 			wire::CrashReport message;
@@ -64,7 +53,7 @@
 				message.shared_parts(), std::back_inserter(report.request.shared_parts), to_fingerprint);
 			std::ranges::transform(message.answered_before(),
 				std::inserter(report.answered_before, report.answered_before.end()), to_fingerprint);
-			report.at = time_of(message.age(), now);
+			report.at = now - bounded_time(message.age(), max_accepted_age);
 			report.reported_by = instance_id(message.reported_by());
 			report.is_trial = message.is_trial();
 			return report;
@@ -120,7 +109,8 @@
 		}
 		for (auto const& each : notice.answers())
 		{
-			evidence.note_answer(fingerprint(each.fingerprint()), time_of(each.age(), now), now);
+			evidence.note_answer(
+				fingerprint(each.fingerprint()), now - bounded_time(each.age(), max_accepted_age), now);
 		}
 	}
 
@@ -137,9 +127,8 @@
 	{
 		auto const reporters =
 			block.reported_by | std::views::transform([](instance_id const& each) { return each.str(); });
-		return {{"blocked_fingerprints", to_text({block.fingerprints.begin(), block.fingerprints.end()})},
-			{"crashes", std::to_string(block.crashes)}, {"crashed_requests", std::to_string(block.requests)},
-			{"trials", std::to_string(block.trials)},
+		return {{"blocked_fingerprints", to_text(block.fingerprints)}, {"crashes", std::to_string(block.crashes)},
+			{"crashed_requests", std::to_string(block.requests)}, {"trials", std::to_string(block.trials)},
 			{"first_crash_age_ms", fmt::format("{:.1f}", to_milliseconds(now - block.first_crash_at))},
 			{"last_crash_age_ms", fmt::format("{:.1f}", to_milliseconds(now - block.last_crash_at))},
 			{"reported_by", fmt::format("{}", fmt::join(reporters.begin(), reporters.end(), ","))}};
--- a/packages/gateway/impl/fingerprints.cpp
+++ b/packages/gateway/impl/fingerprints.cpp
@@ -15,6 +15,13 @@
 	{
 		// Upper bound of the parts of one prompt that are told apart; a longer prompt is identified by its first parts.
 		constexpr std::size_t max_parts = 32;
+
+		template <typename Range>
+		std::string join_texts(Range const& values)
+		{
+			auto const texts = values | std::views::transform([](fingerprint each) { return to_text(each); });
+			return fmt::format("{}", fmt::join(texts.begin(), texts.end(), ","));
+		}
 	}
 
 	routing::request_identity identify(http::request const& message, request_metadata const& call)
@@ -53,7 +60,11 @@
 
 	std::string to_text(std::vector<fingerprint> const& values)
 	{
-		auto const texts = values | std::views::transform([](fingerprint each) { return to_text(each); });
-		return fmt::format("{}", fmt::join(texts.begin(), texts.end(), ","));
+		return join_texts(values);
+	}
+
+	std::string to_text(std::set<fingerprint> const& values)
+	{
+		return join_texts(values);
 	}
 }
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -13,6 +13,7 @@
 #include <godwittrestle/gateway/permit_exchange.hpp>
 
 #include "crash_messages.hpp"
+#include "message_time.hpp"
 #include "observation_messages.hpp"
 
 namespace godwittrestle::gateway
@@ -24,9 +25,7 @@
 		// Upper bound for the remaining time of a role change that another daemon announces: a longer time comes from
 		// a malformed message.
 		constexpr duration max_accepted_role_change = seconds(30);
-		// A change of a server's limit is told for this long, and all limits for this long after a daemon has started.
-		// The bound on their number keeps a notice small.
-		constexpr duration news_time = seconds(3);
+		// Limits in one notice. The bound keeps a notice small.
 		constexpr std::size_t max_limits = 8;
 		constexpr duration query_interval = milliseconds(250);
 		constexpr duration observations_interval = seconds(1);
@@ -233,9 +232,8 @@
 			auto const server = this->shared->servers.find(server_id(received.server()));
 			if (server && is_known_role(received.role()) && server->entry.started == incarnation(received.started()))
 			{
-				auto const left = std::min<std::uint64_t>(max_accepted_role_change.count(), received.left());
-				server->note_pending_role_change({static_cast<routing::server_role>(received.role()),
-					now + duration(static_cast<duration::rep>(left))});
+				auto const left = bounded_time(received.left(), max_accepted_role_change);
+				server->note_pending_role_change({static_cast<routing::server_role>(received.role()), now + left});
 			}
 		}
 		std::set<std::string_view> named;
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -81,7 +81,7 @@
 		std::string fingerprints;
 		if (block != nullptr)
 		{
-			fingerprints = to_text({block->fingerprints.begin(), block->fingerprints.end()});
+			fingerprints = to_text(block->fingerprints);
 			retry_delay = std::max(min_retry_after_block, this->shared->crashes.next_trial_at(*block) - now);
 			this->log_event(*state, "request_blocked", block_fields(*block, now));
 		}
@@ -95,7 +95,7 @@
 
 	std::size_t forwarder::trial_position(routing::crash_block const& block) const
 	{
-		auto const key = to_text({block.fingerprints.begin(), block.fingerprints.end()});
+		auto const key = to_text(block.fingerprints);
 		auto const own_rank = decide::rank(key, this->shared->own_id.str());
 		auto const before = std::ranges::count_if(this->shared->live_daemons,
 			[&](routing::fleet_member const& each) { return decide::rank(key, each.id.str()) > own_rank; });
--- a/packages/gateway/impl/permit_exchange.cpp
+++ b/packages/gateway/impl/permit_exchange.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "limit_events.hpp"
+#include "message_time.hpp"
 
 namespace godwittrestle::gateway
 {
@@ -14,12 +15,6 @@
 		constexpr duration max_accepted_time = seconds(60);
 		constexpr duration unknown_server_retry = milliseconds(200);
 
-		duration accepted_time(std::uint64_t microseconds_count)
-		{
-			auto const bounded = std::min<std::uint64_t>(microseconds_count, max_accepted_time.count());
-			return duration(static_cast<duration::rep>(bounded));
-		}
-
 		routing::permit_outcome from_wire(wire::SendPermitReply::Outcome outcome)
 		{
 			switch (outcome)
@@ -61,7 +56,7 @@
 		message.set_started(server.entry.started.count());
 		message.set_is_stated(report.rate.has_value());
 		message.set_rate(report.rate.value_or(routing::request_rate{}).per_second());
-		message.set_age(static_cast<std::uint64_t>(std::max(duration{}, now - report.heard_at).count()));
+		message.set_age(age_of(report.heard_at, now));
 		message.set_heard_by(report.heard_by.str());
 		return message;
 	}
@@ -80,7 +75,7 @@
 		{
 			report.rate = routing::request_rate(received.rate());
 		}
-		report.heard_at = now - accepted_time(received.age());
+		report.heard_at = now - bounded_time(received.age(), max_accepted_time);
 		report.heard_by = instance_id(received.heard_by());
 		auto const rate_before = server->limit.rate();
 		if (server->limit.note(report, now))
@@ -178,6 +173,6 @@
 		}
 		auto const callback = std::move(found->second);
 		this->waiting.erase(found);
-		callback({from_wire(reply.outcome()), accepted_time(reply.retry_after()), reply.share()});
+		callback({from_wire(reply.outcome()), bounded_time(reply.retry_after(), max_accepted_time), reply.share()});
 	}
 }
--- a/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,4 +20,5 @@
 
 	// Returns fingerprints separated by commas.
 	[[nodiscard]] std::string to_text(std::vector<fingerprint> const& values);
+	[[nodiscard]] std::string to_text(std::set<fingerprint> const& values);
 }
--- a/tests/contract/crashing_server.cpp
+++ b/tests/contract/crashing_server.cpp
@@ -29,24 +29,6 @@
 		// Time until the server begins to answer.
 		constexpr std::chrono::milliseconds start_time{20};
 		constexpr std::chrono::milliseconds restart_time{300};
-
-		// Returns the value of a header; empty when there is none.
-		std::string header_value(std::string const& text, std::string const& name)
-		{
-			auto const begin = text.find("\n" + name + ": ");
-			if (begin == std::string::npos)
-			{
-				return "";
-			}
-			auto const value = begin + name.size() + 3;
-			return text.substr(value, text.find('\r', value) - value);
-		}
-
-		std::size_t content_length(std::string const& head)
-		{
-			auto const value = header_value(head, "Content-Length");
-			return value.empty() ? 0 : std::stoul(value);
-		}
 	}
 
 	crashing_server::crashing_server(deadly_test given)
--- a/tests/contract/scripted_http_server.cpp
+++ b/tests/contract/scripted_http_server.cpp
@@ -1,6 +1,5 @@
 #include "scripted_http_server.hpp"
 
-#include <charconv>
 #include <tuple>
 #include <utility>
 
@@ -12,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "test_servers.hpp"
+
 namespace godwittrestle::testing
 {
 	namespace asio = boost::asio;
@@ -20,20 +21,6 @@
 	namespace
 	{
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
-
-		// Returns the value of the Content-Length header, 0 when there is none.
-		std::size_t body_size(std::string_view head)
-		{
-			constexpr std::string_view name = "Content-Length: ";
-			auto const position = head.find(name);
-			std::size_t size = 0;
-			if (position != std::string_view::npos)
-			{
-				auto const digits = head.substr(position + name.size());
-				std::ignore = std::from_chars(digits.data(), digits.data() + digits.size(), size);
-			}
-			return size;
-		}
 	}
 
 	scripted_http_server::scripted_http_server(std::deque<std::string> answers, std::string late)
@@ -92,7 +79,7 @@
 				++this->closed_count;
 				co_return;
 			}
-			auto const request_size = size + body_size(std::string_view(bytes).substr(0, size));
+			auto const request_size = size + content_length(bytes.substr(0, size));
 			if (bytes.size() < request_size)
 			{
 				std::ignore = co_await asio::async_read(
--- a/tests/contract/test_servers.cpp
+++ b/tests/contract/test_servers.cpp
@@ -133,4 +133,22 @@
 	{
 		return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}", status, headers, body.size(), body);
 	}
+
+	std::string header_value(std::string const& head, std::string const& name)
+	{
+		auto const line_start = "\n" + name + ": ";
+		auto const begin = head.find(line_start);
+		if (begin == std::string::npos)
+		{
+			return "";
+		}
+		auto const value = begin + line_start.size();
+		return head.substr(value, head.find('\r', value) - value);
+	}
+
+	std::size_t content_length(std::string const& head)
+	{
+		auto const value = header_value(head, "Content-Length");
+		return value.empty() ? 0 : std::stoul(value);
+	}
 }
--- a/tests/contract/test_servers.hpp
+++ b/tests/contract/test_servers.hpp
@@ -80,6 +80,12 @@
 	[[nodiscard]] std::string http_answer(
 		std::string const& status, std::string const& headers, std::string const& body);
 
+	// Returns the value of a header of a message's head, which has the name in this case; empty when there is none.
+	[[nodiscard]] std::string header_value(std::string const& head, std::string const& name);
+
+	// Returns the value of the Content-Length header; 0 when there is none.
+	[[nodiscard]] std::size_t content_length(std::string const& head);
+
 	// Runs the loop until the work has ended and returns its outcome. Throws std::bad_optional_access when the work
 	// throws or has not ended after 60 s.
 	template <typename T>
