What was answered before is blocked only after ends at five different moments

What callers would see: a rack whose servers end at the same moment takes the first prompt part of a route along on each of them, or a lookup that all callers send with the same bytes. Five ends, for a plain request three, blocked it at all daemons until the next answer, or for 10 s where nothing else was on its way. Cause: ends were counted one by one, also those that one cause had at the same moment, and answers were remembered for parts only. Change: what was answered before needs ends at five different moments (500 ms each), and answered requests are remembered like parts, apart from them and as bounded. Five moments of 500 ms end within contact-ms after the fifth end, so the bound holds for parts that turn deadly, too, unless their ends pause.

--- a/packages/routing/impl/crash_evidence.cpp
+++ b/packages/routing/impl/crash_evidence.cpp
@@ -9,16 +9,19 @@
 {
 	namespace
 	{
-		// Number of servers that have to end before a fingerprint counts as the cause. A part with which requests were
-		// answered before needs more: something else must have changed.
+		// Number of servers that have to end before a fingerprint counts as the cause.
 		constexpr std::size_t min_crashes = 3;
-		constexpr std::size_t min_crashes_if_answered_before = 5;
+		// A fingerprint with which requests were answered before needs ends at this many different moments: a rack that
+		// loses its power ends many servers at once, and each of them may have such a request.
+		constexpr std::size_t min_moments_if_answered_before = 5;
+		// Ends within this time count as one moment. Busy daemons notice them some time after each other.
+		constexpr duration moment_length = milliseconds(500);
 		// A single server may be faulty.
 		constexpr std::size_t min_servers = 2;
 		// Evidence that is older proves nothing any more.
 		constexpr duration report_lifetime = std::chrono::hours(1);
 		constexpr std::size_t max_reports = 256;
-		constexpr std::size_t max_answered_parts = 4096;
+		constexpr std::size_t max_remembered_answers = 4096;
 		constexpr duration first_trial_delay = seconds(10);
 		constexpr int trial_delay_factor = 4;
 		constexpr std::size_t max_trials = 3;
@@ -33,7 +36,8 @@
 	{
 		// Positions of the reports that count against it.
 		std::set<std::size_t> reports;
-		std::set<crash> crashes;
+		// The crashes with their times.
+		std::map<crash, time_point> crashes;
 		std::set<server_id> servers;
 		// The crashes that each request was lost with.
 		std::map<fingerprint, std::set<crash>> by_request;
@@ -48,10 +52,34 @@
 				[this](std::set<crash> const& each) { return each.size() == this->crashes.size(); });
 		}
 
+		// Returns the number of different moments at which servers ended.
+		[[nodiscard]] std::size_t count_moments() const
+		{
+			std::vector<time_point> times;
+			std::ranges::copy(this->crashes | std::views::values, std::back_inserter(times));
+			std::ranges::sort(times);
+			std::size_t moments = 0;
+			std::optional<time_point> moment;
+			for (auto const at : times)
+			{
+				if (!moment || at - *moment >= moment_length)
+				{
+					moment = at;
+					++moments;
+				}
+			}
+			return moments;
+		}
+
+		[[nodiscard]] bool has_enough_crashes() const
+		{
+			return this->was_answered_before ? this->count_moments() >= min_moments_if_answered_before
+											 : this->crashes.size() >= min_crashes;
+		}
+
 		[[nodiscard]] bool is_sufficient() const
 		{
-			auto const needed = this->was_answered_before ? min_crashes_if_answered_before : min_crashes;
-			return this->crashes.size() >= needed && this->servers.size() >= min_servers &&
+			return this->has_enough_crashes() && this->servers.size() >= min_servers &&
 				   (this->is_request || !this->is_explained_by_one_request());
 		}
 	};
@@ -68,8 +96,8 @@
 		report.server = std::move(server);
 		report.started = started;
 		report.request = request;
-		std::ranges::copy_if(request.shared_parts, std::inserter(report.answered_before, report.answered_before.end()),
-			[this](fingerprint part) { return this->answered_parts.contains(part); });
+		std::ranges::copy_if(request.all(), std::inserter(report.answered_before, report.answered_before.end()),
+			[this](fingerprint value) { return this->last_answer(value).has_value(); });
 		report.at = at;
 		report.reported_by = std::move(reporter);
 		return report;
@@ -95,12 +123,12 @@
 			this->review();
 			return;
 		}
-		for (auto const part : report.request.shared_parts)
+		for (auto const value : report.request.all())
 		{
-			auto const answered = this->answered_parts.find(part);
-			if (answered != this->answered_parts.end() && answered->second > report.at)
+			auto const answered_at = this->last_answer(value);
+			if (answered_at && *answered_at > report.at)
 			{
-				this->known_answers.insert_or_assign(part, known_answer{answered->second, now});
+				this->known_answers.insert_or_assign(value, known_answer{*answered_at, now});
 			}
 		}
 		this->known_reports.push_back({std::move(report), now});
@@ -113,9 +141,10 @@
 	{
 		for (auto const part : request.shared_parts)
 		{
-			this->remember_answered(part, now);
+			remember_answer(this->answered_parts, part, now);
 			this->note_answer(part, now, now);
 		}
+		remember_answer(this->answered_requests, request.request, now);
 		this->note_answer(request.request, now, now);
 	}
 
@@ -206,6 +235,12 @@
 		return answer == this->known_answers.end() || answer->second.answered_at <= report.at;
 	}
 
+	bool crash_evidence::is_cleared(crash_report const& report) const
+	{
+		return std::ranges::none_of(
+			report.request.all(), [&](fingerprint value) { return this->counts_against(report, value); });
+	}
+
 	crash_evidence::suspicions crash_evidence::gather_suspicions(bool of_requests) const
 	{
 		suspicions gathered;
@@ -233,7 +268,8 @@
 		auto const& report = this->known_reports[position].report;
 		crash const lost{report.server, report.started};
 		against.reports.insert(position);
-		against.crashes.insert(lost);
+		auto const [known, is_first] = against.crashes.try_emplace(lost, report.at);
+		known->second = std::min(known->second, report.at);
 		against.servers.insert(report.server);
 		against.by_request[report.request.request].insert(lost);
 	}
@@ -278,7 +314,7 @@
 					alike.insert(value);
 				}
 			}
-			explained.insert(strongest->second.crashes.begin(), strongest->second.crashes.end());
+			std::ranges::copy(strongest->second.crashes | std::views::keys, std::inserter(explained, explained.end()));
 			blocks.push_back(this->make_block(std::move(alike), reports));
 		}
 	}
@@ -362,28 +398,35 @@
 		{
 			return this->find_block(each.report.request) != nullptr;
 		};
-		auto const is_cleared = [this](known_report const& each)
-		{
-			return std::ranges::none_of(
-				each.report.request.all(), [&](fingerprint value) { return this->counts_against(each.report, value); });
-		};
 		// Drops a report that counts against nothing any more, else the oldest one that blocks nothing.
 		auto const least_useful = std::ranges::min_element(this->known_reports, {}, [&](known_report const& each)
-			{ return std::tuple(!is_cleared(each), supports_block(each), each.report.at); });
+			{ return std::tuple(!this->is_cleared(each.report), supports_block(each), each.report.at); });
 		this->known_reports.erase(least_useful);
 	}
 
-	void crash_evidence::remember_answered(fingerprint part, time_point now)
+	std::optional<time_point> crash_evidence::last_answer(fingerprint value) const
+	{
+		for (auto const* const answered : {&this->answered_parts, &this->answered_requests})
+		{
+			if (auto const found = answered->find(value); found != answered->end())
+			{
+				return found->second;
+			}
+		}
+		return std::nullopt;
+	}
+
+	void crash_evidence::remember_answer(answer_times& answered, fingerprint value, time_point now)
 	{
-		this->answered_parts.insert_or_assign(part, now);
-		if (this->answered_parts.size() <= max_answered_parts)
+		answered.insert_or_assign(value, now);
+		if (answered.size() <= max_remembered_answers)
 		{
 			return;
 		}
 		std::vector<time_point> times;
-		std::ranges::copy(this->answered_parts | std::views::values, std::back_inserter(times));
+		std::ranges::copy(answered | std::views::values, std::back_inserter(times));
 		auto const middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
 		std::ranges::nth_element(times, middle);
-		std::erase_if(this->answered_parts, [&](auto const& item) { return item.second < *middle; });
+		std::erase_if(answered, [&](auto const& item) { return item.second < *middle; });
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/crash_evidence.hpp
@@ -20,7 +20,7 @@
 		// The start of the server that has ended.
 		incarnation started;
 		request_identity request;
-		// Those of the request's shared parts with which the reporting daemon had seen an answer before.
+		// Those of the request's fingerprints with which the reporting daemon had seen an answer before.
 		std::set<fingerprint> answered_before;
 		time_point at;
 		instance_id reported_by;
@@ -137,6 +137,9 @@
 			time_point learnt_at;
 		};
 
+		// Returns whether a report counts against nothing any more.
+		[[nodiscard]] bool is_cleared(crash_report const& report) const;
+
 		[[nodiscard]] std::vector<known_report> const& reports() const noexcept
 		{
 			return this->known_reports;
@@ -152,6 +155,7 @@
 		struct suspicion;
 		using crash = std::pair<server_id, incarnation>;
 		using suspicions = std::map<fingerprint, suspicion>;
+		using answer_times = std::map<fingerprint, time_point>;
 
 		[[nodiscard]] bool is_reported(fingerprint value) const;
 		// Returns whether a report still counts against a fingerprint.
@@ -170,13 +174,18 @@
 		// Decides anew which requests are blocked.
 		void review();
 		void limit_reports();
-		void remember_answered(fingerprint part, time_point now);
+		// Returns the time of the last answer to a request with a fingerprint, if this daemon remembers one.
+		[[nodiscard]] std::optional<time_point> last_answer(fingerprint value) const;
+		// Records an answer. Beyond a bound, those that were answered longest ago are forgotten.
+		static void remember_answer(answer_times& answered, fingerprint value, time_point now);
 
 		crash_settings settings;
 		std::vector<known_report> known_reports;
 		std::map<fingerprint, known_answer> known_answers;
-		// Parts of requests that were answered, with the time of the last answer.
-		std::map<fingerprint, time_point> answered_parts;
+		// Parts of requests, and requests, that were answered, with the time of the last answer. Apart, since there
+		// are many more requests than parts.
+		answer_times answered_parts;
+		answer_times answered_requests;
 		std::uint64_t news = 0;
 		std::vector<crash_block> blocked;
 		std::vector<block_change> changes;
