A daemon that was frozen or cut off is told what ended servers while it was away

What callers would see: a daemon that stood still or was cut off while the others blocked a deadly request sent it to servers again after its return: only daemons with a new incarnation were told everything; one that returned got one report in each notice, drawn from all that were lost with the servers, sound requests too, and none at all while anything newer was news. Change: a member that returns after it counted as gone is an arrival like one that starts (limits of servers are told to it, too, the same fault); each notice has one older report besides the news; reports that block requests come first, and those that count against nothing any more are not told. So a fleet whose servers end without a deadly request sends nothing once the lost requests were answered.

--- a/packages/gateway/impl/crash_messages.cpp
+++ b/packages/gateway/impl/crash_messages.cpp
@@ -17,7 +17,7 @@
 	namespace
 	{
 		constexpr std::size_t max_told = 16;
-		// Reports and answers that are told again when there are no news.
+		// Reports, and answers, in each notice that are no news any more.
 		constexpr std::size_t told_again = 1;
 		// Bounds for messages of other daemons; a report with more comes from a malformed message.
 		constexpr int max_accepted_parts = 64;
@@ -59,42 +59,87 @@
 			return report;
 		}
 
-		// Returns the items to tell. learnt_at: returns the time at which this daemon learnt of an item.
-		template <typename Item, typename LearntAt>
-		std::vector<Item> choose(std::vector<Item> const& items, LearntAt learnt_at, bool has_new_members,
-			std::function<double()> const& draw, time_point now)
+		using known_report = routing::crash_evidence::known_report;
+		using known_answer = std::pair<fingerprint const, routing::crash_evidence::known_answer>;
+
+		time_point learnt_at(known_report const& known)
 		{
-			std::vector<Item> news;
-			std::ranges::copy_if(items, std::back_inserter(news),
-				[&](Item const& each) { return has_new_members || now - learnt_at(each) <= news_time; });
-			return news.empty() ? random_sample(items, told_again, draw)
-								: random_sample(std::move(news), max_told, draw);
+			return known.learnt_at;
+		}
+
+		time_point learnt_at(known_answer const& known)
+		{
+			return known.second.learnt_at;
+		}
+
+		template <typename Item>
+		using pointers = std::vector<Item const*>;
+
+		// Returns up to max_count items drawn at random: first those that are preferred.
+		template <typename Item>
+		pointers<Item> sample_preferred(pointers<Item> items, std::function<bool(Item const&)> const& is_preferred,
+			std::size_t max_count, std::function<double()> const& draw)
+		{
+			auto const others =
+				std::ranges::stable_partition(items, [&](Item const* each) { return is_preferred(*each); });
+			pointers<Item> rest(others.begin(), others.end());
+			items.erase(others.begin(), others.end());
+			auto chosen = random_sample(std::move(items), max_count, draw);
+			std::ranges::copy(
+				random_sample(std::move(rest), max_count - chosen.size(), draw), std::back_inserter(chosen));
+			return chosen;
+		}
+
+		// Returns the items to tell: what may be news to some daemon, and few others for daemons that missed them.
+		template <typename Item>
+		pointers<Item> choose(pointers<Item> items, std::function<bool(Item const&)> const& is_preferred,
+			bool has_arrivals, std::function<double()> const& draw, time_point now)
+		{
+			auto const is_news = [&](Item const* each)
+			{
+				return has_arrivals || now - learnt_at(*each) <= news_time;
+			};
+			auto const old = std::ranges::stable_partition(items, is_news);
+			auto again = sample_preferred<Item>(pointers<Item>(old.begin(), old.end()), is_preferred, told_again, draw);
+			items.erase(old.begin(), old.end());
+			auto chosen = sample_preferred<Item>(std::move(items), is_preferred, max_told, draw);
+			std::ranges::copy(again, std::back_inserter(chosen));
+			return chosen;
 		}
 	}
 
-	void add_crash_evidence(wire::GatewayNotice& notice, routing::crash_evidence const& evidence, bool has_new_members,
+	void add_crash_evidence(wire::GatewayNotice& notice, routing::crash_evidence const& evidence, bool has_arrivals,
 		std::function<double()> const& draw, time_point now)
 	{
-		using routing::crash_evidence;
-		auto const report_learnt_at = [](crash_evidence::known_report const& each)
+		pointers<known_report> reports;
+		for (auto const& each : evidence.reports())
+		{
+			if (!evidence.is_cleared(each.report))
+			{
+				reports.push_back(&each);
+			}
+		}
+		auto const blocks_requests = [&](known_report const& each)
 		{
-			return each.learnt_at;
+			return evidence.find_block(each.report.request) != nullptr;
 		};
-		for (auto const& each : choose(evidence.reports(), report_learnt_at, has_new_members, draw, now))
+		for (auto const* const each :
+			choose<known_report>(std::move(reports), blocks_requests, has_arrivals, draw, now))
 		{
-			*notice.add_crashes() = to_wire(each.report, now);
+			*notice.add_crashes() = to_wire(each->report, now);
 		}
-		std::vector<std::pair<fingerprint, crash_evidence::known_answer>> answers;
-		std::ranges::copy(evidence.answers(), std::back_inserter(answers));
-		auto const answer_learnt_at = [](auto const& each)
+		pointers<known_answer> answers;
+		std::ranges::transform(
+			evidence.answers(), std::back_inserter(answers), [](known_answer const& each) { return &each; });
+		auto const is_preferred = [](known_answer const&)
 		{
-			return each.second.learnt_at;
+			return false;
 		};
-		for (auto const& [value, answer] : choose(answers, answer_learnt_at, has_new_members, draw, now))
+		for (auto const* const each : choose<known_answer>(std::move(answers), is_preferred, has_arrivals, draw, now))
 		{
 			auto& message = *notice.add_answers();
-			message.set_fingerprint(value.count());
-			message.set_age(age_of(answer.answered_at, now));
+			message.set_fingerprint(each->first.count());
+			message.set_age(age_of(each->second.answered_at, now));
 		}
 	}
 
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -203,21 +203,21 @@
 		}
 	}
 
-	bool fleet_exchange::has_new_members(time_point now) const
+	bool fleet_exchange::has_arrivals(time_point now) const
 	{
-		auto const last_start = this->members.last_start();
-		return last_start && now - *last_start <= news_time;
+		auto const last_arrival = this->members.last_arrival();
+		return last_arrival && now - *last_arrival <= news_time;
 	}
 
 	void fleet_exchange::add_limits(wire::GatewayNotice& notice, time_point now) const
 	{
-		auto const has_new_members = this->has_new_members(now);
+		auto const has_arrivals = this->has_arrivals(now);
 		std::vector<routing::server_pointer> told;
 		std::ranges::copy_if(this->shared->servers.all() | std::views::values, std::back_inserter(told),
 			[&](routing::server_pointer const& each)
 			{
 				auto const unchanged = each->limit.unchanged_for(now);
-				return unchanged && (*unchanged <= news_time || (has_new_members && each->limit.rate()));
+				return unchanged && (*unchanged <= news_time || (has_arrivals && each->limit.rate()));
 			});
 		for (auto const& server : random_sample(std::move(told), max_limits, this->hooks.draw))
 		{
@@ -360,7 +360,7 @@
 			}
 		}
 		this->add_limits(notice, now);
-		add_crash_evidence(notice, this->shared->crashes, this->has_new_members(now), this->hooks.draw, now);
+		add_crash_evidence(notice, this->shared->crashes, this->has_arrivals(now), this->hooks.draw, now);
 		return notice;
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
@@ -60,7 +60,7 @@
 			registry_snapshot const& registry_state);
 		void apply_update(wire::GatewayState const& state, registry_snapshot const& registry_state);
 		// Returns whether another daemon has started a moment ago.
-		[[nodiscard]] bool has_new_members(time_point now) const;
+		[[nodiscard]] bool has_arrivals(time_point now) const;
 		void apply_limits(wire::GatewayNotice const& notice, time_point now);
 		// Adds the limits that have changed a moment ago; all limits while a daemon has just started.
 		void add_limits(wire::GatewayNotice& notice, time_point now) const;
--- a/packages/routing/impl/fleet.cpp
+++ b/packages/routing/impl/fleet.cpp
@@ -49,9 +49,10 @@
 		{
 			return false;
 		}
-		if (sender.started > known.started)
+		auto const was_gone = sender.heard_at - known.heard_at > this->member_timeout();
+		if (sender.started > known.started || was_gone)
 		{
-			this->started_at = sender.heard_at;
+			this->arrived_at = sender.heard_at;
 		}
 		known = sender;
 		return true;
@@ -67,11 +68,15 @@
 		if (known == this->members.end() || known->second.started < reported.started)
 		{
 			this->members.insert_or_assign(reported.id, reported);
-			this->started_at = now;
+			this->arrived_at = now;
 			return;
 		}
 		if (known->second.started == reported.started)
 		{
+			if (now - known->second.heard_at > this->member_timeout())
+			{
+				this->arrived_at = now;
+			}
 			known->second.heard_at = std::max(known->second.heard_at, reported.heard_at);
 		}
 	}
--- a/packages/routing/include/godwittrestle/routing/fleet.hpp
+++ b/packages/routing/include/godwittrestle/routing/fleet.hpp
@@ -38,10 +38,11 @@
 		// Records a daemon that another daemon reported. Ignores a report that is older than the stored data.
 		void note_member_report(fleet_member const& reported, time_point now);
 
-		// Returns the time at which a daemon was last seen to have started; nothing when none was.
-		[[nodiscard]] std::optional<time_point> last_start() const noexcept
+		// Returns the time at which a daemon last started, or returned after it had counted as gone; nothing when none
+		// did.
+		[[nodiscard]] std::optional<time_point> last_arrival() const noexcept
 		{
-			return this->started_at;
+			return this->arrived_at;
 		}
 
 		// Removes a daemon that has left.
@@ -73,7 +74,7 @@
 		std::string own_address;
 		std::vector<std::string> seeds;
 		std::map<instance_id, fleet_member> members;
-		std::optional<time_point> started_at;
+		std::optional<time_point> arrived_at;
 		time_point seeds_contacted_at;
 	};
 }
--- a/tests/unit/crash_fleet.test.cpp
+++ b/tests/unit/crash_fleet.test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <vector>
@@ -26,8 +27,11 @@
 	class crash_fleet
 	{
 	  public:
-		crash_fleet(std::size_t daemon_count, std::size_t server_count, duration given_downtime, double given_loss)
+		// is_replaced: whether a server that ended comes back under another id.
+		crash_fleet(std::size_t daemon_count, std::size_t server_count, duration given_downtime, double given_loss,
+			bool is_replaced = false)
 			: downtime(given_downtime)
+			, has_new_id(is_replaced)
 			, message_loss(given_loss)
 			, daemons(daemon_count)
 			, servers(server_count)
@@ -66,7 +70,7 @@
 				}
 				for (auto const& each : this->daemons)
 				{
-					if (this->now >= each->next_notice_at)
+					if (!each->is_frozen && this->now >= each->next_notice_at)
 					{
 						each->next_notice_at = this->now + each->exchange->send_due(this->registry, this->now);
 					}
@@ -74,9 +78,16 @@
 			}
 		}
 
+		// Stops a daemon, or lets it go on. Messages to it are lost meanwhile.
+		void set_frozen(std::size_t number, bool is_frozen)
+		{
+			this->daemons[number]->is_frozen = is_frozen;
+		}
+
 		// Sends a request of a caller from a daemon, as often as servers end under it, three times at most. Returns
-		// whether it was answered.
-		bool send(std::size_t daemon_number, routing::request_identity const& request, bool is_deadly)
+		// whether it was answered. lost_with: unanswered requests that the servers have when they end.
+		bool send(std::size_t daemon_number, routing::request_identity const& request, bool is_deadly,
+			std::vector<routing::request_identity> const& lost_with = {})
 		{
 			constexpr int max_servers = 3;
 			auto& evidence = this->daemons[daemon_number]->shared.crashes;
@@ -96,10 +107,17 @@
 				this->deadly_sends.push_back(this->now);
 				auto const number = static_cast<std::size_t>(up - this->servers.begin());
 				up->back_at = this->now + this->downtime;
-				evidence.note_crash(
-					evidence.make_report(server_id(fmt::format("s{}", number)), incarnation(++up->starts), request,
-						this->daemons[daemon_number]->shared.own_id, this->now),
-					this->now);
+				++up->starts;
+				auto const id =
+					this->has_new_id ? fmt::format("s{}-{}", number, up->starts) : fmt::format("s{}", number);
+				auto lost = lost_with;
+				lost.push_back(request);
+				for (auto const& each : lost)
+				{
+					evidence.note_crash(evidence.make_report(server_id(id), incarnation(up->starts), each,
+											this->daemons[daemon_number]->shared.own_id, this->now),
+						this->now);
+				}
 			}
 			return false;
 		}
@@ -133,6 +151,7 @@
 			gateway::shared_state shared;
 			std::unique_ptr<gateway::fleet_exchange> exchange;
 			time_point next_notice_at;
+			bool is_frozen = false;
 		};
 
 		struct server
@@ -164,7 +183,7 @@
 		{
 			for (std::size_t number = 0; number < this->daemons.size(); ++number)
 			{
-				if (address_of(number) == message.address)
+				if (address_of(number) == message.address && !this->daemons[number]->is_frozen)
 				{
 					this->daemons[number]->exchange->receive(message.message, this->registry, this->now);
 				}
@@ -174,6 +193,7 @@
 		std::mt19937_64 random{5};
 		time_point now = start_time;
 		duration downtime;
+		bool has_new_id;
 		double message_loss;
 		std::uint64_t incarnations = 0;
 		gateway::registry_snapshot registry{platform_version(1), "", true, false};
@@ -189,6 +209,46 @@
 	}
 }
 
+namespace
+{
+	// How deadly requests come. Requests come one each round_time, sound ones at a daemon drawn at random.
+	struct deadly_load
+	{
+		std::uint64_t rounds = 400;
+		std::uint64_t deadly_every = 5;
+		std::size_t at_once = 1;
+		bool is_one_request = false;
+		// Returns the daemon at which the deadly requests of a round come.
+		std::function<std::size_t(std::uint64_t round)> place;
+	};
+
+	constexpr duration round_time = milliseconds(50);
+
+	// Checks the users' rules for servers that end and for sound requests.
+	void check_load(crash_fleet& fleet, deadly_load const& load, std::size_t daemon_count)
+	{
+		std::size_t served = 0;
+		fleet.run_for(seconds(2));
+		for (std::uint64_t round = 0; round < load.rounds; ++round)
+		{
+			auto const sends = round % load.deadly_every == 0 ? load.at_once : 0;
+			for (std::size_t copy = 0; copy < sends; ++copy)
+			{
+				auto const request = load.is_one_request
+										 ? make_request(0, {first_part, fingerprint(9)})
+										 : make_request(load.at_once * round + copy, {first_part, deadly_part});
+				std::ignore = fleet.send((load.place(round) + copy) % daemon_count, request, true);
+			}
+			auto const somewhere = static_cast<std::size_t>(fleet.draw() * static_cast<double>(daemon_count));
+			served += fleet.send(somewhere, make_request(10'000 + round, {first_part}), false) ? 1 : 0;
+			fleet.run_for(round_time);
+		}
+		REQUIRE(fleet.sends_after(load.is_one_request ? 3 : 5) <= 3);
+		REQUIRE(2 * served >= load.rounds);
+		REQUIRE_FALSE(fleet.is_blocked(0, make_request(1, {first_part})));
+	}
+}
+
 TEST_CASE("deadly requests stop at all daemons, wherever they come and however servers return", "[crash_fleet]")
 {
 	auto const daemon_count = GENERATE(std::size_t{1}, std::size_t{6}, std::size_t{30});
@@ -198,33 +258,36 @@
 	auto const is_one_request = GENERATE(false, true);
 	CAPTURE(daemon_count, server_count, downtime.count(), pattern, is_one_request);
 	constexpr double loss = 0.1;
-	constexpr std::uint64_t rounds = 400;
-	constexpr duration round_time = milliseconds(50);
-	constexpr std::uint64_t deadly_every = 5;
 	constexpr std::uint64_t moving_rounds = 80;
 	crash_fleet fleet(daemon_count, server_count, downtime, loss);
-	fleet.run_for(seconds(2));
-	std::size_t sound = 0;
-	std::size_t served = 0;
-	for (std::uint64_t round = 0; round < rounds; ++round)
+	deadly_load load;
+	load.is_one_request = is_one_request;
+	load.place = [&](std::uint64_t round)
 	{
-		auto const somewhere = static_cast<std::size_t>(fleet.draw() * static_cast<double>(daemon_count));
-		auto const deadly_at = pattern == "even"     ? somewhere
-							   : pattern == "on one" ? 0
-													 : (round / moving_rounds) % daemon_count;
-		if (round % deadly_every == 0)
-		{
-			auto const request = is_one_request ? make_request(0, {first_part, fingerprint(9)})
-												: make_request(round, {first_part, deadly_part});
-			std::ignore = fleet.send(deadly_at, request, true);
-		}
-		served += fleet.send(somewhere, make_request(10'000 + round, {first_part}), false) ? 1 : 0;
-		++sound;
-		fleet.run_for(round_time);
-	}
-	REQUIRE(fleet.sends_after(is_one_request ? 3 : 5) <= 3);
-	REQUIRE(2 * served >= sound);
-	REQUIRE_FALSE(fleet.is_blocked(0, make_request(1, {first_part})));
+		return pattern == "even"     ? static_cast<std::size_t>(fleet.draw() * static_cast<double>(daemon_count))
+			   : pattern == "on one" ? 0
+									 : (round / moving_rounds) % daemon_count;
+	};
+	check_load(fleet, load, daemon_count);
+}
+
+TEST_CASE("deadly requests stop, few or many, three at once, and when servers return under other ids", "[crash_fleet]")
+{
+	auto const daemon_count = GENERATE(std::size_t{6}, std::size_t{30});
+	auto const server_count = GENERATE(std::size_t{2}, std::size_t{100});
+	auto const is_replaced = GENERATE(false, true);
+	auto const is_one_request = GENERATE(false, true);
+	auto load = GENERATE(
+		deadly_load{1000, 100, 1, false, {}}, deadly_load{400, 5, 3, false, {}}, deadly_load{1000, 100, 3, false, {}});
+	CAPTURE(daemon_count, server_count, is_replaced, is_one_request, load.deadly_every, load.at_once);
+	constexpr double loss = 0.1;
+	crash_fleet fleet(daemon_count, server_count, seconds(2), loss, is_replaced);
+	load.is_one_request = is_one_request;
+	load.place = [](std::uint64_t round)
+	{
+		return round;
+	};
+	check_load(fleet, load, daemon_count);
 }
 
 TEST_CASE("a daemon that starts knows within contact-ms what the others have blocked", "[crash_fleet]")
@@ -243,3 +306,33 @@
 	fleet.run_for(contact_time);
 	REQUIRE(fleet.is_blocked(5, deadly));
 }
+
+TEST_CASE("a daemon that was frozen knows within contact-ms what the others have blocked", "[crash_fleet]")
+{
+	auto const daemon_count = GENERATE(std::size_t{2}, std::size_t{6}, std::size_t{30});
+	auto const frozen_for = GENERATE(milliseconds(3'300), milliseconds(12'000));
+	CAPTURE(daemon_count, frozen_for.count());
+	constexpr std::uint64_t lost_each_time = 14;
+	constexpr double loss = 0.1;
+	crash_fleet fleet(daemon_count, 10, seconds(2), loss);
+	fleet.run_for(seconds(2));
+	auto const frozen = daemon_count - 1;
+	fleet.set_frozen(frozen, true);
+	for (std::uint64_t number = 0; number < 3; ++number)
+	{
+		// The servers also have sound requests that nobody else has answered yet.
+		std::vector<routing::request_identity> sound;
+		for (std::uint64_t each = 0; each < lost_each_time; ++each)
+		{
+			sound.push_back(make_request(1'000 + number * lost_each_time + each, {first_part}));
+		}
+		std::ignore = fleet.send(number % frozen, make_request(number, {first_part, deadly_part}), true, sound);
+		std::ranges::for_each(sound, [&](auto const& each) { std::ignore = fleet.send(0, each, false); });
+		fleet.run_for(milliseconds(30));
+	}
+	fleet.run_for(frozen_for);
+	fleet.set_frozen(frozen, false);
+	fleet.run_for(contact_time);
+	REQUIRE(fleet.is_blocked(frozen, make_request(9, {first_part, deadly_part})));
+	REQUIRE_FALSE(fleet.is_blocked(frozen, make_request(9, {first_part})));
+}
