A request waits for the check of a server that broke off before it goes to the next one

What callers saw: a request under which a server had ended was sent to the next server in the same millisecond, before the check of the first one could say that it had ended. So a request under which the third server had just ended also ended a fourth, with that server's batch.

--- a/packages/gateway/impl/crash_messages.hpp
+++ b/packages/gateway/impl/crash_messages.hpp
@@ -11,7 +11,8 @@
 {
 	// Adds reports and answers to a notice: those learnt a moment ago; all while another daemon has just started; else
 	// one of them, so that a daemon that has missed messages learns of all in time. Their number is bounded.
-	// has_arrivals: whether another daemon has just started or returned. draw: returns a uniform random number in [0, 1).
+	// has_arrivals: whether another daemon has just started or returned. draw: returns a uniform random number in [0,
+	// 1).
 	void add_crash_evidence(wire::GatewayNotice& notice, routing::crash_evidence const& evidence, bool has_arrivals,
 		std::function<double()> const& draw, time_point now);
 
--- a/packages/gateway/impl/forwarder_limits.cpp
+++ b/packages/gateway/impl/forwarder_limits.cpp
@@ -13,7 +13,6 @@
 {
 	namespace
 	{
-		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 		// The answer to a request for a permit may take this part of the route's objective, within the bounds below.
 		constexpr int objective_divisor = 4;
 		constexpr duration min_permit_timeout = milliseconds(20);
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -13,7 +13,6 @@
 {
 	namespace
 	{
-		constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 		constexpr unsigned status_ok = 200;
 		constexpr duration reservation_timeout = milliseconds(200);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -28,6 +28,8 @@
 	// Answers up to this size are buffered until they are complete; larger ones are streamed to the caller.
 	inline constexpr std::size_t max_buffered_answer_bytes = 262'144;
 	inline constexpr duration default_timeout = seconds(60);
+	// Waits return their error instead of throwing it.
+	inline constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 	// A server that has sent this many events of a stream, or the whole stream, can answer the request.
 	inline constexpr std::uint64_t min_events_of_answer = 4;
 	// A stream's objective divided by this number is kept in reserve for unpredicted delays before its first event.
@@ -160,6 +162,8 @@
 		std::uint64_t events_before_send = 0;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
 		bool is_trial = false;
+		// Whether the last server may have ended because of the call.
+		bool may_have_ended_server = false;
 		// Times of the first and the last event that were passed on, and the longest gap between two events.
 		std::optional<time_point> first_event_at;
 		time_point last_event_at;
