--- a/tests/unit/crash_fleet.test.cpp
+++ b/tests/unit/crash_fleet.test.cpp
@@ -321,11 +321,9 @@
 	for (std::uint64_t number = 0; number < 3; ++number)
 	{
 		// The servers also have sound requests that nobody else has answered yet.
-		std::vector<routing::request_identity> sound;
-		for (std::uint64_t each = 0; each < lost_each_time; ++each)
-		{
-			sound.push_back(make_request(1'000 + number * lost_each_time + each, {first_part}));
-		}
+		std::vector<routing::request_identity> sound(lost_each_time);
+		std::ranges::generate(
+			sound, [next = 1'000 + number * lost_each_time]() mutable { return make_request(next++, {first_part}); });
 		std::ignore = fleet.send(number % frozen, make_request(number, {first_part, deadly_part}), true, sound);
 		std::ranges::for_each(sound, [&](auto const& each) { std::ignore = fleet.send(0, each, false); });
 		fleet.run_for(milliseconds(30));
