Revert: a request does not wait for the check of the server that broke off

Hypothesis was that the wait saves the server to which a blocked request goes before the check of the third one is done.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -137,7 +137,6 @@
 			}
 			refused_permits += *failure == send_failure::not_permitted ? 1 : 0;
 			this->record_failure(*state, *server, *failure);
-			co_await this->check_server_end(state, server);
 			if (!this->authorize_retry(*state, *failure))
 			{
 				break;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -165,7 +165,11 @@
 				{"fingerprint", to_text(state.identity.request)},
 				{"shared_parts", to_text(state.identity.shared_parts)},
 				{"left_ms", milliseconds_text(state.time_left())}});
-		state.may_have_ended_server = failure == send_failure::broken && was_closed && state.is_unanswered();
+		if (failure == send_failure::broken && was_closed && state.is_unanswered())
+		{
+			this->check_server_end(state, server);
+		}
+		state.is_trial = false;
 	}
 
 	void forwarder::record_duration(request_state const& state, time_point now)
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -2,11 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
-#include <memory>
-#include <tuple>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 #include <godwittrestle/decide/rendezvous.hpp>
@@ -19,8 +16,6 @@
 	namespace
 	{
 		constexpr duration min_retry_after_block = seconds(1);
-		// A request waits this long for the check of a server, whose outcome counts also when it comes later.
-		constexpr duration max_wait_for_check = milliseconds(50);
 	}
 
 	bool forwarder::is_blocked(request_state const& state, time_point now) const
@@ -47,22 +42,15 @@
 		return true;
 	}
 
-	asio::awaitable<void> forwarder::check_server_end(state_pointer state, routing::server_pointer server)
+	void forwarder::check_server_end(request_state const& state, routing::server_record const& server)
 	{
-		auto const was_trial = std::exchange(state->is_trial, false);
-		if (!std::exchange(state->may_have_ended_server, false))
-		{
-			co_return;
-		}
 		auto const at = monotonic_now();
 		auto report = this->shared->crashes.make_report(
-			server->entry.id, server->entry.started, state->identity, this->shared->own_id, at);
-		report.is_trial = was_trial;
-		auto const is_checked = std::make_shared<asio::steady_timer>(this->executor, max_wait_for_check);
-		this->end_check.start(server->entry,
-			[this, is_checked, report = std::move(report), attempt = state->call.attempt](http::port_state port)
+			server.entry.id, server.entry.started, state.identity, this->shared->own_id, at);
+		report.is_trial = state.is_trial;
+		this->end_check.start(server.entry,
+			[this, report = std::move(report), attempt = state.call.attempt](http::port_state port)
 			{
-				is_checked->cancel();
 				if (port != http::port_state::refused)
 				{
 					return;
@@ -77,7 +65,6 @@
 				this->shared->crashes.note_crash(report, now);
 				log_block_changes(this->shared->crashes, this->log, now);
 			});
-		std::ignore = co_await is_checked->async_wait(wait_token);
 	}
 
 	void forwarder::record_answer_begun(request_state const& state, time_point now)
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -162,8 +162,6 @@
 		std::uint64_t events_before_send = 0;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
 		bool is_trial = false;
-		// Whether the last server may have ended because of the call.
-		bool may_have_ended_server = false;
 		// Times of the first and the last event that were passed on, and the longest gap between two events.
 		std::optional<time_point> first_event_at;
 		time_point last_event_at;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -192,7 +192,6 @@
 			}
 		}
 		this->record_failure(*state, *placement.decode, *failure);
-		co_await this->check_server_end(state, placement.decode);
 		co_return failure;
 	}
 
@@ -223,7 +222,6 @@
 		auto const failure = std::get<send_failure>(source);
 		state->is_separate_prefill_disabled = true;
 		this->record_failure(*state, *server, failure);
-		co_await this->check_server_end(state, server);
 		if (failure == send_failure::not_run)
 		{
 			server->load.note_full_until(monotonic_now() + rejected_prefill_pause);
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -154,9 +154,8 @@
 		[[nodiscard]] bool is_blocked(request_state const& state, time_point now) const;
 		// Prepares to send a request. Returns false when it is blocked.
 		[[nodiscard]] bool begin_send(request_state& state, time_point now);
-		// After a failure: finds out whether the server has ended while it had the request, and reports that. Returns
-		// when that is known, or after a short time, so that the request gets to no further server before.
-		[[nodiscard]] asio::awaitable<void> check_server_end(state_pointer state, routing::server_pointer server);
+		// Finds out whether a server has ended while it had a request that it had not answered, and reports that.
+		void check_server_end(request_state const& state, routing::server_record const& server);
 		// Records that a server can answer a request.
 		void record_answer_begun(request_state const& state, time_point now);
 		[[nodiscard]] asio::awaitable<void> refuse_blocked(state_pointer state);
--- a/tests/contract/test_servers.hpp
+++ b/tests/contract/test_servers.hpp
@@ -35,7 +35,7 @@
 
 		[[nodiscard]] std::string address() const;
 
-		// Returns the received bytes, one text per connection on which bytes arrived.
+		// Returns the received bytes, one text per connection.
 		[[nodiscard]] std::vector<std::string> const& received() const noexcept
 		{
 			return this->requests;
