Retry budget: a prefill that another server rejects is a retry too, and none is sent without budget for it

And where the budget was used up, a rejected prefill was sent all the same and only then not paid for. Change: a retry is spent before each prefill, and given back when the call did not reach a server or is the first one that was accepted. Evidence: two cases of contract "each further prefill of a request, and each rejected one, draws on the retry budget" failed before (421 with budget for one retry: served; no budget: the prefill was sent).

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -275,7 +275,7 @@
 			state.no_retry_reason = "most_servers_tried";
 			return false;
 		}
-		if (failure == send_failure::not_sent || failure == send_failure::not_permitted)
+		if (!routing::has_reached_server(failure))
 		{
 			return true;
 		}
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -1,7 +1,6 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "forwarder_state.hpp"
@@ -199,21 +198,24 @@
 		state_pointer state, routing::stream_placement const& placement)
 	{
 		auto const server = placement.prefill;
-		// The users count each further prefill as a retry.
-		auto const may_prefill = server && (!state->was_prefilled || this->spend_retry(*state));
+		// The users count each prefill as a retry but the first one that is accepted. Whether it is that shows only
+		// later, so a retry is spent in advance.
+		auto const may_prefill = server && this->spend_retry(*state);
 		if (!may_prefill)
 		{
 			co_return std::nullopt;
 		}
 		auto const max_silence = 2 * placement.first_event + prefill_margin;
 		auto source = co_await this->prefill(state, server, max_silence);
-		auto const* const rejected = std::get_if<send_failure>(&source);
-		if (rejected != nullptr && *rejected == send_failure::not_run)
+		auto const* const failed = std::get_if<send_failure>(&source);
+		auto const was_accepted = failed == nullptr || !routing::is_proved_not_run(*failed);
+		auto const was_sent = failed == nullptr || routing::has_reached_server(*failed);
+		auto const is_first_accepted = was_accepted && !state->was_prefilled;
+		state->was_prefilled = state->was_prefilled || was_accepted;
+		if (!was_sent || is_first_accepted)
 		{
-			// A rejected prefill counts too; only the first accepted one is free.
-			std::ignore = this->spend_retry(*state);
+			this->shared->retry_budgets[state->service].give_back();
 		}
-		state->was_prefilled = state->was_prefilled || rejected == nullptr || !routing::is_proved_not_run(*rejected);
 		if (auto* const kept = std::get_if<kv_source>(&source))
 		{
 			state->prompt_cache_address = server->entry.address;
--- a/packages/routing/impl/retry_budget.cpp
+++ b/packages/routing/impl/retry_budget.cpp
@@ -37,6 +37,14 @@
 		return true;
 	}
 
+	void retry_budget::give_back() noexcept
+	{
+		if (!this->retries.empty())
+		{
+			this->retries.pop_back();
+		}
+	}
+
 	void retry_budget::drop_expired(duration window, time_point now)
 	{
 		drop_before(this->requests, now - window);
--- a/packages/routing/include/godwittrestle/routing/retry_rules.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_rules.hpp
@@ -31,11 +31,17 @@
 
 	[[nodiscard]] std::string_view to_string(send_failure failure) noexcept;
 
+	// Returns whether bytes of the call may have reached a server.
+	[[nodiscard]] constexpr bool has_reached_server(send_failure failure) noexcept
+	{
+		return failure != send_failure::not_sent && failure != send_failure::not_permitted &&
+			   failure != send_failure::blocked;
+	}
+
 	// Returns whether the call certainly did not run.
 	[[nodiscard]] constexpr bool is_proved_not_run(send_failure failure) noexcept
 	{
-		return failure == send_failure::not_sent || failure == send_failure::not_permitted ||
-			   failure == send_failure::blocked || failure == send_failure::not_run ||
+		return !has_reached_server(failure) || failure == send_failure::not_run ||
 			   failure == send_failure::wrong_server;
 	}
 
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -182,6 +182,7 @@
 	auto const broken_answer = "HTTP/1.1 200 OK\r\n" + attempt_header + "Transfer-Encoding: chunked\r\n\r\n";
 	auto const accepted = http_answer("200 OK", attempt_header, "h1");
 	auto const rejected = http_answer("503 Service Unavailable", attempt_header + "Not-Run: 1\r\n", "");
+	auto const misdirected = http_answer("421 Misdirected Request", attempt_header + "Answered-By: other\r\n", "");
 	struct budget_case
 	{
 		// Retries that the budget allows.
@@ -191,7 +192,10 @@
 		bool is_served;
 	};
 	auto const expected = GENERATE_COPY(budget_case{1, accepted, 1, true}, budget_case{2, accepted, 2, true},
-		budget_case{1, rejected, 1, false}, budget_case{2, rejected, 1, true});
+		budget_case{1, rejected, 1, false}, budget_case{2, rejected, 1, true}, budget_case{1, misdirected, 1, false},
+		budget_case{2, misdirected, 1, true},
+		// A prefill may be rejected, and that would be a retry.
+		budget_case{0, rejected, 0, false});
 	fixture fixture(make_route(call_kind::streaming, 2, true));
 	// A daemon uses 0.8 of the budget.
 	constexpr double slack_per_retry = 1.3;
