--- a/tests/unit/crash_fleet.test.cpp
+++ b/tests/unit/crash_fleet.test.cpp
@@ -70,7 +70,7 @@
 				}
 				for (auto const& each : this->daemons)
 				{
-					if (!each->is_frozen && this->now >= each->next_notice_at)
+					if (!each->is_cut_off && this->now >= each->next_notice_at)
 					{
 						each->next_notice_at = this->now + each->exchange->send_due(this->registry, this->now);
 					}
@@ -78,10 +78,10 @@
 			}
 		}
 
-		// Stops a daemon, or lets it go on. Messages to it are lost meanwhile.
-		void set_frozen(std::size_t number, bool is_frozen)
+		// Cuts a daemon off from the others, or ends that. Messages are lost meanwhile.
+		void set_cut_off(std::size_t number, bool is_cut_off)
 		{
-			this->daemons[number]->is_frozen = is_frozen;
+			this->daemons[number]->is_cut_off = is_cut_off;
 		}
 
 		// Sends a request of a caller from a daemon, as often as servers end under it, three times at most. Returns
@@ -151,7 +151,7 @@
 			gateway::shared_state shared;
 			std::unique_ptr<gateway::fleet_exchange> exchange;
 			time_point next_notice_at;
-			bool is_frozen = false;
+			bool is_cut_off = false;
 		};
 
 		struct server
@@ -183,7 +183,7 @@
 		{
 			for (std::size_t number = 0; number < this->daemons.size(); ++number)
 			{
-				if (address_of(number) == message.address && !this->daemons[number]->is_frozen)
+				if (address_of(number) == message.address && !this->daemons[number]->is_cut_off)
 				{
 					this->daemons[number]->exchange->receive(message.message, this->registry, this->now);
 				}
@@ -307,30 +307,54 @@
 	REQUIRE(fleet.is_blocked(5, deadly));
 }
 
-TEST_CASE("a daemon that was frozen knows within contact-ms what the others have blocked", "[crash_fleet]")
+TEST_CASE("a daemon that was frozen or cut off knows within contact-ms what the others have blocked", "[crash_fleet]")
 {
 	auto const daemon_count = GENERATE(std::size_t{2}, std::size_t{6}, std::size_t{30});
-	auto const frozen_for = GENERATE(milliseconds(3'300), milliseconds(12'000));
-	CAPTURE(daemon_count, frozen_for.count());
+	auto const away_for = GENERATE(milliseconds(3'300), milliseconds(12'000));
+	CAPTURE(daemon_count, away_for.count());
 	constexpr std::uint64_t lost_each_time = 14;
 	constexpr double loss = 0.1;
 	crash_fleet fleet(daemon_count, 10, seconds(2), loss);
 	fleet.run_for(seconds(2));
-	auto const frozen = daemon_count - 1;
-	fleet.set_frozen(frozen, true);
+	auto const away = daemon_count - 1;
+	fleet.set_cut_off(away, true);
 	for (std::uint64_t number = 0; number < 3; ++number)
 	{
 		// The servers also have sound requests that nobody else has answered yet.
 		std::vector<routing::request_identity> sound(lost_each_time);
 		std::ranges::generate(
 			sound, [next = 1'000 + number * lost_each_time]() mutable { return make_request(next++, {first_part}); });
-		std::ignore = fleet.send(number % frozen, make_request(number, {first_part, deadly_part}), true, sound);
+		std::ignore = fleet.send(number % away, make_request(number, {first_part, deadly_part}), true, sound);
 		std::ranges::for_each(sound, [&](auto const& each) { std::ignore = fleet.send(0, each, false); });
 		fleet.run_for(milliseconds(30));
 	}
-	fleet.run_for(frozen_for);
-	fleet.set_frozen(frozen, false);
+	fleet.run_for(away_for);
+	fleet.set_cut_off(away, false);
 	fleet.run_for(contact_time);
-	REQUIRE(fleet.is_blocked(frozen, make_request(9, {first_part, deadly_part})));
-	REQUIRE_FALSE(fleet.is_blocked(frozen, make_request(9, {first_part})));
+	REQUIRE(fleet.is_blocked(away, make_request(9, {first_part, deadly_part})));
+	REQUIRE_FALSE(fleet.is_blocked(away, make_request(9, {first_part})));
+}
+
+TEST_CASE("a daemon that is cut off from the others again and again ends few servers by itself", "[crash_fleet]")
+{
+	constexpr std::size_t most_ends = 5;
+	constexpr double loss = 0.1;
+	constexpr std::uint64_t requests_of_a_cut = 50;
+	constexpr std::size_t away = 5;
+	crash_fleet fleet(6, 20, milliseconds(500), loss);
+	fleet.run_for(seconds(2));
+	for (std::uint64_t cut = 0; cut < 3; ++cut)
+	{
+		fleet.set_cut_off(away, true);
+		for (std::uint64_t number = 0; number < requests_of_a_cut; ++number)
+		{
+			std::ignore =
+				fleet.send(away, make_request(cut * requests_of_a_cut + number, {first_part, deadly_part}), true);
+			fleet.run_for(milliseconds(100));
+		}
+		fleet.set_cut_off(away, false);
+		fleet.run_for(contact_time);
+		REQUIRE(fleet.is_blocked(0, make_request(9, {first_part, deadly_part})));
+	}
+	REQUIRE(fleet.deadly_sends.size() <= most_ends);
 }
