Retry budget: a rejected prefill is charged afterwards, instead of a retry held while it runs

Hypothesis: a retry that is held while the first prefill of a stream runs is refused to other streams just when servers end. A first prefill still needs a retry that is left, since it may turn out to be one.

--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -198,9 +198,11 @@
 		state_pointer state, routing::stream_placement const& placement)
 	{
 		auto const server = placement.prefill;
-		// The users count each prefill as a retry but the first one that is accepted. Whether it is that shows only
-		// later, so a retry is spent in advance.
-		auto const may_prefill = server && this->spend_retry(*state);
+		// The users count each prefill as a retry but the first one that is accepted.
+		auto& budget = this->shared->retry_budgets[state->service];
+		auto const may_prefill = server && (state->was_prefilled ? this->spend_retry(*state)
+																 : budget.has_left(this->shared->retries,
+																	   this->shared->daemon_count, monotonic_now()));
 		if (!may_prefill)
 		{
 			co_return std::nullopt;
@@ -209,13 +211,11 @@
 		auto source = co_await this->prefill(state, server, max_silence);
 		auto const* const failed = std::get_if<send_failure>(&source);
 		auto const was_accepted = failed == nullptr || !routing::is_proved_not_run(*failed);
-		auto const was_sent = failed == nullptr || routing::has_reached_server(*failed);
-		auto const is_first_accepted = was_accepted && !state->was_prefilled;
-		state->was_prefilled = state->was_prefilled || was_accepted;
-		if (!was_sent || is_first_accepted)
+		if (!was_accepted && !state->was_prefilled && routing::has_reached_server(*failed))
 		{
-			this->shared->retry_budgets[state->service].give_back();
+			budget.charge(monotonic_now());
 		}
+		state->was_prefilled = state->was_prefilled || was_accepted;
 		if (auto* const kept = std::get_if<kv_source>(&source))
 		{
 			state->prompt_cache_address = server->entry.address;
--- a/packages/routing/impl/retry_budget.cpp
+++ b/packages/routing/impl/retry_budget.cpp
@@ -24,25 +24,27 @@
 		this->requests.push_back(now);
 	}
 
-	bool retry_budget::try_spend(retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
+	bool retry_budget::has_left(retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
 	{
 		this->drop_expired(terms.window, now);
 		auto const from_requests = terms.ratio * static_cast<double>(this->requests.size());
 		auto const slack_share = terms.slack / std::max(1U, daemons);
-		if (static_cast<double>(this->retries.size()) + 1 > usable_budget_part * (from_requests + slack_share))
+		return static_cast<double>(this->retries.size()) + 1 <= usable_budget_part * (from_requests + slack_share);
+	}
+
+	bool retry_budget::try_spend(retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
+	{
+		if (!this->has_left(terms, daemons, now))
 		{
 			return false;
 		}
-		this->retries.push_back(now);
+		this->charge(now);
 		return true;
 	}
 
-	void retry_budget::give_back() noexcept
+	void retry_budget::charge(time_point now)
 	{
-		if (!this->retries.empty())
-		{
-			this->retries.pop_back();
-		}
+		this->retries.push_back(now);
 	}
 
 	void retry_budget::drop_expired(duration window, time_point now)
--- a/packages/routing/include/godwittrestle/routing/retry_budget.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_budget.hpp
@@ -31,8 +31,11 @@
 		// Spends one retry. Returns false when none is left. daemons: number of daemons that share the slack.
 		[[nodiscard]] bool try_spend(retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
 
-		// Takes back the last retry that was spent: it was none.
-		void give_back() noexcept;
+		// Returns whether a retry is left.
+		[[nodiscard]] bool has_left(retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
+
+		// Records a retry that has been sent already, also when none was left.
+		void charge(time_point now);
 
 	  private:
 		void drop_expired(duration window, time_point now);
