--- a/tests/contract/answer_ends.test.cpp
+++ b/tests/contract/answer_ends.test.cpp
@@ -144,11 +144,7 @@
 
 TEST_CASE("a late answer to a caller's request is no answer to a reservation", "[answer_ends]")
 {
-	routing::service service;
-	service.engine = routing::engine_properties{};
-	service.engine->kv_capacity = token_count(1000);
-	service.engine->longest_reservation = seconds(1);
-	gateway_fixture fixture(make_route(call_kind::streaming, 1, false), service);
+	gateway_fixture fixture(make_route(call_kind::streaming, 1, false), make_reserving_service());
 	auto const late = http_answer("503 Service Unavailable", "Attempt: r0\r\nNot-Run: 1\r\n", "");
 	auto const granted = http_answer("200 OK", "", "h1");
 	// Answers to the reservation of the stream's memory and to that of the margin; the stream gets none.
--- a/tests/contract/blocked_requests.test.cpp
+++ b/tests/contract/blocked_requests.test.cpp
@@ -69,11 +69,7 @@
 
 TEST_CASE("a request that waits for an engine when it becomes blocked is refused at once", "[blocked_requests]")
 {
-	routing::service service;
-	service.engine = routing::engine_properties{};
-	service.engine->kv_capacity = token_count(1000);
-	service.engine->longest_reservation = seconds(1);
-	gateway_fixture fixture(make_route(call_kind::streaming, 2, true), service);
+	gateway_fixture fixture(make_route(call_kind::streaming, 2, true), make_reserving_service());
 	auto const full = http_answer("503 Service Unavailable", "", "");
 	constexpr std::size_t refused_reservations = 200;
 	scripted_http_server engine(std::deque<std::string>(refused_reservations, full));
--- a/tests/contract/gateway.test.cpp
+++ b/tests/contract/gateway.test.cpp
@@ -214,15 +214,11 @@
 
 TEST_CASE("an engine without a memory margin beyond the stream's own need gets no stream", "[gateway]")
 {
-	routing::service service;
-	service.engine = routing::engine_properties{};
-	service.engine->kv_capacity = token_count(1000);
-	service.engine->longest_reservation = seconds(1);
 	auto route = make_route(call_kind::streaming, 2, true);
 	// A stream that is already late must leave a larger margin of free memory.
 	auto const is_late = GENERATE(false, true);
 	route.objective = is_late ? milliseconds(0) : milliseconds(1000);
-	fixture fixture(route, service);
+	fixture fixture(route, make_reserving_service());
 	auto const granted = [](std::string const& name)
 	{
 		return http_answer("200 OK", "", name);
@@ -275,11 +271,7 @@
 {
 	// Whether another engine has prefilled the prompt. If so, a missing KV cache may be the reason for the rejection.
 	auto const is_prefilled_elsewhere = GENERATE(false, true);
-	routing::service service;
-	service.engine = routing::engine_properties{};
-	service.engine->kv_capacity = token_count(1000);
-	service.engine->longest_reservation = seconds(1);
-	fixture fixture(make_route(call_kind::streaming, 1, false), service);
+	fixture fixture(make_route(call_kind::streaming, 1, false), make_reserving_service());
 	auto const granted = http_answer("200 OK", "", "h1");
 	auto const rejected = http_answer("503 Service Unavailable", attempt_header + "Not-Run: 1\r\n", "");
 	scripted_http_server engine({granted, granted, rejected, rejected, rejected, rejected});
--- a/tests/contract/gateway_fixture.hpp
+++ b/tests/contract/gateway_fixture.hpp
@@ -120,6 +120,16 @@
 		}
 	};
 
+	// Returns a service of engines whose memory has to be reserved.
+	[[nodiscard]] inline routing::service make_reserving_service()
+	{
+		routing::service service;
+		service.engine = routing::engine_properties{};
+		service.engine->kv_capacity = token_count(1000);
+		service.engine->longest_reservation = seconds(1);
+		return service;
+	}
+
 	// Returns the bytes of an event stream; without its end when it is not complete.
 	[[nodiscard]] inline std::string stream_answer(std::string const& events, bool is_complete)
 	{
