--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -194,16 +194,21 @@
 		co_return failure;
 	}
 
+	bool forwarder::authorize_prefill(request_state const& state)
+	{
+		if (state.was_prefilled)
+		{
+			return this->spend_retry(state);
+		}
+		auto& budget = this->shared->retry_budgets[state.service];
+		return budget.has_left(this->shared->retries, this->shared->daemon_count, monotonic_now());
+	}
+
 	asio::awaitable<std::optional<kv_source>> forwarder::prefill_separately(
 		state_pointer state, routing::stream_placement const& placement)
 	{
 		auto const server = placement.prefill;
-		// The users count each prefill as a retry but the first one that is accepted.
-		auto& budget = this->shared->retry_budgets[state->service];
-		auto const may_prefill = server && (state->was_prefilled ? this->spend_retry(*state)
-																 : budget.has_left(this->shared->retries,
-																	   this->shared->daemon_count, monotonic_now()));
-		if (!may_prefill)
+		if (!server || !this->authorize_prefill(*state))
 		{
 			co_return std::nullopt;
 		}
@@ -213,7 +218,7 @@
 		auto const was_accepted = failed == nullptr || !routing::is_proved_not_run(*failed);
 		if (!was_accepted && !state->was_prefilled && routing::has_reached_server(*failed))
 		{
-			budget.charge(monotonic_now());
+			this->shared->retry_budgets[state->service].charge(monotonic_now());
 		}
 		state->was_prefilled = state->was_prefilled || was_accepted;
 		if (auto* const kept = std::get_if<kv_source>(&source))
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -139,6 +139,10 @@
 		[[nodiscard]] bool authorize_retry(request_state& state, routing::send_failure failure);
 		// Spends one retry of the budget of the request's service. Returns false when none is left.
 		[[nodiscard]] bool spend_retry(request_state const& state);
+		// Returns whether the retry budget allows a separate prefill. The users count each one as a retry but the first
+		// that is accepted. So a further one spends a retry, and the first needs one that is left, in case that it is
+		// rejected.
+		[[nodiscard]] bool authorize_prefill(request_state const& state);
 		// Records what an answer says about its server: that the server is alive, whether it is leaving, and whether it
 		// asks for a pause.
 		void record_server_state(routing::server_record& server, answer_metadata const& metadata);
