Tests: free ports on a loopback address of the process's own

Cause: free_endpoint returns a port that nobody holds until the daemon binds it, and four test processes run at a time, each with daemons and connections on 127.0.0.1, so another one can take it meanwhile. Now each process has a loopback address of its own (connections come from 127.0.0.1), and a port isn't returned twice. No check changes.

--- a/tests/contract/test_servers.cpp
+++ b/tests/contract/test_servers.cpp
@@ -1,10 +1,14 @@
 #include "test_servers.hpp"
 
 #include <array>
+#include <cstdint>
 #include <list>
+#include <set>
 #include <tuple>
 #include <utility>
 
+#include <unistd.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,6 +30,15 @@
 			return {asio::ip::make_address("127.0.0.1"), 0};
 		}
 
+		// Returns a loopback address that no other process uses, so that a free port there stays free.
+		asio::ip::address_v4 loopback_address_of_process()
+		{
+			constexpr asio::ip::address_v4::uint_type first = 0x7f400000;
+			constexpr asio::ip::address_v4::uint_type process_bits = 0x3fffff;
+			auto const process = static_cast<asio::ip::address_v4::uint_type>(::getpid());
+			return asio::ip::address_v4(first | (process & process_bits));
+		}
+
 		std::string to_text(tcp::endpoint const& where)
 		{
 			return fmt::format("{}:{}", where.address().to_string(), where.port());
@@ -118,9 +131,18 @@
 
 	http::endpoint free_endpoint()
 	{
+		static std::set<std::uint16_t> given_before;
+		auto const address = loopback_address_of_process();
 		asio::io_context loop;
-		tcp::acceptor const acceptor(loop, any_loopback_port());
-		return {"127.0.0.1", acceptor.local_endpoint().port()};
+		for (;;)
+		{
+			tcp::acceptor const acceptor(loop, tcp::endpoint(address, 0));
+			auto const port = acceptor.local_endpoint().port();
+			if (given_before.insert(port).second)
+			{
+				return {address.to_string(), port};
+			}
+		}
 	}
 
 	std::string refused_address(asio::io_context& loop)
--- a/tests/contract/test_servers.hpp
+++ b/tests/contract/test_servers.hpp
@@ -70,7 +70,7 @@
 		std::chrono::milliseconds interval;
 	};
 
-	// Returns a loopback address with a port that is free at present.
+	// Returns a loopback address of this process's own, with a port that is free and has not been returned before.
 	[[nodiscard]] http::endpoint free_endpoint();
 
 	// Returns an address on which no process listens, so that connecting to it is refused.
