--- a/packages/base/include/godwittrestle/base/ids.hpp
+++ b/packages/base/include/godwittrestle/base/ids.hpp
@@ -18,6 +18,9 @@
 	using request_id = strong_string<struct request_id_tag>;
 	using cell_id = strong_string<struct cell_id_tag>;
 
+	// Version of a backend server's software. Versions have no order.
+	using software_version = strong_string<struct software_version_tag>;
+
 	// Distinguishes the starts of one instance; a later start has a larger number.
 	using incarnation = strong_count<struct incarnation_tag, std::uint64_t>;
 	// Version of a value in the configuration service.
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -43,6 +43,7 @@
 			listed.set_slots(server.slots);
 			listed.set_started(server.started.count());
 			listed.set_leaving(server.leaving);
+			listed.set_version(server.version.str());
 			return listed;
 		}
 
@@ -57,6 +58,7 @@
 			server.slots = listed.slots();
 			server.started = incarnation(listed.started());
 			server.leaving = listed.leaving();
+			server.version = software_version(listed.version());
 			return server;
 		}
 
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -38,6 +39,15 @@
 			}
 			return routing::call_outcome::broken;
 		}
+
+		// Returns the log fields that tell which versions' events a stream holds, and which stream it takes up.
+		std::vector<decide::event_field> stream_fields(
+			std::vector<software_version> const& versions, request_metadata const& call)
+		{
+			auto const names = versions | std::views::transform(&software_version::str);
+			return {{"event_versions", fmt::format("{}", fmt::join(names.begin(), names.end(), ","))},
+				{"last_event", call.last_event.value_or("")}, {"resumes", call.resumes.str()}};
+		}
 	}
 
 	asio::awaitable<std::optional<send_failure>> forwarder::forward_answer(state_pointer state, unread_answer& answer)
@@ -158,7 +168,8 @@
 		server.health.note(to_call_outcome(failure), monotonic_now());
 		this->totals->count_send(routing::to_string(server.entry.role), routing::to_string(failure));
 		this->log_event(state, "request_send_failed",
-			{{"server", server.entry.id.str()}, {"failure", std::string(routing::to_string(failure))},
+			{{"server", server.entry.id.str()}, {"server_version", server.entry.version.str()},
+				{"failure", std::string(routing::to_string(failure))},
 				{"servers_tried", std::to_string(state.attempted_servers.size())},
 				{"events", std::to_string(state.joiner.events() - state.events_before_send)},
 				{"since_sent_ms", state.sent_at ? milliseconds_text(monotonic_now() - *state.sent_at) : ""},
@@ -206,6 +217,7 @@
 				this->shared->observed[state.service].outputs.note_outcome(
 					state.call.expected_output, state.generated_tokens());
 			}
+			std::ranges::move(stream_fields(state.event_versions, state.call), std::back_inserter(fields));
 			fields.push_back({"estimated_tokens", std::to_string(state.call.expected_output.count())});
 			fields.push_back({"made_tokens", std::to_string(state.generated_tokens().count())});
 			fields.push_back({"prompt_tokens", std::to_string(state.call.prompt.count())});
@@ -231,12 +243,13 @@
 		{
 			// The answer has been started and can't be completed: http::server closes the connection to the caller.
 			this->totals->count_request(routing::to_string(state->matched_route->kind), "failed");
-			this->log_event(*state, "request_broken_off",
-				{{"route", state->matched_route->name},
-					{"servers", fmt::format("{}", fmt::join(state->attempted_servers, ","))},
-					{"events", std::to_string(state->joiner.events())},
-					{"failure", state->failure ? std::string(routing::to_string(*state->failure)) : "no_server"},
-					{"not_repeated", std::string(state->no_retry_reason)}});
+			std::vector<decide::event_field> fields{{"route", state->matched_route->name},
+				{"servers", fmt::format("{}", fmt::join(state->attempted_servers, ","))},
+				{"events", std::to_string(state->joiner.events())},
+				{"failure", state->failure ? std::string(routing::to_string(*state->failure)) : "no_server"},
+				{"not_repeated", std::string(state->no_retry_reason)}};
+			std::ranges::move(stream_fields(state->event_versions, state->call), std::back_inserter(fields));
+			this->log_event(*state, "request_broken_off", std::move(fields));
 			co_return;
 		}
 		if (state->failure == send_failure::blocked)
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -160,6 +160,8 @@
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
+		// Software versions of the servers whose events were passed on, in order and without repetitions.
+		std::vector<software_version> event_versions;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
 		bool is_trial = false;
 		// Times of the first and the last event that were passed on, and the longest gap between two events.
@@ -224,6 +226,14 @@
 			this->last_event_at = now;
 		}
 
+		void note_event_version(software_version const& version)
+		{
+			if (std::ranges::find(this->event_versions, version) == this->event_versions.end())
+			{
+				this->event_versions.push_back(version);
+			}
+		}
+
 		// Closes the connection to the server after the caller has disconnected. A non-idempotent call runs to its end.
 		void handle_caller_gone()
 		{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -111,6 +111,8 @@
 		auto const all = placement.decode->load.total(now);
 		this->log_event(state, "request_placed",
 			{{"decode", placement.decode->entry.id.str()},
+				{"decode_version", placement.decode->entry.version.str()},
+				{"last_event", state.joiner.last_event().value_or("")}, {"resumes", state.call.resumes.str()},
 				{"prefill", placement.prefill ? placement.prefill->entry.id.str() : ""},
 				{"reserved", is_reserved ? "yes" : "no"},
 				{"needed_tokens", std::to_string(this->needed_tokens(state).count())},
@@ -328,6 +330,7 @@
 				server->load.note_progress(call, progress_at);
 				server->load.set_committed(call, this->needed_tokens(*state));
 				state->note_event(progress_at);
+				state->note_event_version(server->entry.version);
 				auto const begun_at = state->events_before_send + min_events_of_answer;
 				if (events_before < begun_at && state->joiner.events() >= begun_at)
 				{
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -293,7 +293,8 @@
 		}
 		this->log_event("server_entry_changed",
 			{{"server", entry.id.str()}, {"service", entry.service.str()},
-				{"role", std::string(routing::to_string(entry.role))}, {"leaving", entry.leaving ? "yes" : "no"}});
+				{"role", std::string(routing::to_string(entry.role))}, {"version", entry.version.str()},
+				{"leaving", entry.leaving ? "yes" : "no"}});
 	}
 
 	asio::awaitable<void> serving_thread::answer_readiness(http::request message, http::exchange& http_exchange)
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -32,6 +32,9 @@
 		token_count max_output;
 		// The id of the last event of the stream that the caller already has.
 		std::optional<std::string> last_event;
+		// The caller's attempt that brought the first event of the stream, when the caller takes a stream up; empty when
+		// the caller names none.
+		request_id resumes;
 		// The model that the caller asks for; empty when the caller names none.
 		std::string model;
 		// Ids of the parts of the prompt, in order. Requests share parts; the last part belongs to this request or to
--- a/packages/routing/include/godwittrestle/routing/server.hpp
+++ b/packages/routing/include/godwittrestle/routing/server.hpp
@@ -30,6 +30,7 @@
 		// "IP:port". A server of another service may get the same address after this one has ended.
 		std::string address;
 		server_role role = server_role::plain;
+		software_version version;
 		// Maximum number of requests that the server runs at once.
 		std::uint32_t slots = 1;
 		// Start time in milliseconds since 1970; 0 when the server does not report it.
