--- a/tests/contract/daemon_group.cpp
+++ b/tests/contract/daemon_group.cpp
@@ -1,6 +1,8 @@
 #include "daemon_group.hpp"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -35,27 +37,58 @@
 	}
 
 	daemon_group::daemon_group(
-		std::size_t count, routing::route const& route, std::vector<routing::registered_server> const& servers)
+		std::size_t count, routing::route given_route, std::vector<routing::registered_server> given_servers)
+		: route(std::move(given_route))
+		, servers(std::move(given_servers))
+		, settings(count)
+		, serving(count)
 	{
 		std::vector<http::endpoint> peers(count);
 		std::ranges::generate(peers, free_endpoint);
-		for (std::size_t number = 0; number < count; ++number)
+		std::vector<std::size_t> all(count);
+		std::iota(all.begin(), all.end(), 0);
+		for (auto const number : all)
+		{
+			auto& own = this->settings[number];
+			own.instance = instance_id(fmt::format("d{}", number));
+			own.caller_address = free_endpoint();
+			own.readiness_address = free_endpoint();
+			own.peer_address = peers[number];
+			own.metrics_address = free_endpoint();
+			own.seeds = peers;
+			own.retries = {0.2, seconds(10), 50};
+			this->caller_addresses.push_back(own.caller_address);
+		}
+		this->restart(all);
+	}
+
+	void daemon_group::kill(std::vector<std::size_t> const& daemons)
+	{
+		std::ranges::for_each(daemons, [this](std::size_t number) { this->serving[number].reset(); });
+	}
+
+	void daemon_group::restart(std::vector<std::size_t> const& daemons)
+	{
+		for (auto const number : daemons)
 		{
-			gateway::gateway_settings settings;
-			settings.instance = instance_id(fmt::format("d{}", number));
-			settings.caller_address = free_endpoint();
-			settings.readiness_address = free_endpoint();
-			settings.peer_address = peers[number];
-			settings.metrics_address = free_endpoint();
-			settings.seeds = peers;
-			settings.retries = {0.2, seconds(10), 50};
 			gateway::platform_adapter adapter;
 			adapter.calls = make_test_protocol();
-			this->caller_addresses.push_back(settings.caller_address);
-			this->serving.push_back(std::make_unique<gateway::serving_thread>(
-				settings, adapter, [](decide::record_event const&) {}, [] { return 0U; }, [] {}));
-			this->serving.back()->start();
-			this->serving.back()->push(make_update(route, servers));
+			this->serving[number] = std::make_unique<gateway::serving_thread>(
+				this->settings[number], adapter, [](decide::record_event const&) {}, [] { return 0U; }, [] {});
+			this->serving[number]->start();
+			this->serving[number]->push(make_update(this->route, this->servers));
+		}
+	}
+
+	void daemon_group::publish(std::vector<routing::registered_server> changed)
+	{
+		this->servers = std::move(changed);
+		for (auto const& daemon : this->serving)
+		{
+			if (daemon)
+			{
+				daemon->push(make_update(this->route, this->servers));
+			}
 		}
 	}
 
--- a/tests/contract/daemon_group.hpp
+++ b/tests/contract/daemon_group.hpp
@@ -14,8 +14,14 @@
 	class daemon_group
 	{
 	  public:
-		daemon_group(
-			std::size_t count, routing::route const& route, std::vector<routing::registered_server> const& servers);
+		daemon_group(std::size_t count, routing::route route, std::vector<routing::registered_server> servers);
+
+		// Ends daemons without a word, as a kill does: all their connections close.
+		void kill(std::vector<std::size_t> const& daemons);
+		// Starts killed daemons again at their addresses. They know nothing of before, and read the list of servers.
+		void restart(std::vector<std::size_t> const& daemons);
+		// Publishes a changed list of servers to the daemons that run, and to those that start later.
+		void publish(std::vector<routing::registered_server> servers);
 
 		// Returns where callers reach the daemons.
 		[[nodiscard]] std::vector<http::endpoint> const& addresses() const noexcept
@@ -24,6 +30,9 @@
 		}
 
 	  private:
+		routing::route route;
+		std::vector<routing::registered_server> servers;
+		std::vector<gateway::gateway_settings> settings;
 		std::vector<http::endpoint> caller_addresses;
 		std::vector<std::unique_ptr<gateway::serving_thread>> serving;
 	};
--- /dev/null
+++ b/tests/contract/stream_versions.test.cpp
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <numeric>
+#include <thread>
+
+#include "daemon_group.hpp"
+#include "streaming_servers.hpp"
+#include "test_protocol.hpp"
+
+using namespace godwittrestle;
+using namespace godwittrestle::testing;
+
+// Streams that go on at another software version than the one that began them. The users' rule allows two in a day.
+namespace
+{
+	constexpr int allowed_mixed = 2;
+	constexpr std::size_t daemon_count = 6;
+	constexpr std::size_t caller_count = 36;
+	constexpr std::chrono::milliseconds restart_time{300};
+
+	void sleep(std::chrono::milliseconds time)
+	{
+		std::this_thread::sleep_for(time);
+	}
+
+	std::vector<std::size_t> first_daemons(std::size_t count)
+	{
+		std::vector<std::size_t> numbers(count);
+		std::iota(numbers.begin(), numbers.end(), 0);
+		return numbers;
+	}
+
+	// Six daemons before four servers of each of two versions, and callers at all daemons.
+	class two_versions
+	{
+	  public:
+		[[nodiscard]] std::vector<routing::registered_server> all_entries() const
+		{
+			auto entries = entries_of(this->old_servers);
+			std::ranges::copy(entries_of(this->new_servers), std::back_inserter(entries));
+			return entries;
+		}
+
+		void kill_for_a_moment(std::size_t count)
+		{
+			this->daemons.kill(first_daemons(count));
+			sleep(restart_time);
+			this->daemons.restart(first_daemons(count));
+		}
+
+		server_list old_servers = make_servers(4, "v1");
+		server_list new_servers = make_servers(4, "v1.1");
+		daemon_group daemons{daemon_count, make_route(routing::call_kind::streaming, 3, true), all_entries()};
+		stream_callers callers{daemons.addresses(), caller_count};
+	};
+}
+
+TEST_CASE("a stream goes on at the version that began it after its server has broken off", "[version_break]")
+{
+	two_versions system;
+	for (std::size_t number = 0; number < 8; ++number)
+	{
+		sleep(std::chrono::milliseconds(500));
+		auto& servers = number % 2 == 0 ? system.old_servers : system.new_servers;
+		servers[number / 2]->break_streams();
+	}
+	auto const seen = system.callers.finish();
+	CAPTURE(seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
+	REQUIRE(seen.begun > 0);
+	REQUIRE(seen.mixed <= allowed_mixed);
+	REQUIRE(2 * seen.complete >= seen.begun);
+}
+
+TEST_CASE("a stream goes on at the version that began it after its daemon was killed", "[version_kill]")
+{
+	auto const killed = GENERATE(std::size_t{1}, std::size_t{3}, daemon_count - 1);
+	two_versions system;
+	sleep(std::chrono::milliseconds(1500));
+	system.kill_for_a_moment(killed);
+	sleep(std::chrono::milliseconds(1500));
+	system.kill_for_a_moment(killed);
+	sleep(std::chrono::milliseconds(1000));
+	auto const seen = system.callers.finish();
+	CAPTURE(killed, seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
+	REQUIRE(seen.taken_up > 0);
+	REQUIRE(seen.mixed <= allowed_mixed);
+	// The users' rule for callers who take streams up: half as many go on as new streams begin.
+	REQUIRE(2 * seen.went_on >= seen.taken_up);
+}
+
+TEST_CASE("no stream goes on at another version after all daemons were killed", "[version_kill_all]")
+{
+	auto const old_version_leaves = GENERATE(false, true);
+	two_versions system;
+	sleep(std::chrono::milliseconds(1500));
+	if (old_version_leaves)
+	{
+		system.daemons.publish(entries_of(system.new_servers));
+	}
+	system.kill_for_a_moment(daemon_count);
+	sleep(std::chrono::milliseconds(1500));
+	auto const seen = system.callers.finish();
+	CAPTURE(old_version_leaves, seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
+	REQUIRE(seen.taken_up > 0);
+	REQUIRE(seen.mixed <= allowed_mixed);
+}
--- /dev/null
+++ b/tests/contract/streaming_servers.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <godwittrestle/daemon/io_thread.hpp>
+#include <godwittrestle/http/server.hpp>
+#include <godwittrestle/routing.hpp>
+
+namespace godwittrestle::testing
+{
+	// Events of each stream of a streaming_server; their ids are 1 to this number.
+	inline constexpr int events_per_stream = 40;
+
+	// A backend server on a thread of its own, with a version of its software. It answers each request with a stream
+	// whose events have this version as data, and goes on after the event that the request names as the last one.
+	class streaming_server
+	{
+	  public:
+		streaming_server(std::string id, std::string version);
+		~streaming_server();
+
+		streaming_server(streaming_server const&) = delete;
+		streaming_server& operator=(streaming_server const&) = delete;
+		streaming_server(streaming_server&&) = delete;
+		streaming_server& operator=(streaming_server&&) = delete;
+
+		// Returns the server's entry in the registry.
+		[[nodiscard]] routing::registered_server entry() const;
+
+		// Breaks off all streams under way.
+		void break_streams();
+
+	  private:
+		[[nodiscard]] boost::asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
+
+		std::string id;
+		std::string version;
+		std::atomic<unsigned> breaks = 0;
+		daemon::io_thread thread;
+		std::unique_ptr<http::server> listener;
+	};
+
+	using server_list = std::vector<std::unique_ptr<streaming_server>>;
+
+	// Starts servers of one version.
+	[[nodiscard]] server_list make_servers(std::size_t count, std::string const& version);
+
+	// Returns the registry entries of servers.
+	[[nodiscard]] std::vector<routing::registered_server> entries_of(server_list const& servers);
+
+	// What a caller got of one stream, over all its tries.
+	struct stream_outcome
+	{
+		bool has_begun = false;
+		bool is_complete = false;
+		// Whether the events come from servers of several versions.
+		bool is_mixed = false;
+		// Whether the caller has taken the stream up again, and got further events then.
+		bool was_taken_up = false;
+		bool went_on = false;
+	};
+
+	struct stream_counts
+	{
+		int begun = 0;
+		int complete = 0;
+		int mixed = 0;
+		int taken_up = 0;
+		int went_on = 0;
+	};
+
+	// Callers that each ask for one stream after the other, and take up a stream that broke off at the next daemon.
+	// They pause for a moment after a try that brought nothing.
+	class stream_callers
+	{
+	  public:
+		stream_callers(std::vector<http::endpoint> daemons, std::size_t count);
+		~stream_callers();
+
+		stream_callers(stream_callers const&) = delete;
+		stream_callers& operator=(stream_callers const&) = delete;
+		stream_callers(stream_callers&&) = delete;
+		stream_callers& operator=(stream_callers&&) = delete;
+
+		// Waits until each caller has its last stream, and returns what all of them got.
+		[[nodiscard]] stream_counts finish();
+
+	  private:
+		void run(std::size_t caller);
+		[[nodiscard]] stream_outcome run_stream(std::string const& name, std::size_t first_daemon) const;
+
+		std::vector<http::endpoint> addresses;
+		std::atomic<bool> is_over = false;
+		std::vector<stream_counts> counts;
+		std::vector<std::thread> threads;
+	};
+}
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -15,6 +15,11 @@
 			gateway::request_metadata call;
 			call.attempt = request_id(message.find_header("Attempt"));
 			call.time_left = milliseconds(parse_number(message.find_header("Time-Left-Ms")).value());
+			call.resumes = request_id(message.find_header("Resumes"));
+			if (auto last_event = message.find_header("Last-Event-Id"); !last_event.empty())
+			{
+				call.last_event = std::move(last_event);
+			}
 			if (auto const parts = message.find_header("Parts"); !parts.empty())
 			{
 				boost::algorithm::split(call.prompt_parts, parts, [](char each) { return each == ','; });
@@ -28,6 +33,7 @@
 			message.headers.push_back({"For-Server", options.server.str()});
 			if (options.last_event)
 			{
+				std::erase_if(message.headers, [](http::header const& each) { return each.name == "Last-Event-Id"; });
 				message.headers.push_back({"Last-Event-Id", *options.last_event});
 			}
 			if (options.part == gateway::call_part::prefill)
