--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -60,6 +60,15 @@
 				  .Name("godwittrestle_blocked_requests_total")
 				  .Help("Requests of callers that were blocked because requests like them end servers, by outcome")
 				  .Register(this->registry))
+		, taken_up_streams(&prometheus::BuildCounter()
+				  .Name("godwittrestle_taken_up_streams_total")
+				  .Help("Streams that callers take up, by how it is known which software version began them")
+				  .Register(this->registry))
+		, known_streams(&prometheus::BuildGauge()
+				  .Name("godwittrestle_known_streams")
+				  .Help("Streams of which it is recorded which software version began them")
+				  .Register(this->registry)
+				  .Add({}))
 		, request_blocks(&prometheus::BuildGauge()
 				  .Name("godwittrestle_request_blocks")
 				  .Help("Blocks of requests that end servers, in force at present")
@@ -138,6 +147,16 @@
 		this->blocked_requests->Add({{"outcome", std::string(outcome)}}).Increment();
 	}
 
+	void counters::count_taken_up_stream(std::string_view outcome)
+	{
+		this->taken_up_streams->Add({{"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::set_known_streams(std::size_t count)
+	{
+		this->known_streams->Set(static_cast<double>(count));
+	}
+
 	void counters::set_request_blocks(std::size_t count)
 	{
 		this->request_blocks->Set(static_cast<double>(count));
--- a/packages/gateway/impl/fingerprints.cpp
+++ b/packages/gateway/impl/fingerprints.cpp
@@ -53,6 +53,16 @@
 		return identity;
 	}
 
+	fingerprint fingerprint_of(request_id const& attempt)
+	{
+		return fingerprint_of(attempt.str());
+	}
+
+	fingerprint fingerprint_of(std::string const& part)
+	{
+		return fingerprint(decide::hash_bytes(part));
+	}
+
 	std::string to_text(fingerprint value)
 	{
 		return fmt::format("{:016x}", value.count());
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -32,10 +32,11 @@
 	}
 
 	forwarder::forwarder(asio::any_io_executor io_executor, shared_state& state, permit_exchange& permit_source,
-		call_protocol calls, counters& metrics, event_log event_sink)
+		stream_origin_exchange& origin_source, call_protocol calls, counters& metrics, event_log event_sink)
 		: executor(io_executor)
 		, shared(&state)
 		, permits(&permit_source)
+		, origins(&origin_source)
 		, protocol(std::move(calls))
 		, totals(&metrics)
 		, log(std::move(event_sink))
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -270,6 +270,10 @@
 		}
 		auto const status = routing::status_of_failure(state->may_have_run, state->is_out_of_time());
 		auto reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
+		if (state->origin && !this->has_engines(*state, monotonic_now()))
+		{
+			reason = "no_server_of_version";
+		}
 		std::optional<duration> retry_delay;
 		std::string remedy = "the request may have run: check before repeating it";
 		if (status == unavailable)
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -44,6 +44,14 @@
 		request.service = state.service;
 		request.data_centre = this->shared->data_centre;
 		request.excluded = state.excluded;
+		if (state.origin)
+		{
+			request.version = state.origin->version;
+		}
+		else
+		{
+			request.reserved_versions = this->shared->stream_queue.awaited_versions(state.service);
+		}
 		request.prompt = state.call.prompt;
 		request.needed = this->needed_tokens(state);
 		auto const* const terms = state.routes->find_service(state.service);
@@ -96,6 +104,7 @@
 				state->failure = routing::send_failure::blocked;
 				break;
 			}
+			stream_queue.bind(ticket, this->bound_origin(*state, now));
 			if (stream_queue.may_reserve(ticket, now))
 			{
 				auto engines =
@@ -107,12 +116,10 @@
 			{
 				stream_queue.note_grant(monotonic_now());
 			}
-			auto const has_engines =
-				!this->shared->servers.candidates(state->service, routing::server_role::decode, now).empty();
 			auto const is_over = this->is_beyond_limits(*state, waiting, gives_up_at, now) ||
 								 stream_queue.should_refuse(ticket, gives_up_at, now) ||
 								 this->must_refuse_before_stop(*state);
-			if (granted || !has_engines || is_over)
+			if (granted || !this->has_engines(*state, now) || is_over)
 			{
 				break;
 			}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -160,6 +160,9 @@
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
+		// Where the stream began; nothing before its first event. It may go on only there.
+		std::optional<routing::stream_origin> origin;
+		bool is_origin_recorded = false;
 		// Software versions of the servers whose events were passed on, in order and without repetitions.
 		std::vector<software_version> event_versions;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -29,6 +29,10 @@
 
 	asio::awaitable<void> forwarder::forward_stream(state_pointer state)
 	{
+		if (!co_await this->find_origin(state))
+		{
+			co_return;
+		}
 		auto const* const terms = state->routes->find_service(state->service);
 		state->tokens_per_event = terms != nullptr && terms->engine ? terms->engine->tokens_per_event : 0;
 		auto& observed = this->shared->observed[state->service];
@@ -110,8 +114,7 @@
 		auto const now = monotonic_now();
 		auto const all = placement.decode->load.total(now);
 		this->log_event(state, "request_placed",
-			{{"decode", placement.decode->entry.id.str()},
-				{"decode_version", placement.decode->entry.version.str()},
+			{{"decode", placement.decode->entry.id.str()}, {"decode_version", placement.decode->entry.version.str()},
 				{"last_event", state.joiner.last_event().value_or("")}, {"resumes", state.call.resumes.str()},
 				{"prefill", placement.prefill ? placement.prefill->entry.id.str() : ""},
 				{"reserved", is_reserved ? "yes" : "no"},
@@ -330,7 +333,7 @@
 				server->load.note_progress(call, progress_at);
 				server->load.set_committed(call, this->needed_tokens(*state));
 				state->note_event(progress_at);
-				state->note_event_version(server->entry.version);
+				this->record_origin(*state, *server, progress_at);
 				auto const begun_at = state->events_before_send + min_events_of_answer;
 				if (events_before < begun_at && state->joiner.events() >= begun_at)
 				{
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -95,6 +95,7 @@
 		}
 		this->revision = *first_revision;
 		update.is_recovery = this->had_outage();
+		update.unobserved = daemon::monotonic_now() - this->last_answer_at;
 		this->note_answer();
 		this->sink(std::move(update));
 		co_return true;
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -14,6 +14,7 @@
 
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/daemon/wall_clock.hpp>
+#include <godwittrestle/decide/rendezvous.hpp>
 
 #include "crash_messages.hpp"
 
@@ -33,6 +34,8 @@
 		constexpr duration drain_poll = milliseconds(50);
 		// Requests that still run this long before SIGKILL are aborted.
 		constexpr duration exit_margin = milliseconds(1000);
+		// No software version comes and goes within this time.
+		constexpr duration harmless_gap = seconds(5);
 		constexpr unsigned not_ready = 503;
 		constexpr unsigned not_found = 404;
 
@@ -54,6 +57,11 @@
 			state.retries = settings.retries;
 			state.data_centre = settings.data_centre;
 			state.crashes = routing::crash_evidence(settings.crashes);
+			state.origins = routing::stream_origins(settings.instance, decide::rank);
+			if (settings.is_first_start)
+			{
+				state.versions.note_complete_since(time_point{});
+			}
 			return state;
 		}
 	}
@@ -74,8 +82,12 @@
 			  {given_settings.instance, this->started, http::to_string(given_settings.peer_address),
 				  [this](decide::send_peer message) { this->peers.push(std::move(message)); }},
 			  this->log)
-		, request_forwarder(this->thread->context().get_executor(), this->shared, this->permits, given_adapter.calls,
-			  this->totals, this->log)
+		, origins(this->shared,
+			  {given_settings.instance, this->started, http::to_string(given_settings.peer_address),
+				  [this](decide::send_peer message) { this->peers.push(std::move(message)); }},
+			  this->log)
+		, request_forwarder(this->thread->context().get_executor(), this->shared, this->permits, this->origins,
+			  given_adapter.calls, this->totals, this->log)
 		, peer_messages(peer_ring_capacity, this->thread->context(),
 			  [this](wire::PeerMessage&& message) { this->receive(message); })
 		, peers({given_settings.peer_address, {}, {}, peer_ring_capacity},
@@ -179,7 +191,7 @@
 	void serving_thread::receive(wire::PeerMessage const& message)
 	{
 		auto const now = monotonic_now();
-		if (!this->permits.receive(message, now))
+		if (!this->permits.receive(message, now) && !this->origins.receive(message, now))
 		{
 			this->exchange.receive(message, this->registry_state, now);
 		}
@@ -212,11 +224,10 @@
 		}
 		if (update.is_complete_list)
 		{
-			this->shared.servers.replace(whole, now);
-			this->registry_state.has_servers = true;
-			this->log_event("servers_listed", {{"count", std::to_string(whole.size())}});
+			this->apply_list(whole, update.unobserved, now);
 		}
 		this->totals.set_servers(this->shared.servers.all().size());
+		this->note_versions(now);
 	}
 
 	void serving_thread::apply_update(published_configuration&& published)
@@ -231,6 +242,7 @@
 				{"before", this->shared.routes ? std::to_string(this->shared.routes->version().count()) : "none"},
 				{"routes", std::to_string(published.value.routes.size())}});
 		this->shared.routes = std::make_shared<routing::route_table const>(std::move(published.value));
+		this->shared.longest_stream = this->shared.routes->longest_stream();
 		this->callers->set_limits(to_server_limits(this->shared.routes->limits()));
 		this->totals.set_configuration(version.count());
 		this->registry_state.version = version;
@@ -252,8 +264,42 @@
 	void serving_thread::apply_servers(std::vector<routing::registered_server> servers)
 	{
 		this->log_event("servers_taken_from_peer", {{"count", std::to_string(servers.size())}});
-		this->shared.servers.replace(servers, monotonic_now());
+		auto const now = monotonic_now();
+		this->shared.servers.replace(servers, now);
 		this->registry_state.has_servers = true;
+		this->note_versions(now);
+	}
+
+	void serving_thread::apply_list(
+		std::vector<routing::registered_server> const& servers, duration unobserved, time_point now)
+	{
+		auto const is_first = !std::exchange(this->registry_state.has_servers, true);
+		this->shared.servers.replace(servers, now);
+		this->log_event("servers_listed", {{"count", std::to_string(servers.size())}});
+		if (is_first)
+		{
+			constexpr std::uint64_t us_per_ms = 1000;
+			auto const life = longest_stream_life(this->shared);
+			auto const changed = routing::changed_services(servers, life, daemon::wall_clock_us() / us_per_ms);
+			this->shared.versions.note_first_list(servers, changed, life, now);
+			this->note_versions(now);
+			this->request_forwarder.learn_origins(changed);
+		}
+		else if (unobserved > harmless_gap)
+		{
+			this->shared.versions.note_gap(now);
+		}
+	}
+
+	void serving_thread::note_versions(time_point now)
+	{
+		routing::version_history::versions_by_service versions;
+		for (auto const& server : this->shared.servers.all() | std::views::values)
+		{
+			versions[server->entry.service].insert(server->entry.version);
+		}
+		this->shared.versions.set_in_service(std::move(versions), now);
+		this->origins.tell_due(now);
 	}
 
 	asio::awaitable<void> serving_thread::exchange_with_peers()
@@ -291,10 +337,10 @@
 		{
 			return;
 		}
-		this->log_event("server_entry_changed",
-			{{"server", entry.id.str()}, {"service", entry.service.str()},
-				{"role", std::string(routing::to_string(entry.role))}, {"version", entry.version.str()},
-				{"leaving", entry.leaving ? "yes" : "no"}});
+		this->log_event(
+			"server_entry_changed", {{"server", entry.id.str()}, {"service", entry.service.str()},
+										{"role", std::string(routing::to_string(entry.role))},
+										{"version", entry.version.str()}, {"leaving", entry.leaving ? "yes" : "no"}});
 	}
 
 	asio::awaitable<void> serving_thread::answer_readiness(http::request message, http::exchange& http_exchange)
@@ -332,12 +378,20 @@
 			timer.expires_after(maintenance_interval);
 			std::ignore = co_await timer.async_wait(token);
 			auto const now = monotonic_now();
-			for (auto const& gone : this->shared.servers.expire(now))
+			auto const all_gone = this->shared.servers.expire(now);
+			for (auto const& gone : all_gone)
 			{
 				this->shared.permits.forget(gone->entry.id);
 				this->request_forwarder.connections().remove_server(gone->entry.id);
 				this->log_event("server_forgotten", {{"server", gone->entry.id.str()}});
 			}
+			if (!all_gone.empty())
+			{
+				this->note_versions(now);
+			}
+			this->origins.expire(now);
+			this->origins.tell_due(now);
+			this->totals.set_known_streams(this->shared.origins.size());
 			this->drop_silent_calls(now);
 			auto const limited = std::ranges::count_if(this->shared.servers.all() | std::views::values,
 				[](routing::server_pointer const& each) { return each->limit.rate().has_value(); });
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -43,6 +43,11 @@
 		void count_crash_report();
 		// Counts a caller's request that was blocked because requests like it end servers. outcome: refused or tried.
 		void count_blocked_request(std::string_view outcome);
+		// Counts a stream that a caller takes up. outcome: how this daemon knows where it began (recorded,
+		// only_version), or why it is refused (unknown, other_service).
+		void count_taken_up_stream(std::string_view outcome);
+		// Sets the number of streams whose beginning is recorded.
+		void set_known_streams(std::size_t count);
 		// Sets the number of blocks in force.
 		void set_request_blocks(std::size_t count);
 		void count_registry_call(std::string_view outcome);
@@ -64,6 +69,8 @@
 		prometheus::Gauge* limited_servers;
 		prometheus::Counter* crash_reports;
 		prometheus::Family<prometheus::Counter>* blocked_requests;
+		prometheus::Family<prometheus::Counter>* taken_up_streams;
+		prometheus::Gauge* known_streams;
 		prometheus::Gauge* request_blocks;
 		prometheus::Family<prometheus::Counter>* registry_calls;
 		prometheus::Gauge* configuration;
--- a/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fingerprints.hpp
@@ -15,6 +15,12 @@
 	// models have different fingerprints.
 	[[nodiscard]] routing::request_identity identify(http::request const& message, request_metadata const& call);
 
+	// Returns the fingerprint of a caller's attempt.
+	[[nodiscard]] fingerprint fingerprint_of(request_id const& attempt);
+
+	// Returns the fingerprint of a prompt part, whatever model it is for.
+	[[nodiscard]] fingerprint fingerprint_of(std::string const& part);
+
 	// Returns a fingerprint as 16 hexadecimal digits.
 	[[nodiscard]] std::string to_text(fingerprint value);
 
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -21,6 +21,7 @@
 #include <godwittrestle/gateway/settings.hpp>
 #include <godwittrestle/gateway/shared_state.hpp>
 #include <godwittrestle/gateway/stream_joiner.hpp>
+#include <godwittrestle/gateway/stream_origin_exchange.hpp>
 #include <godwittrestle/http/server.hpp>
 #include <godwittrestle/routing.hpp>
 
@@ -35,7 +36,7 @@
 	{
 	  public:
 		forwarder(asio::any_io_executor executor, shared_state& shared, permit_exchange& permits,
-			call_protocol protocol, counters& totals, event_log log);
+			stream_origin_exchange& origins, call_protocol protocol, counters& totals, event_log log);
 
 		// Serves one request. When the coroutine ends, the caller has its answer, or the answer is missing or
 		// incomplete and http::server closes the connection.
@@ -46,6 +47,12 @@
 		[[nodiscard]] asio::awaitable<std::optional<http::response>> call_server(
 			routing::server_pointer server, http::request message, duration timeout);
 
+		// Learns from the engines where streams began before this daemon started: which streams they still run, and
+		// which prompt parts they hold. Does nothing for services of which it is known that only one version was in
+		// service. changed: services whose servers may have changed a moment ago. Prompt parts tell nothing there,
+		// since the engine that began a stream may be gone and another one hold the same part from an earlier try.
+		void learn_origins(std::set<service_id> const& changed);
+
 		// Returns the number of requests in progress.
 		[[nodiscard]] std::size_t running() const noexcept
 		{
@@ -63,6 +70,7 @@
 	  private:
 		struct request_state;
 		struct unread_answer;
+		struct origin_search;
 
 		// A decode engine with the permit to send it one stream, and the reservation of a slot and memory for it. There
 		// is no reservation when the engines of the service do not offer them.
@@ -79,6 +87,31 @@
 		[[nodiscard]] asio::awaitable<void> forward_plain(state_pointer state);
 		[[nodiscard]] asio::awaitable<void> forward_stream(state_pointer state);
 
+		// Finds out at which software version a stream that the caller takes up must go on. Returns false, and has
+		// refused the request, when that can't be known.
+		[[nodiscard]] asio::awaitable<bool> find_origin(state_pointer state);
+		// Sets the origin of a stream that is taken up from what this daemon knows. Returns false when it does not
+		// know.
+		[[nodiscard]] bool apply_known_origin(request_state& state, time_point now);
+		// Asks other daemons about the stream, and waits until one knows it, all have replied, or the timeout.
+		[[nodiscard]] asio::awaitable<void> ask_for_origin(state_pointer state);
+		// Asks one engine what it runs, and what it holds if that matters, and adds it to the search.
+		[[nodiscard]] asio::awaitable<void> read_contents(
+			routing::server_pointer engine, std::shared_ptr<origin_search> search);
+		// Asks one engine which prompt parts it holds.
+		[[nodiscard]] asio::awaitable<void> read_held_parts(
+			routing::server_pointer engine, std::shared_ptr<origin_search> search);
+		// Asks the engines of a service. may_use_parts: whether the prompt parts that they hold tell where streams
+		// began.
+		[[nodiscard]] asio::awaitable<void> search_origins(service_id service, bool may_use_parts);
+		// Records that a server has made an event of the stream that was passed on.
+		void record_origin(request_state& state, routing::server_record const& server, time_point now);
+		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
+		[[nodiscard]] std::optional<routing::stream_origin> bound_origin(
+			request_state const& state, time_point now) const;
+		// Returns whether there is a decode engine that may serve the stream now or later.
+		[[nodiscard]] bool has_engines(request_state const& state, time_point now) const;
+
 		// Waits in the queue until a decode engine has memory for the stream. Returns nothing when the service has no
 		// decode engine, the wait is too long, the caller has disconnected or this daemon is about to stop.
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> wait_for_reservation(state_pointer state);
@@ -199,6 +232,7 @@
 		asio::any_io_executor executor;
 		shared_state* shared;
 		permit_exchange* permits;
+		stream_origin_exchange* origins;
 		call_protocol protocol;
 		counters* totals;
 		event_log log;
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -32,8 +32,8 @@
 		token_count max_output;
 		// The id of the last event of the stream that the caller already has.
 		std::optional<std::string> last_event;
-		// The caller's attempt that brought the first event of the stream, when the caller takes a stream up; empty when
-		// the caller names none.
+		// The caller's attempt that brought the first event of the stream, when the caller takes a stream up; empty
+		// when the caller names none.
 		request_id resumes;
 		// The model that the caller asks for; empty when the caller names none.
 		std::string model;
@@ -98,9 +98,18 @@
 		request_id attempt;
 	};
 
+	// A stream that an engine runs, as it reports it.
+	struct running_stream
+	{
+		// The caller's attempt.
+		request_id attempt;
+		std::uint64_t events = 0;
+	};
+
 	// An engine's report about itself.
 	struct engine_report
 	{
+		std::vector<running_stream> running;
 		// Whether the engine is carrying out an order.
 		bool is_busy = false;
 		// Number of orders that the engine has accepted since its start.
@@ -137,6 +146,10 @@
 		std::function<http::request(server_id const& server, std::string const& reservation)> cancel_reservation;
 		std::function<http::request(server_id const& server)> write_report_request;
 		std::function<std::optional<engine_report>(std::string_view body)> read_report;
+		// Returns the request for the list of the prompt parts whose KV cache an engine holds.
+		std::function<http::request(server_id const& server)> write_memory_request;
+		// Reads the ids of these parts; nothing when the body is no such list.
+		std::function<std::optional<std::vector<std::string>>(std::string_view body)> read_memory;
 		std::function<http::request(role_order const& order)> write_order;
 		// Returns the header that tells a caller how long to wait before a retry.
 		std::function<http::header(duration)> retry_after;
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -27,6 +27,8 @@
 		bool is_lost = false;
 		// Whether the registry could not be read before this update.
 		bool is_recovery = false;
+		// With a complete list: time since the registry was last read.
+		duration unobserved{};
 		std::vector<registry_change> changes;
 	};
 
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -54,6 +54,10 @@
 		void receive(wire::PeerMessage const& message);
 		void apply_configuration_text(std::string text);
 		void apply_servers(std::vector<routing::registered_server> servers);
+		// Applies a complete list. unobserved: time since the registry was last read.
+		void apply_list(std::vector<routing::registered_server> const& servers, duration unobserved, time_point now);
+		// Records which software versions are in service.
+		void note_versions(time_point now);
 		[[nodiscard]] asio::awaitable<void> exchange_with_peers();
 		[[nodiscard]] asio::awaitable<void> review_roles();
 		void apply_update(published_configuration&& published);
@@ -81,6 +85,7 @@
 		shared_state shared;
 		counters totals;
 		permit_exchange permits;
+		stream_origin_exchange origins;
 		forwarder request_forwarder;
 		daemon::event_loop_queue<wire::PeerMessage> peer_messages;
 		daemon::peer_link peers;
--- a/packages/gateway/include/godwittrestle/gateway/settings.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/settings.hpp
@@ -46,6 +46,8 @@
 		routing::directory_settings servers;
 		routing::crash_settings crashes;
 		registry_timing registry;
+		// Whether the whole system starts for the first time, so that there are no streams from before.
+		bool is_first_start = false;
 		// Time between SIGTERM and SIGKILL.
 		duration termination_grace = seconds(8);
 		std::string log_level = "INFO";
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -22,6 +22,11 @@
 		routing::permit_issuer permits;
 		routing::crash_evidence crashes;
 		routing::admission_queue stream_queue;
+		// Where streams began, and which software versions were in service.
+		routing::stream_origins origins;
+		routing::version_history versions;
+		// Longest timeout of the routes that stream.
+		duration longest_stream{};
 		std::map<service_id, routing::service_observations> observed;
 		// Whether this daemon has the smallest id of all live daemons, is not draining and can read the registry. Only
 		// this daemon orders role changes.
--- a/packages/routing/impl/admission_queue.cpp
+++ b/packages/routing/impl/admission_queue.cpp
@@ -1,7 +1,9 @@
 #include <godwittrestle/routing/admission_queue.hpp>
 
 #include <algorithm>
+#include <ranges>
 #include <tuple>
+#include <utility>
 
 namespace godwittrestle::routing
 {
@@ -34,6 +36,24 @@
 		this->waiting.erase(ticket);
 	}
 
+	void admission_queue::bind(queue_ticket ticket, std::optional<stream_origin> origin)
+	{
+		this->waiting.at(ticket).bound_to = std::move(origin);
+	}
+
+	std::set<software_version> admission_queue::awaited_versions(service_id const& service) const
+	{
+		std::set<software_version> versions;
+		for (auto const& stream : this->waiting | std::views::values)
+		{
+			if (stream.bound_to && stream.bound_to->service == service)
+			{
+				versions.insert(stream.bound_to->version);
+			}
+		}
+		return versions;
+	}
+
 	void admission_queue::note_grant(time_point now)
 	{
 		if (this->last_grant)
@@ -61,9 +81,15 @@
 
 	std::size_t admission_queue::ahead(queue_ticket ticket, time_point now) const
 	{
-		auto const own = std::tuple_cat(rank(this->waiting.at(ticket), now), std::tuple(ticket));
+		auto const& own = this->waiting.at(ticket);
+		auto const own_rank = std::tuple_cat(rank(own, now), std::tuple(ticket));
 		return static_cast<std::size_t>(std::ranges::count_if(this->waiting,
-			[&](auto const& item) { return std::tuple_cat(rank(item.second, now), std::tuple(item.first)) < own; }));
+			[&](auto const& item)
+			{
+				auto const& [each, stream] = item;
+				return stream.bound_to == own.bound_to &&
+					   std::tuple_cat(rank(stream, now), std::tuple(each)) < own_rank;
+			}));
 	}
 
 	bool admission_queue::may_reserve(queue_ticket ticket, time_point now) const
@@ -75,7 +101,8 @@
 			[&](auto const& item)
 			{
 				auto const& [each, stream] = item;
-				auto const is_before = std::tuple_cat(rank(stream, now), std::tuple(each)) < own_rank;
+				auto const competes = stream.bound_to == own.bound_to;
+				auto const is_before = competes && std::tuple_cat(rank(stream, now), std::tuple(each)) < own_rank;
 				return is_before && (!passes || stream.has_begun || stream.needed <= own.needed);
 			});
 	}
--- a/packages/routing/impl/configuration.cpp
+++ b/packages/routing/impl/configuration.cpp
@@ -57,6 +57,16 @@
 		return found == this->config.services.end() ? nullptr : &found->second;
 	}
 
+	duration route_table::longest_stream() const
+	{
+		duration longest{};
+		for (auto const& each : this->config.routes)
+		{
+			longest = each.kind == call_kind::streaming ? std::max(longest, each.timeout) : longest;
+		}
+		return longest;
+	}
+
 	service_id const& choose_service(route const& chosen, double draw)
 	{
 		auto const add = [](std::uint64_t sum, weighted_service const& each)
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -106,7 +106,14 @@
 			server_pointer engine;
 		};
 
-		auto engines = usable(servers.candidates(request.service, server_role::decode, now), request, now);
+		auto candidates = servers.candidates(request.service, server_role::decode, now);
+		std::erase_if(candidates,
+			[&](server_pointer const& each)
+			{
+				auto const& version = each->entry.version;
+				return request.version ? version != *request.version : request.reserved_versions.contains(version);
+			});
+		auto engines = usable(std::move(candidates), request, now);
 		std::erase_if(engines,
 			[&](server_pointer const& each)
 			{
--- /dev/null
+++ b/packages/routing/impl/stream_origins.cpp
@@ -0,0 +1,142 @@
+#include <godwittrestle/routing/stream_origins.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+
+namespace godwittrestle::routing
+{
+	stream_origins::stream_origins(instance_id own, rank_function ranking)
+		: own_id(std::move(own))
+		, rank(std::move(ranking))
+	{
+	}
+
+	void stream_origins::note(fingerprint attempt, known_stream const& stream)
+	{
+		auto const [found, is_new] = this->records.try_emplace(attempt, record{stream, 0, {}});
+		auto& known = found->second;
+		if (!is_new && stream.origin == known.stream.origin)
+		{
+			if (stream.learnt_from == this->own_id)
+			{
+				known.stream.learnt_from = this->own_id;
+			}
+			known.stream.begun_at = std::min(known.stream.begun_at, stream.begun_at);
+		}
+		else if (!is_new && stream.begun_at < known.stream.begun_at)
+		{
+			known = record{stream, 0, {}};
+		}
+		if (this->records.size() > max_records)
+		{
+			this->drop_oldest();
+		}
+	}
+
+	known_stream const* stream_origins::find(fingerprint attempt) const
+	{
+		auto const found = this->records.find(attempt);
+		return found == this->records.end() ? nullptr : &found->second.stream;
+	}
+
+	void stream_origins::note_held_part(fingerprint part, stream_origin const& holder, time_point now)
+	{
+		if (this->held_parts.size() < max_held_parts || this->held_parts.contains(part))
+		{
+			auto& held = this->held_parts[part];
+			held.holders.insert(holder);
+			held.noted_at = now;
+		}
+	}
+
+	std::optional<software_version> stream_origins::only_holder(fingerprint part, service_id const& service) const
+	{
+		auto const found = this->held_parts.find(part);
+		if (found == this->held_parts.end() || found->second.holders.size() != 1 ||
+			found->second.holders.begin()->service != service)
+		{
+			return std::nullopt;
+		}
+		return found->second.holders.begin()->version;
+	}
+
+	void stream_origins::expire(time_point before)
+	{
+		std::erase_if(this->records, [&](auto const& item) { return item.second.stream.begun_at < before; });
+		std::erase_if(this->held_parts, [&](auto const& item) { return item.second.noted_at < before; });
+	}
+
+	void stream_origins::drop_oldest()
+	{
+		// Drops several at once, so that a full table is not searched at each new record.
+		constexpr std::size_t kept_share_divisor = 8;
+		std::vector<time_point> begun;
+		std::ranges::transform(
+			this->records, std::back_inserter(begun), [](auto const& item) { return item.second.stream.begun_at; });
+		auto const dropped = begun.begin() + static_cast<std::ptrdiff_t>(begun.size() / kept_share_divisor);
+		std::ranges::nth_element(begun, dropped);
+		std::erase_if(this->records, [&](auto const& item) { return item.second.stream.begun_at < *dropped; });
+	}
+
+	std::vector<fleet_member> stream_origins::keepers(
+		fingerprint attempt, std::vector<fleet_member> const& others) const
+	{
+		if (others.size() < max_small_fleet)
+		{
+			return others;
+		}
+		struct ranked_member
+		{
+			std::uint64_t rank = 0;
+			fleet_member const* member = nullptr;
+		};
+		auto const key = std::to_string(attempt.count());
+		std::vector<ranked_member> ranked;
+		std::ranges::transform(others, std::back_inserter(ranked),
+			[&](fleet_member const& each) { return ranked_member{this->rank(key, each.id.str()), &each}; });
+		auto const last = ranked.begin() + keepers_of_large_fleet;
+		std::ranges::partial_sort(ranked, last, std::ranges::greater{}, &ranked_member::rank);
+		std::vector<fleet_member> chosen;
+		std::transform(
+			ranked.begin(), last, std::back_inserter(chosen), [](ranked_member const& each) { return *each.member; });
+		return chosen;
+	}
+
+	void stream_origins::note_fleet(std::vector<fleet_member> const& others)
+	{
+		std::set<recipient> now_live;
+		std::ranges::transform(others, std::inserter(now_live, now_live.end()),
+			[](fleet_member const& each) { return recipient(each.id, each.started); });
+		if (now_live != this->fleet_members)
+		{
+			this->fleet_members = std::move(now_live);
+			++this->fleet_number;
+		}
+	}
+
+	std::vector<untold_stream> stream_origins::take_untold(
+		std::vector<fleet_member> const& others, std::function<bool(service_id const&)> const& is_needed)
+	{
+		this->note_fleet(others);
+		std::vector<untold_stream> untold;
+		for (auto& [attempt, known] : this->records)
+		{
+			auto const is_own = known.stream.learnt_from == this->own_id;
+			if (!is_own || known.told_for_fleet == this->fleet_number || !is_needed(known.stream.origin.service))
+			{
+				continue;
+			}
+			known.told_for_fleet = this->fleet_number;
+			untold_stream item{attempt, known.stream, this->keepers(attempt, others)};
+			std::erase_if(item.recipients,
+				[&](fleet_member const& each) { return !known.told.emplace(each.id, each.started).second; });
+			if (!item.recipients.empty())
+			{
+				untold.push_back(std::move(item));
+			}
+		}
+		return untold;
+	}
+}
--- /dev/null
+++ b/packages/routing/impl/version_history.cpp
@@ -0,0 +1,131 @@
+#include <godwittrestle/routing/version_history.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace godwittrestle::routing
+{
+	namespace
+	{
+		// Servers of a new version start this long before the last ones of the old version leave, at most. Covers the
+		// difference of clocks too.
+		constexpr duration replacement_time = seconds(10);
+	}
+
+	void version_history::set_in_service(versions_by_service versions, time_point now)
+	{
+		for (auto const& [service, before] : this->in_service)
+		{
+			for (auto const& version : before)
+			{
+				this->note_served(service, version, now);
+			}
+		}
+		this->in_service = std::move(versions);
+		this->known_since = this->known_since.value_or(now);
+	}
+
+	void version_history::note_served(service_id const& service, software_version const& version, time_point at)
+	{
+		auto& last = this->last_served[service].try_emplace(version, at).first->second;
+		last = std::max(last, at);
+	}
+
+	void version_history::note_complete_since(service_id const& service, time_point since)
+	{
+		auto& known = this->service_known_since.try_emplace(service, since).first->second;
+		known = std::min(known, since);
+	}
+
+	std::set<service_id> changed_services(
+		std::vector<registered_server> const& servers, duration longest_life, std::uint64_t now_ms)
+	{
+		auto const required_age = static_cast<std::uint64_t>(to_milliseconds(longest_life + replacement_time));
+		std::set<service_id> changed;
+		for (auto const& server : servers)
+		{
+			auto const started_ms = server.started.count();
+			auto const is_old = started_ms != 0 && started_ms < now_ms && now_ms - started_ms >= required_age;
+			if (!is_old || server.leaving)
+			{
+				changed.insert(server.service);
+			}
+		}
+		return changed;
+	}
+
+	void version_history::note_first_list(std::vector<registered_server> const& servers,
+		std::set<service_id> const& changed, duration longest_life, time_point now)
+	{
+		versions_by_service versions;
+		std::ranges::for_each(
+			servers, [&](registered_server const& each) { versions[each.service].insert(each.version); });
+		for (auto const& [service, its_versions] : versions)
+		{
+			if (its_versions.size() == 1 && !changed.contains(service))
+			{
+				this->note_complete_since(service, now - longest_life);
+			}
+		}
+	}
+
+	void version_history::note_gap(time_point now)
+	{
+		this->known_since = now;
+		this->service_known_since.clear();
+	}
+
+	std::optional<time_point> version_history::complete_since(service_id const& service) const
+	{
+		auto const found = this->service_known_since.find(service);
+		if (found == this->service_known_since.end())
+		{
+			return this->known_since;
+		}
+		return std::min(this->known_since.value_or(found->second), found->second);
+	}
+
+	void version_history::note_complete_since(time_point since)
+	{
+		this->known_since = std::min(this->known_since.value_or(since), since);
+	}
+
+	std::map<software_version, time_point> version_history::served_since(
+		service_id const& service, time_point since, time_point now) const
+	{
+		std::map<software_version, time_point> served;
+		if (auto const found = this->last_served.find(service); found != this->last_served.end())
+		{
+			std::ranges::copy_if(found->second, std::inserter(served, served.end()),
+				[&](auto const& item) { return item.second >= since; });
+		}
+		if (auto const found = this->in_service.find(service); found != this->in_service.end())
+		{
+			std::ranges::for_each(found->second, [&](software_version const& each) { served[each] = now; });
+		}
+		return served;
+	}
+
+	std::optional<software_version> version_history::only_version_since(
+		service_id const& service, time_point since, time_point now) const
+	{
+		auto const served = this->served_since(service, since, now);
+		auto const known = this->complete_since(service);
+		auto const reaches_back = known && *known <= since;
+		if (!reaches_back || served.size() != 1)
+		{
+			return std::nullopt;
+		}
+		return served.begin()->first;
+	}
+
+	void version_history::expire(time_point served_before)
+	{
+		for (auto& versions : this->last_served)
+		{
+			std::erase_if(versions.second, [&](auto const& item) { return item.second < served_before; });
+		}
+		std::erase_if(this->last_served, [](auto const& item) { return item.second.empty(); });
+	}
+}
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -22,3 +22,5 @@
 #include <godwittrestle/routing/server_load.hpp>
 #include <godwittrestle/routing/service_observations.hpp>
 #include <godwittrestle/routing/shared_average.hpp>
+#include <godwittrestle/routing/stream_origins.hpp>
+#include <godwittrestle/routing/version_history.hpp>
--- a/packages/routing/include/godwittrestle/routing/admission_queue.hpp
+++ b/packages/routing/include/godwittrestle/routing/admission_queue.hpp
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 
 #include <godwittrestle/base/strong_type.hpp>
 #include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing/stream_origins.hpp>
 
 namespace godwittrestle::routing
 {
@@ -24,6 +26,9 @@
 		bool has_begun = false;
 		// Memory that the stream needs, in tokens.
 		token_count needed;
+		// The only engines that may serve the stream, when others of the service have another software version. Such a
+		// stream competes with those bound to the same version; it neither waits for others nor holds them up.
+		std::optional<stream_origin> bound_to;
 	};
 
 	// Orders the streams that wait for memory while the decode engines are full. Streams whose engine failed go first,
@@ -37,6 +42,13 @@
 		[[nodiscard]] queue_ticket enter(waiting_stream const& stream);
 		void leave(queue_ticket ticket);
 
+		// Sets the only engines that may serve a stream, or that any may.
+		void bind(queue_ticket ticket, std::optional<stream_origin> origin);
+
+		// Returns the versions of a service that streams bound to them are waiting for. Other streams leave the memory
+		// of these engines to them.
+		[[nodiscard]] std::set<software_version> awaited_versions(service_id const& service) const;
+
 		// Returns whether a stream may try to reserve memory: it is first in the order, or it can begin in time and all
 		// streams before it need more memory and have not begun yet.
 		[[nodiscard]] bool may_reserve(queue_ticket ticket, time_point now) const;
--- a/packages/routing/include/godwittrestle/routing/configuration.hpp
+++ b/packages/routing/include/godwittrestle/routing/configuration.hpp
@@ -128,6 +128,9 @@
 			return this->config.services;
 		}
 
+		// Returns the longest timeout of the routes that stream; zero when there are none.
+		[[nodiscard]] duration longest_stream() const;
+
 		[[nodiscard]] platform_version version() const noexcept
 		{
 			return this->config.version;
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -37,6 +37,10 @@
 		token_count capacity;
 		// Memory of one engine, in tokens, that this daemon's streams together may commit; 0 for no limit.
 		token_count own_capacity;
+		// The software version at which a stream that has begun must go on; nothing when any may serve it.
+		std::optional<software_version> version;
+		// Versions whose decode engines are left to other streams.
+		std::set<software_version> reserved_versions;
 		// Servers that already failed or refused this call.
 		std::set<server_id> excluded;
 		// Longest predicted time to the first event for which a prefill engine is used although the decode engine is
--- a/tests/contract/daemon_group.cpp
+++ b/tests/contract/daemon_group.cpp
@@ -27,6 +27,7 @@
 			gateway::published_configuration published;
 			published.value.version = platform_version(1);
 			published.value.routes = {route};
+			published.value.services = {{service_id("s"), {}}};
 			gateway::registry_update update;
 			update.is_complete_list = true;
 			update.changes.emplace_back(std::move(published));
--- a/tests/contract/gateway_fixture.hpp
+++ b/tests/contract/gateway_fixture.hpp
@@ -28,7 +28,9 @@
 		explicit gateway_fixture(routing::route route, routing::service service = {})
 			: permits(this->shared, {instance_id("d1"), incarnation(1), "d1:1", [](decide::send_peer const&) {}},
 				  [](decide::record_event const&) {})
-			, request_forwarder(this->loop.get_executor(), this->shared, this->permits, make_test_protocol(),
+			, origins(this->shared, {instance_id("d1"), incarnation(1), "d1:1", [](decide::send_peer const&) {}},
+				  [](decide::record_event const&) {})
+			, request_forwarder(this->loop.get_executor(), this->shared, this->permits, this->origins, make_test_protocol(),
 				  this->totals, [this](decide::record_event event) { this->events.push_back(std::move(event)); })
 			, caller_listener(this->loop.get_executor(), {"127.0.0.1", 0}, {},
 				  [this](http::request message, http::exchange& http_exchange)
@@ -94,6 +96,7 @@
 		gateway::shared_state shared;
 		gateway::counters totals;
 		gateway::permit_exchange permits;
+		gateway::stream_origin_exchange origins;
 		gateway::forwarder request_forwarder;
 		http::server caller_listener;
 
--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -106,4 +106,9 @@
 	CAPTURE(old_version_leaves, seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
 	REQUIRE(seen.taken_up > 0);
 	REQUIRE(seen.mixed <= allowed_mixed);
+	if (!old_version_leaves)
+	{
+		// Engines still run the streams that they have begun, and report them.
+		REQUIRE(2 * seen.went_on >= seen.taken_up);
+	}
 }
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <godwittrestle/base/digest.hpp>
 
@@ -27,6 +28,7 @@
 
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
 		constexpr std::chrono::milliseconds event_interval{20};
+		constexpr std::chrono::milliseconds time_to_notice_loss{1000};
 		constexpr std::chrono::milliseconds pause_after_failure{100};
 		constexpr int max_tries = 8;
 
@@ -88,11 +90,29 @@
 	}
 
 	asio::awaitable<void> streaming_server::serve(http::request message, http::exchange& http_exchange)
+	{
+		if (message.path() == "/report")
+		{
+			http::response answer;
+			answer.body = fmt::format("{}", fmt::join(this->running, ","));
+			std::ignore = co_await http_exchange.reply(std::move(answer));
+			co_return;
+		}
+		if (message.method != "POST")
+		{
+			std::ignore = co_await http_exchange.reply({});
+			co_return;
+		}
+		co_await this->stream(message, http_exchange);
+	}
+
+	asio::awaitable<void> streaming_server::stream(http::request const& message, http::exchange& http_exchange)
 	{
 		auto const breaks_before = this->breaks.load();
+		auto const attempt = message.find_header("Attempt");
 		auto const first = parse_number(message.find_header("Last-Event-Id")).value_or(0) + 1;
 		http::response head;
-		head.headers = {{"Attempt", message.find_header("Attempt")}, {"Content-Type", "text/event-stream"}};
+		head.headers = {{"Attempt", attempt}, {"Content-Type", "text/event-stream"}};
 		auto is_open = co_await http_exchange.begin_stream(std::move(head));
 		asio::steady_timer timer(this->thread.context());
 		for (auto number = first; is_open && number <= events_per_stream; ++number)
@@ -101,14 +121,22 @@
 			std::ignore = co_await timer.async_wait(token);
 			if (this->breaks != breaks_before)
 			{
+				this->running.erase(attempt);
 				co_return;
 			}
+			this->running.insert(attempt);
 			is_open = co_await http_exchange.write(fmt::format("id: {}\ndata: {}\n\n", number, this->version));
 		}
 		if (is_open)
 		{
 			std::ignore = co_await http_exchange.end_stream();
 		}
+		else
+		{
+			timer.expires_after(time_to_notice_loss);
+			std::ignore = co_await timer.async_wait(token);
+		}
+		this->running.erase(attempt);
 	}
 
 	server_list make_servers(std::size_t count, std::string const& version)
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -16,7 +17,9 @@
 	inline constexpr int events_per_stream = 40;
 
 	// A backend server on a thread of its own, with a version of its software. It answers each request with a stream
-	// whose events have this version as data, and goes on after the event that the request names as the last one.
+	// whose events have this version as data, and goes on after the event that the request names as the last one. It
+	// reports the streams that it runs; one whose daemon has been killed runs on for a while, as after a loss of power,
+	// which the server does not notice at once.
 	class streaming_server
 	{
 	  public:
@@ -36,10 +39,13 @@
 
 	  private:
 		[[nodiscard]] boost::asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
+		[[nodiscard]] boost::asio::awaitable<void> stream(http::request const& message, http::exchange& http_exchange);
 
 		std::string id;
 		std::string version;
 		std::atomic<unsigned> breaks = 0;
+		// Attempts whose streams run. Used only on the server's thread.
+		std::set<std::string> running;
 		daemon::io_thread thread;
 		std::unique_ptr<http::server> listener;
 	};
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -7,6 +7,20 @@
 
 namespace godwittrestle::testing
 {
+	namespace
+	{
+		// Splits names that are separated by commas; no name of an empty text.
+		std::vector<std::string> split_names(std::string_view text)
+		{
+			std::vector<std::string> names;
+			if (!text.empty())
+			{
+				boost::algorithm::split(names, std::string(text), [](char each) { return each == ','; });
+			}
+			return names;
+		}
+	}
+
 	gateway::call_protocol make_test_protocol()
 	{
 		gateway::call_protocol protocol;
@@ -20,10 +34,7 @@
 			{
 				call.last_event = std::move(last_event);
 			}
-			if (auto const parts = message.find_header("Parts"); !parts.empty())
-			{
-				boost::algorithm::split(call.prompt_parts, parts, [](char each) { return each == ','; });
-			}
+			call.prompt_parts = split_names(message.find_header("Parts"));
 			return call;
 		};
 		protocol.write_call = [](http::request const& original, gateway::send_options const& options)
@@ -85,6 +96,28 @@
 		{
 			return http::request{"DELETE", "/reserved/" + reservation, {}, ""};
 		};
+		protocol.write_report_request = [](server_id const&)
+		{
+			return http::request{"GET", "/report", {}, ""};
+		};
+		// The body of a report names the attempts that have made events, separated by commas.
+		protocol.read_report = [](std::string_view body)
+		{
+			gateway::engine_report report;
+			for (auto const& attempt : split_names(body))
+			{
+				report.running.push_back({request_id(attempt), 1});
+			}
+			return std::optional<gateway::engine_report>(std::move(report));
+		};
+		protocol.write_memory_request = [](server_id const&)
+		{
+			return http::request{"GET", "/memory", {}, ""};
+		};
+		protocol.read_memory = [](std::string_view body)
+		{
+			return std::optional<std::vector<std::string>>(split_names(body));
+		};
 		protocol.release = [](server_id const&, std::string const& handle)
 		{
 			return http::request{"DELETE", "/kept/" + handle, {}, ""};
--- a/tests/unit/admission_queue.test.cpp
+++ b/tests/unit/admission_queue.test.cpp
@@ -149,3 +149,23 @@
 	}
 	REQUIRE(begun >= 45);
 }
+
+// Streams begun by a version whose engines are full, beside new ones that may go anywhere.
+TEST_CASE("a stream bound to one software version neither waits for others nor holds them up", "[admission_queue]")
+{
+	routing::admission_queue queue;
+	routing::stream_origin const old_version{service_id("s"), software_version("v1")};
+	routing::waiting_stream begun{at_ms(700), 1, at_ms(0), true};
+	begun.bound_to = old_version;
+	auto const first_bound = queue.enter(begun);
+	auto const second_bound = queue.enter(begun);
+	auto const new_stream = queue.enter({at_ms(900), 1, at_ms(100)});
+	REQUIRE(queue.may_reserve(first_bound, at_ms(100)));
+	REQUIRE_FALSE(queue.may_reserve(second_bound, at_ms(100)));
+	REQUIRE(queue.may_reserve(new_stream, at_ms(100)));
+	REQUIRE(queue.awaited_versions(service_id("s")) == std::set<software_version>{software_version("v1")});
+	REQUIRE(queue.awaited_versions(service_id("t")).empty());
+	// Once the other version is gone, it goes before new streams again.
+	queue.bind(first_bound, std::nullopt);
+	REQUIRE_FALSE(queue.may_reserve(new_stream, at_ms(100)));
+}
--- a/tests/unit/placement.test.cpp
+++ b/tests/unit/placement.test.cpp
@@ -208,3 +208,40 @@
 		REQUIRE(placed.prefill->entry.id != server_id("p1"));
 	}
 }
+
+TEST_CASE("a stream that has begun is placed only on engines of its software version", "[placement]")
+{
+	auto servers = make_engines();
+	auto const set_version = [&](std::string const& name, std::string version)
+	{
+		auto entry = servers.find(server_id(name))->entry;
+		entry.version = software_version(std::move(version));
+		servers.put(entry);
+	};
+	set_version("d1", "v1");
+	set_version("d2", "v1");
+	auto request = make_request();
+	request.version = software_version("v1");
+	auto const names = [&]
+	{
+		std::set<std::string> found;
+		for (auto const& each : routing::rank_decode_engines(servers, request, constant_draw(), at_ms(0)))
+		{
+			found.insert(each->entry.id.str());
+		}
+		return found;
+	};
+	REQUIRE(names() == std::set<std::string>{"d1", "d2"});
+	// The only engines of the version are used even when they are unhealthy and others are not.
+	for (auto const* name : {"d1", "d2"})
+	{
+		servers.find(server_id(name))->load.begin_call({}, {}, at_ms(0) - seconds(1));
+	}
+	REQUIRE(names() == std::set<std::string>{"d1", "d2"});
+	request.excluded = {server_id("d1"), server_id("d2")};
+	REQUIRE(names().empty());
+	request.excluded.clear();
+	request.version.reset();
+	request.reserved_versions = {software_version("v1")};
+	REQUIRE(names() == std::set<std::string>{"d3", "d4", "d5"});
+}
--- /dev/null
+++ b/tests/unit/stream_origin_exchange.test.cpp
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+
+#include <limits>
+#include <map>
+#include <memory>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+#include <godwittrestle/gateway/stream_origin_exchange.hpp>
+
+#include "routing_support.hpp"
+
+using namespace godwittrestle;
+using namespace godwittrestle::testing;
+
+namespace
+{
+	service_id const digests{"digests"};
+
+	// A daemon's exchange; what it sends is kept until it is delivered.
+	struct test_daemon
+	{
+		explicit test_daemon(std::string name)
+			: id(std::move(name))
+			, exchange(this->shared,
+				  {id, incarnation(1), id.str(),
+					  [this](decide::send_peer message)
+					  {
+						  this->sent.push_back(std::move(message));
+					  }},
+				  [this](decide::record_event const& event) { this->events.push_back(event.name); })
+		{
+			routing::configuration config;
+			config.services = {{digests, {}}};
+			routing::route route;
+			route.kind = routing::call_kind::streaming;
+			route.timeout = seconds(14);
+			config.routes = {route};
+			this->shared.routes = std::make_shared<routing::route_table const>(std::move(config));
+			this->shared.longest_stream = this->shared.routes->longest_stream();
+			this->shared.own_id = this->id;
+			this->shared.origins = routing::stream_origins(this->id, decide::rank);
+		}
+
+		void set_versions(std::set<software_version> versions, time_point now)
+		{
+			this->shared.versions.set_in_service({{digests, std::move(versions)}}, now);
+		}
+
+		instance_id id;
+		gateway::shared_state shared;
+		std::vector<decide::send_peer> sent;
+		std::vector<std::string> events;
+		gateway::stream_origin_exchange exchange;
+	};
+
+	routing::fleet_member member(test_daemon const& each)
+	{
+		return {each.id, incarnation(1), each.id.str(), {}};
+	}
+
+	// Delivers what one daemon has sent to another one.
+	void deliver(test_daemon& from, test_daemon& to, time_point now)
+	{
+		for (auto const& each : std::exchange(from.sent, {}))
+		{
+			REQUIRE(to.exchange.receive(each.message, now));
+		}
+	}
+
+	std::set<software_version> versions(std::initializer_list<char const*> names)
+	{
+		std::set<software_version> all;
+		std::ranges::for_each(names, [&](char const* each) { all.emplace(each); });
+		return all;
+	}
+}
+
+TEST_CASE("records are told only while a service has several versions, then also the earlier ones",
+	"[stream_origin_exchange]")
+{
+	test_daemon first("d0");
+	test_daemon second("d1");
+	first.shared.live_daemons = {member(second)};
+	first.set_versions(versions({"v1"}), at_ms(0));
+	first.shared.origins.note(fingerprint(1), {{digests, software_version("v1")}, at_ms(100), first.id});
+	first.exchange.tell_due(at_ms(100));
+	REQUIRE(first.sent.empty());
+	first.set_versions(versions({"v1", "v1.1"}), at_ms(200));
+	first.exchange.tell_due(at_ms(200));
+	REQUIRE(first.sent.size() == 1);
+	deliver(first, second, at_ms(210));
+	auto const* const known = second.shared.origins.find(fingerprint(1));
+	REQUIRE(known != nullptr);
+	REQUIRE(known->origin.version == software_version("v1"));
+	REQUIRE(known->learnt_from == first.id);
+	// 110 ms after the first event by the second daemon's clock.
+	REQUIRE(known->begun_at == at_ms(110));
+}
+
+TEST_CASE("a daemon that has just started learns a stream, and which versions were in service, from another one",
+	"[stream_origin_exchange]")
+{
+	test_daemon started("d0");
+	test_daemon other("d1");
+	other.set_versions(versions({"v1"}), at_ms(-60'000));
+	started.set_versions(versions({"v1"}), at_ms(0));
+	REQUIRE_FALSE(started.exchange.ask(fingerprint(1), digests, at_ms(0), [] {}));
+	started.shared.live_daemons = {member(other)};
+	auto is_answered = false;
+	REQUIRE(started.exchange.ask(fingerprint(1), digests, at_ms(0), [&] { is_answered = true; }));
+	deliver(started, other, at_ms(1));
+	deliver(other, started, at_ms(2));
+	REQUIRE(is_answered);
+	REQUIRE(started.shared.origins.find(fingerprint(1)) == nullptr);
+	auto const since = at_ms(2) - gateway::longest_stream_life(started.shared);
+	REQUIRE(started.shared.versions.only_version_since(digests, since, at_ms(2)) == software_version("v1"));
+}
+
+TEST_CASE("malformed and late messages about streams change nothing", "[stream_origin_exchange]")
+{
+	test_daemon receiver("d0");
+	wire::PeerMessage message;
+	auto& stream = *message.mutable_stream_origins()->add_streams();
+	stream.set_attempt(1);
+	stream.set_service("unknown");
+	stream.set_version("v1");
+	REQUIRE(receiver.exchange.receive(message, at_ms(0)));
+	stream.set_service(digests.str());
+	stream.set_version(std::string(100'000, 'v'));
+	REQUIRE(receiver.exchange.receive(message, at_ms(0)));
+	stream.set_version("v1");
+	stream.set_learnt_from(receiver.id.str());
+	REQUIRE(receiver.exchange.receive(message, at_ms(0)));
+	REQUIRE(receiver.shared.origins.size() == 0);
+	stream.set_learnt_from("d1");
+	stream.set_age(std::numeric_limits<std::uint64_t>::max());
+	REQUIRE(receiver.exchange.receive(message, at_ms(0)));
+	REQUIRE(receiver.shared.origins.find(fingerprint(1))->begun_at < at_ms(0));
+
+	wire::PeerMessage reply;
+	reply.mutable_stream_origin_reply()->set_number(77);
+	reply.mutable_stream_origin_reply()->set_history(1);
+	REQUIRE(receiver.exchange.receive(reply, at_ms(0)));
+	REQUIRE_FALSE(receiver.shared.versions.complete_since(digests));
+	wire::PeerMessage query;
+	query.mutable_stream_origin_query()->set_number(1);
+	REQUIRE(receiver.exchange.receive(query, at_ms(0)));
+	REQUIRE(receiver.sent.empty());
+	REQUIRE_FALSE(receiver.exchange.receive(wire::PeerMessage(), at_ms(0)));
+}
