--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -172,6 +172,7 @@
 		auto connection = co_await this->pool.acquire(entry, limit, max_idle_for_call, time_to_connect);
 		if (!connection)
 		{
+			this->shared->reach.note_failure(entry.id);
 			co_return send_failure::not_sent;
 		}
 		pooled_connection pooled(this->pool, entry, connection);
@@ -213,6 +214,7 @@
 		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
 		{
 			connection->close();
+			this->shared->reach.note_failure(entry.id);
 			co_return to_send_failure(*failure);
 		}
 		auto& answer = std::get<http::response>(head);
@@ -302,6 +304,7 @@
 		auto const connection = co_await this->pool.acquire(server->entry, limit, max_idle, timeout);
 		if (!connection)
 		{
+			this->shared->reach.note_failure(server->entry.id);
 			co_return std::nullopt;
 		}
 		pooled_connection const pooled(this->pool, server->entry, connection);
@@ -321,6 +324,7 @@
 				co_return std::move(*answer);
 			}
 		}
+		this->shared->reach.note_failure(server->entry.id);
 		connection->close();
 		co_return std::nullopt;
 	}
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -123,6 +123,7 @@
 	void forwarder::record_server_state(routing::server_record& server, answer_metadata const& metadata)
 	{
 		server.load.note_heard(monotonic_now());
+		this->shared->reach.note_heard(monotonic_now());
 		if (metadata.is_leaving && !std::exchange(server.has_announced_leaving, true))
 		{
 			this->log(make_event("server_says_leaving", {{"server", server.entry.id.str()}}));
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -307,9 +307,11 @@
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
 				answer.connection->close();
+				this->shared->reach.note_failure(server->entry.id);
 				state->joiner.restart();
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
 			}
+			this->shared->reach.note_heard(monotonic_now());
 			auto const& received = std::get<std::string>(piece);
 			auto const is_end = received.empty();
 			auto const events_before = state->joiner.events();
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -36,6 +36,8 @@
 		constexpr duration exit_margin = milliseconds(1000);
 		// No software version comes and goes within this time.
 		constexpr duration harmless_gap = seconds(5);
+		// A server that leaves a call unanswered for longer than this counts as not heard.
+		constexpr duration max_unanswered_time = milliseconds(400);
 		constexpr unsigned not_ready = 503;
 		constexpr unsigned not_found = 404;
 
@@ -393,6 +395,7 @@
 			this->origins.tell_due(now);
 			this->totals.set_known_streams(this->shared.origins.size());
 			this->drop_silent_calls(now);
+			this->review_reach(now);
 			auto const limited = std::ranges::count_if(this->shared.servers.all() | std::views::values,
 				[](routing::server_pointer const& each) { return each->limit.rate().has_value(); });
 			this->totals.set_limited_servers(static_cast<std::size_t>(limited));
@@ -403,6 +406,27 @@
 		}
 	}
 
+	void serving_thread::review_reach(time_point now)
+	{
+		auto& reach = this->shared.reach;
+		std::size_t known = 0;
+		for (auto const& server : this->shared.servers.all() | std::views::values)
+		{
+			known += server->is_ready() ? 1 : 0;
+			if (server->load.silent_for(now) > max_unanswered_time)
+			{
+				reach.note_failure(server->entry.id);
+			}
+		}
+		auto const is_cut_off = reach.is_cut_off(known, now);
+		if (is_cut_off != std::exchange(this->shared.is_cut_off, is_cut_off))
+		{
+			this->log_event(is_cut_off ? "servers_out_of_reach" : "servers_in_reach",
+				{{"unheard_ms", fmt::format("{:.1f}", to_milliseconds(reach.unheard_for(now)))},
+					{"failed_servers", std::to_string(reach.failed_servers())}, {"servers", std::to_string(known)}});
+		}
+	}
+
 	void serving_thread::drop_silent_calls(time_point now)
 	{
 		for (auto const& server : this->shared.servers.all() | std::views::values)
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -22,6 +22,9 @@
 		routing::permit_issuer permits;
 		routing::crash_evidence crashes;
 		routing::admission_queue stream_queue;
+		routing::server_reach reach;
+		// Whether this daemon takes itself for cut off from all servers.
+		bool is_cut_off = false;
 		// Where streams began, and which software versions were in service.
 		routing::stream_origins origins;
 		routing::version_history versions;
--- /dev/null
+++ b/packages/routing/include/godwittrestle/routing/server_reach.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <set>
+
+#include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
+
+namespace godwittrestle::routing
+{
+	// Tells whether this daemon reaches the backend servers at all. One server that fails says something about the
+	// server; when several fail and nothing has been heard of any, of whatever service, the daemon's own path is cut or
+	// all servers are gone.
+	class server_reach
+	{
+	  public:
+		// Records that something arrived from a server, or that it accepted a connection.
+		void note_heard(time_point now);
+
+		// Records that a server could not be connected to, broke a connection off or left a call unanswered.
+		void note_failure(server_id const& server);
+
+		// Returns whether no server is reached. known_servers: number of servers that are in service.
+		[[nodiscard]] bool is_cut_off(std::size_t known_servers, time_point now) const;
+
+		// Returns the time since something arrived from any server.
+		[[nodiscard]] duration unheard_for(time_point now) const;
+
+		// Returns the number of servers that have failed since then.
+		[[nodiscard]] std::size_t failed_servers() const noexcept
+		{
+			return this->failed.size();
+		}
+
+	  private:
+		time_point heard_at;
+		std::set<server_id> failed;
+	};
+}
