--- a/tests/contract/daemon_group.cpp
+++ b/tests/contract/daemon_group.cpp
@@ -81,6 +81,11 @@
 		}
 	}
 
+	void daemon_group::publish_to(std::size_t daemon, std::vector<routing::registered_server> const& listed)
+	{
+		this->serving[daemon]->push(make_update(this->route, listed));
+	}
+
 	void daemon_group::publish(std::vector<routing::registered_server> changed)
 	{
 		this->servers = std::move(changed);
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -89,6 +89,12 @@
 		++this->breaks;
 	}
 
+	std::map<std::string, int> streaming_server::run_counts() const
+	{
+		std::scoped_lock const lock(this->mutex);
+		return this->runs;
+	}
+
 	asio::awaitable<void> streaming_server::serve(http::request message, http::exchange& http_exchange)
 	{
 		if (message.path() == "/report")
@@ -113,9 +119,14 @@
 		auto const first = parse_number(message.find_header("Last-Event-Id")).value_or(0) + 1;
 		http::response head;
 		head.headers = {{"Attempt", attempt}, {"Content-Type", "text/event-stream"}};
+		auto const last = parse_number(message.find_header("Events")).value_or(events_per_stream);
+		{
+			std::scoped_lock const lock(this->mutex);
+			++this->runs[attempt];
+		}
 		auto is_open = co_await http_exchange.begin_stream(std::move(head));
 		asio::steady_timer timer(this->thread.context());
-		for (auto number = first; is_open && number <= events_per_stream; ++number)
+		for (auto number = first; is_open && number <= last; ++number)
 		{
 			timer.expires_after(event_interval);
 			std::ignore = co_await timer.async_wait(token);
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
@@ -13,7 +15,8 @@
 
 namespace godwittrestle::testing
 {
-	// Events of each stream of a streaming_server; their ids are 1 to this number.
+	// Events of each stream of a streaming_server, unless the request asks for another number of them ("Events"); their
+	// ids are 1 to this number.
 	inline constexpr int events_per_stream = 40;
 
 	// A backend server on a thread of its own, with a version of its software. It answers each request with a stream
@@ -37,6 +40,9 @@
 		// Breaks off all streams under way.
 		void break_streams();
 
+		// Returns how often each attempt began to run.
+		[[nodiscard]] std::map<std::string, int> run_counts() const;
+
 	  private:
 		[[nodiscard]] boost::asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] boost::asio::awaitable<void> stream(http::request const& message, http::exchange& http_exchange);
@@ -46,6 +52,8 @@
 		std::atomic<unsigned> breaks = 0;
 		// Attempts whose streams run. Used only on the server's thread.
 		std::set<std::string> running;
+		mutable std::mutex mutex;
+		std::map<std::string, int> runs;
 		daemon::io_thread thread;
 		std::unique_ptr<http::server> listener;
 	};
