--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -60,6 +60,15 @@
 				  .Name("godwittrestle_blocked_requests_total")
 				  .Help("Requests of callers that were blocked because requests like them end servers, by outcome")
 				  .Register(this->registry))
+		, relayed_requests(&prometheus::BuildCounter()
+				  .Name("godwittrestle_relayed_requests_total")
+				  .Help("Requests passed on to other daemons, since this one reached no server, by outcome")
+				  .Register(this->registry))
+		, taken_over_requests(&prometheus::BuildCounter()
+				  .Name("godwittrestle_taken_over_requests_total")
+				  .Help("Requests that other daemons passed on to this one")
+				  .Register(this->registry)
+				  .Add({}))
 		, taken_up_streams(&prometheus::BuildCounter()
 				  .Name("godwittrestle_taken_up_streams_total")
 				  .Help("Streams that callers take up, by how it is known which software version began them")
@@ -147,6 +156,16 @@
 		this->blocked_requests->Add({{"outcome", std::string(outcome)}}).Increment();
 	}
 
+	void counters::count_relayed_request(std::string_view outcome)
+	{
+		this->relayed_requests->Add({{"outcome", std::string(outcome)}}).Increment();
+	}
+
+	void counters::count_taken_over_request()
+	{
+		this->taken_over_requests->Increment();
+	}
+
 	void counters::count_taken_up_stream(std::string_view outcome)
 	{
 		this->taken_up_streams->Add({{"outcome", std::string(outcome)}}).Increment();
--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -92,7 +92,7 @@
 		auto const live_now = this->members.live(now);
 		this->shared->permits.set_daemons(live_now, now);
 		this->shared->live_daemons = live_now;
-		this->shared->is_coordinator = !this->is_leaving && !registry_state.is_lost &&
+		this->shared->is_coordinator = !this->is_leaving && !registry_state.is_lost && !this->shared->is_cut_off &&
 									   std::ranges::none_of(live_now, [this](routing::fleet_member const& each)
 										   { return each.id < this->outgoing.own_id(); });
 		auto const notice = this->make_notice(registry_state, now);
@@ -101,7 +101,7 @@
 		std::ranges::for_each(notice.role_changes(), [&](auto const& each) { shares += each.server(); });
 		std::ranges::for_each(
 			notice.limits(), [&](auto const& each) { shares += fmt::format("{}={}", each.server(), each.rate()); });
-		shares += fmt::format("crashes={}", this->shared->crashes.revision());
+		shares += fmt::format("crashes={} cut_off={}", this->shared->crashes.revision(), this->shared->is_cut_off);
 		auto const is_due =
 			shares != this->last_sent_shares || live_now.empty() || now - this->last_notice_at >= max_notice_interval;
 		if (is_due)
@@ -177,6 +177,10 @@
 			this->members.remove(sender);
 			this->shared->permits.note_leaving(sender);
 		}
+		// A daemon that leaves takes no further requests.
+		auto const is_unusable = notice.is_cut_off() || notice.leaving();
+		this->shared->relays.note(
+			{sender, incarnation(message.incarnation()), notice.caller_address(), is_unusable, now});
 		this->apply_limits(notice, now);
 		apply_crash_evidence(notice, this->shared->crashes, now);
 		log_block_changes(this->shared->crashes, this->log, now);
@@ -333,6 +337,8 @@
 		notice.set_config_version(registry_state.version.count());
 		notice.set_leaving(this->is_leaving);
 		notice.set_highest_fence(this->shared->highest_fence);
+		notice.set_caller_address(this->shared->caller_address);
+		notice.set_is_cut_off(this->shared->is_cut_off);
 		for (auto const& each : this->members.members_to_share(this->hooks.draw, now))
 		{
 			auto& member = *notice.add_members();
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -60,7 +60,17 @@
 		state->routes = this->shared->routes;
 		state->deadline = state->started + state->call.time_left.value_or(default_timeout);
 		http_exchange.on_close([state] { state->handle_caller_gone(); });
-		if (!state->routes)
+		if (state->call.is_relayed)
+		{
+			this->totals->count_taken_over_request();
+			this->log_event(*state, "request_taken_over", {{"cut_off", this->shared->is_cut_off ? "yes" : "no"}});
+		}
+		if (state->call.is_relayed && this->shared->is_cut_off)
+		{
+			co_await this->refuse(state, unavailable, "this daemon reaches no server either",
+				"come back after Retry-After", this->retry_after_delay(*state));
+		}
+		else if (!state->routes)
 		{
 			co_await this->refuse(state, unavailable, "no configuration is known yet", "come back after Retry-After",
 				this->retry_after_delay(*state));
@@ -78,7 +88,10 @@
 			{
 				state->service = routing::choose_service(*state->matched_route, this->draw());
 				state->deadline = std::min(state->deadline, state->started + state->matched_route->timeout);
-				this->shared->retry_budgets[state->service].note_request(state->started);
+				if (!state->call.is_relayed)
+				{
+					this->shared->retry_budgets[state->service].note_request(state->started);
+				}
 				if (state->matched_route->kind == routing::call_kind::streaming)
 				{
 					co_await this->forward_stream(state);
@@ -99,6 +112,14 @@
 		int refused_permits = 0;
 		while (true)
 		{
+			if (this->should_relay(*state))
+			{
+				auto const is_relayed = co_await this->relay(state);
+				if (is_relayed)
+				{
+					co_return;
+				}
+			}
 			routing::placement_request request;
 			request.service = state->service;
 			request.data_centre = this->shared->data_centre;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -166,7 +166,10 @@
 			server.load.note_full_until(monotonic_now() + rejected_decode_pause);
 		}
 		state.may_have_run = state.may_have_run || !routing::is_proved_not_run(failure);
-		server.health.note(to_call_outcome(failure), monotonic_now());
+		if (!this->shared->is_cut_off)
+		{
+			server.health.note(to_call_outcome(failure), monotonic_now());
+		}
 		this->totals->count_send(routing::to_string(server.entry.role), routing::to_string(failure));
 		this->log_event(state, "request_send_failed",
 			{{"server", server.entry.id.str()}, {"server_version", server.entry.version.str()},
@@ -269,6 +272,17 @@
 			std::ignore = co_await state->http_exchange->reply(std::move(*state->server_failure));
 			co_return;
 		}
+		if (state->relayed_refusal && !state->may_have_run)
+		{
+			auto const status = state->relayed_refusal->status;
+			this->totals->count_request(routing::to_string(state->matched_route->kind), "refused");
+			this->log_event(*state, "request_refused",
+				{{"status", std::to_string(status)}, {"reason", "refused by the daemon that served it"},
+					{"route", state->matched_route->name},
+					{"servers", fmt::format("{}", fmt::join(state->attempted_servers, ","))}});
+			std::ignore = co_await state->http_exchange->reply(std::move(*state->relayed_refusal));
+			co_return;
+		}
 		auto const status = routing::status_of_failure(state->may_have_run, state->is_out_of_time());
 		auto reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
 		if (state->origin && !this->has_engines(*state, monotonic_now()))
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -51,7 +51,7 @@
 		this->end_check.start(server.entry,
 			[this, report = std::move(report), attempt = state.call.attempt](http::port_state port)
 			{
-				if (port != http::port_state::refused)
+				if (port != http::port_state::refused || this->shared->reach.is_doubtful())
 				{
 					return;
 				}
--- /dev/null
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -0,0 +1,194 @@
+#include <godwittrestle/gateway/forwarder.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <godwittrestle/base/algorithm.hpp>
+
+#include "forwarder_state.hpp"
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		constexpr unsigned status_ok = 200;
+		constexpr std::array<unsigned, 4> not_run_statuses{408, 421, 429, 503};
+		constexpr std::size_t max_relays = 3;
+		constexpr duration connect_timeout = milliseconds(250);
+		// A daemon that leaves closes its connections; one that was used a moment ago is most likely still open.
+		constexpr duration max_idle = seconds(1);
+		constexpr std::size_t max_connections_per_peer = 256;
+		constexpr duration probe_timeout = milliseconds(300);
+		constexpr std::size_t servers_probed = 2;
+	}
+
+	bool forwarder::should_relay(request_state const& state) const
+	{
+		return this->shared->is_cut_off && !state.call.is_relayed && !state.is_caller_gone && !state.is_out_of_time();
+	}
+
+	void forwarder::note_heard(request_state const& state, time_point now)
+	{
+		if (!state.is_relayed_on)
+		{
+			this->shared->reach.note_heard(now);
+		}
+	}
+
+	void forwarder::note_unheard(request_state const& state, server_id const& server)
+	{
+		if (!state.is_relayed_on)
+		{
+			this->shared->reach.note_failure(server);
+		}
+	}
+
+	asio::awaitable<bool> forwarder::relay(state_pointer state)
+	{
+		std::set<instance_id> tried;
+		auto const draw_number = [this]
+		{
+			return this->draw();
+		};
+		while (tried.size() < max_relays && !state->is_caller_gone && !state->is_out_of_time())
+		{
+			auto peer = this->shared->relays.choose(this->shared->live_daemons, tried, draw_number, monotonic_now());
+			if (!peer)
+			{
+				break;
+			}
+			tried.insert(peer->id);
+			auto const failure = co_await this->relay_to(state, std::move(*peer));
+			state->connection = nullptr;
+			if (!failure)
+			{
+				state->is_relayed_on = false;
+				co_return true;
+			}
+			state->failure = failure;
+			state->may_have_run = state->may_have_run || !routing::is_proved_not_run(*failure);
+			if (!routing::may_retry(*state->matched_route, *failure))
+			{
+				break;
+			}
+		}
+		state->is_relayed_on = false;
+		if (tried.empty())
+		{
+			co_return false;
+		}
+		co_await this->fail_request(state);
+		co_return true;
+	}
+
+	asio::awaitable<std::optional<send_failure>> forwarder::relay_to(state_pointer state, routing::relay_peer peer)
+	{
+		auto const target = std::make_shared<routing::server_record>();
+		target->entry.id = server_id("daemon " + peer.id.str());
+		target->entry.address = peer.caller_address;
+		target->entry.started = peer.started;
+		auto const& entry = target->entry;
+		state->attempted_servers.push_back(entry.id.str());
+		auto const time_to_connect = std::min(connect_timeout, state->time_left());
+		auto connection = co_await this->pool.acquire(entry, max_connections_per_peer, max_idle, time_to_connect);
+		if (!connection)
+		{
+			this->totals->count_relayed_request("not_sent");
+			co_return send_failure::not_sent;
+		}
+		pooled_connection pooled(this->pool, entry, connection);
+		if (state->is_caller_gone || state->is_out_of_time())
+		{
+			connection->close();
+			co_return send_failure::not_sent;
+		}
+		send_options options;
+		options.is_relay = true;
+		options.time_left = state->time_left();
+		options.last_event = state->joiner.last_event();
+		if (options.last_event)
+		{
+			options.resumes = state->call.last_event ? state->call.resumes : state->call.attempt;
+		}
+		this->log_event(*state, "request_relayed",
+			{{"to", peer.id.str()}, {"address", peer.caller_address}, {"last_event", options.last_event.value_or("")},
+				{"unheard_ms", milliseconds_text(this->shared->reach.unheard_for(monotonic_now()))},
+				{"left_ms", milliseconds_text(state->time_left())}});
+		auto const outgoing = this->protocol.write_call(state->message, options);
+		state->is_relayed_on = true;
+		state->connection = connection;
+		state->sent_at = monotonic_now();
+		state->events_before_send = state->joiner.events();
+		connection->send(outgoing);
+		auto head = co_await this->read_own_head(connection, state->call.attempt, state->time_left());
+		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
+		{
+			connection->close();
+			this->totals->count_relayed_request("broken");
+			co_return to_send_failure(*failure);
+		}
+		unread_answer answer{std::move(std::get<http::response>(head)), std::move(pooled)};
+		auto const failure = co_await this->forward_relayed(state, answer, target);
+		this->totals->count_relayed_request(failure ? routing::to_string(*failure) : "served");
+		if (!failure)
+		{
+			this->record_success(*state, *target, answer);
+		}
+		co_return failure;
+	}
+
+	asio::awaitable<std::optional<send_failure>> forwarder::forward_relayed(
+		state_pointer state, unread_answer& answer, routing::server_pointer peer)
+	{
+		auto const status = answer.head.status;
+		if (std::ranges::find(not_run_statuses, status) != not_run_statuses.end())
+		{
+			// The other daemon promises that the request has not run and never will.
+			auto body = co_await answer.connection->read_rest(state->time_left(), max_small_body_bytes);
+			if (auto* const text = std::get_if<std::string>(&body))
+			{
+				http::response refusal{status, http::end_to_end_headers(answer.head.headers), std::move(*text)};
+				state->relayed_refusal = std::move(refusal);
+			}
+			co_return send_failure::not_run;
+		}
+		if (status == status_ok && state->matched_route->kind == routing::call_kind::streaming)
+		{
+			load_guard const guard(peer, token_count{}, token_count{});
+			co_return co_await this->forward_events(state, answer, peer, guard.id());
+		}
+		co_return co_await this->forward_answer(state, answer);
+	}
+
+	void forwarder::probe_servers()
+	{
+		std::vector<routing::server_pointer> ready;
+		std::ranges::copy_if(this->shared->servers.all() | std::views::values, std::back_inserter(ready),
+			[](routing::server_pointer const& each) { return each->is_ready(); });
+		auto const draw_number = [this]
+		{
+			return this->draw();
+		};
+		for (auto const& server : random_sample(std::move(ready), servers_probed, draw_number))
+		{
+			asio::co_spawn(this->executor, this->probe_server(server), asio::detached);
+		}
+	}
+
+	asio::awaitable<void> forwarder::probe_server(routing::server_pointer server)
+	{
+		auto const* const terms =
+			this->shared->routes ? this->shared->routes->find_service(server->entry.service) : nullptr;
+		http::request message;
+		message.method = "GET";
+		message.target = terms == nullptr || terms->health_path.empty() ? "/" : terms->health_path;
+		auto const answer = co_await this->call_server(server, std::move(message), probe_timeout);
+		this->totals->count_send("probe", answer ? "served" : "silent");
+	}
+}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -160,6 +160,9 @@
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
+		// Whether the request was last sent to another daemon instead of a server, and that daemon's last refusal.
+		bool is_relayed_on = false;
+		std::optional<http::response> relayed_refusal;
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -29,6 +29,14 @@
 
 	asio::awaitable<void> forwarder::forward_stream(state_pointer state)
 	{
+		if (this->should_relay(*state))
+		{
+			auto const is_relayed = co_await this->relay(state);
+			if (is_relayed)
+			{
+				co_return;
+			}
+		}
 		if (!co_await this->find_origin(state))
 		{
 			co_return;
@@ -82,6 +90,14 @@
 			{
 				break;
 			}
+			if (this->should_relay(*state))
+			{
+				auto const is_relayed = co_await this->relay(state);
+				if (is_relayed)
+				{
+					co_return;
+				}
+			}
 		}
 		if (this->must_refuse_before_stop(*state) && !state->may_have_run && !state->is_caller_gone)
 		{
@@ -307,11 +323,11 @@
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
 				answer.connection->close();
-				this->shared->reach.note_failure(server->entry.id);
+				this->note_unheard(*state, server->entry.id);
 				state->joiner.restart();
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
 			}
-			this->shared->reach.note_heard(monotonic_now());
+			this->note_heard(*state, monotonic_now());
 			auto const& received = std::get<std::string>(piece);
 			auto const is_end = received.empty();
 			auto const events_before = state->joiner.events();
@@ -335,7 +351,10 @@
 				server->load.note_progress(call, progress_at);
 				server->load.set_committed(call, this->needed_tokens(*state));
 				state->note_event(progress_at);
-				this->record_origin(*state, *server, progress_at);
+				if (!state->is_relayed_on)
+				{
+					this->record_origin(*state, *server, progress_at);
+				}
 				auto const begun_at = state->events_before_send + min_events_of_answer;
 				if (events_before < begun_at && state->joiner.events() >= begun_at)
 				{
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -59,6 +59,7 @@
 			state.retries = settings.retries;
 			state.data_centre = settings.data_centre;
 			state.crashes = routing::crash_evidence(settings.crashes);
+			state.caller_address = http::to_string(settings.caller_address);
 			state.origins = routing::stream_origins(settings.instance, decide::rank);
 			if (settings.is_first_start)
 			{
@@ -406,6 +407,14 @@
 		}
 	}
 
+	void serving_thread::forget_failures()
+	{
+		for (auto const& server : this->shared.servers.all() | std::views::values)
+		{
+			server->health = {};
+		}
+	}
+
 	void serving_thread::review_reach(time_point now)
 	{
 		auto& reach = this->shared.reach;
@@ -419,8 +428,17 @@
 			}
 		}
 		auto const is_cut_off = reach.is_cut_off(known, now);
+		if (is_cut_off)
+		{
+			this->request_forwarder.probe_servers();
+		}
+		this->shared.relays.expire(now);
 		if (is_cut_off != std::exchange(this->shared.is_cut_off, is_cut_off))
 		{
+			if (!is_cut_off)
+			{
+				this->forget_failures();
+			}
 			this->log_event(is_cut_off ? "servers_out_of_reach" : "servers_in_reach",
 				{{"unheard_ms", fmt::format("{:.1f}", to_milliseconds(reach.unheard_for(now)))},
 					{"failed_servers", std::to_string(reach.failed_servers())}, {"servers", std::to_string(known)}});
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -43,6 +43,10 @@
 		void count_crash_report();
 		// Counts a caller's request that was blocked because requests like it end servers. outcome: refused or tried.
 		void count_blocked_request(std::string_view outcome);
+		// Counts a request that was passed on to another daemon. outcome: served or the failure.
+		void count_relayed_request(std::string_view outcome);
+		// Counts a request that another daemon has passed on to this one.
+		void count_taken_over_request();
 		// Counts a stream that a caller takes up. outcome: how this daemon knows where it began (recorded,
 		// only_version), or why it is refused (unknown, other_service).
 		void count_taken_up_stream(std::string_view outcome);
@@ -69,6 +73,8 @@
 		prometheus::Gauge* limited_servers;
 		prometheus::Counter* crash_reports;
 		prometheus::Family<prometheus::Counter>* blocked_requests;
+		prometheus::Family<prometheus::Counter>* relayed_requests;
+		prometheus::Counter* taken_over_requests;
 		prometheus::Family<prometheus::Counter>* taken_up_streams;
 		prometheus::Gauge* known_streams;
 		prometheus::Gauge* request_blocks;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -53,6 +53,9 @@
 		// since the engine that began a stream may be gone and another one hold the same part from an earlier try.
 		void learn_origins(std::set<service_id> const& changed);
 
+		// Asks a few servers for a sign of life, to find out whether this daemon reaches servers again.
+		void probe_servers();
+
 		// Returns the number of requests in progress.
 		[[nodiscard]] std::size_t running() const noexcept
 		{
@@ -112,6 +115,21 @@
 		// Returns whether there is a decode engine that may serve the stream now or later.
 		[[nodiscard]] bool has_engines(request_state const& state, time_point now) const;
 
+		// Returns whether other daemons are to serve the request, since this one reaches no server.
+		[[nodiscard]] bool should_relay(request_state const& state) const;
+		// Passes the request on to daemons that reach servers, one after the other while that is allowed, and their
+		// answer to the caller. Returns false when no such daemon is known, and nothing has been done.
+		[[nodiscard]] asio::awaitable<bool> relay(state_pointer state);
+		// Passes the request on to one daemon. Returns nothing when the caller has the whole answer or is gone.
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> relay_to(
+			state_pointer state, routing::relay_peer peer);
+		// Passes another daemon's answer on.
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_relayed(
+			state_pointer state, unread_answer& answer, routing::server_pointer peer);
+		// Records that something arrived, or that a call failed, unless it was another daemon that served it.
+		void note_heard(request_state const& state, time_point now);
+		void note_unheard(request_state const& state, server_id const& server);
+
 		// Waits in the queue until a decode engine has memory for the stream. Returns nothing when the service has no
 		// decode engine, the wait is too long, the caller has disconnected or this daemon is about to stop.
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> wait_for_reservation(state_pointer state);
@@ -213,6 +231,7 @@
 		// the answer incomplete.
 		[[nodiscard]] asio::awaitable<void> fail_request(state_pointer state);
 		// Sends a request that releases a reservation or a KV cache.
+		[[nodiscard]] asio::awaitable<void> probe_server(routing::server_pointer server);
 		[[nodiscard]] asio::awaitable<void> send_release(routing::server_pointer server, http::request message);
 		void release_in_background(routing::server_pointer const& server, http::request message);
 		// Returns the measured speed of the engines that serve the stream.
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -35,6 +35,8 @@
 		// The caller's attempt that brought the first event of the stream, when the caller takes a stream up; empty
 		// when the caller names none.
 		request_id resumes;
+		// Whether another daemon that reaches no server has passed the request on.
+		bool is_relayed = false;
 		// The model that the caller asks for; empty when the caller names none.
 		std::string model;
 		// Ids of the parts of the prompt, in order. Requests share parts; the last part belongs to this request or to
@@ -69,6 +71,10 @@
 		// The reservation that the engine has granted for the call.
 		std::optional<std::string> reservation;
 		std::optional<std::string> last_event;
+		// Whether the request goes to another daemon, which treats it like a caller's.
+		bool is_relay = false;
+		// The attempt that began the stream, when a relayed stream goes on after last_event.
+		request_id resumes;
 	};
 
 	// What an answer states about the requests that its server takes from all daemons together.
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -56,6 +56,8 @@
 		void apply_servers(std::vector<routing::registered_server> servers);
 		// Applies a complete list. unobserved: time since the registry was last read.
 		void apply_list(std::vector<routing::registered_server> const& servers, duration unobserved, time_point now);
+		// Forgets which servers have failed: the fault was this daemon's own.
+		void forget_failures();
 		// Finds out whether this daemon still reaches any server.
 		void review_reach(time_point now);
 		// Records which software versions are in service.
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -23,8 +23,11 @@
 		routing::crash_evidence crashes;
 		routing::admission_queue stream_queue;
 		routing::server_reach reach;
-		// Whether this daemon takes itself for cut off from all servers.
+		// Whether this daemon takes itself for cut off from all servers. Other daemons serve its requests then.
 		bool is_cut_off = false;
+		routing::relay_peers relays;
+		// Address at which this daemon serves callers, "IP:port".
+		std::string caller_address;
 		// Where streams began, and which software versions were in service.
 		routing::stream_origins origins;
 		routing::version_history versions;
--- a/packages/routing/impl/server_reach.cpp
+++ b/packages/routing/impl/server_reach.cpp
@@ -29,6 +29,11 @@
 		return required > 0 && this->failed.size() >= required && this->unheard_for(now) > max_silence_of_all;
 	}
 
+	bool server_reach::is_doubtful() const noexcept
+	{
+		return this->failed.size() >= min_failed_servers;
+	}
+
 	duration server_reach::unheard_for(time_point now) const
 	{
 		return now - this->heard_at;
--- a/packages/routing/include/godwittrestle/routing/server_reach.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_reach.hpp
@@ -23,6 +23,10 @@
 		// Returns whether no server is reached. known_servers: number of servers that are in service.
 		[[nodiscard]] bool is_cut_off(std::size_t known_servers, time_point now) const;
 
+		// Returns whether so many servers have failed, and nothing has been heard since, that the failure of one says
+		// nothing about it.
+		[[nodiscard]] bool is_doubtful() const noexcept;
+
 		// Returns the time since something arrived from any server.
 		[[nodiscard]] duration unheard_for(time_point now) const;
 
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -106,7 +106,8 @@
 		}
 		if (message.method != "POST")
 		{
-			std::ignore = co_await http_exchange.reply({});
+			http::response answer;
+			std::ignore = co_await http_exchange.reply(std::move(answer));
 			co_return;
 		}
 		co_await this->stream(message, http_exchange);
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -30,6 +30,7 @@
 			call.attempt = request_id(message.find_header("Attempt"));
 			call.time_left = milliseconds(parse_number(message.find_header("Time-Left-Ms")).value());
 			call.resumes = request_id(message.find_header("Resumes"));
+			call.is_relayed = !message.find_header("Relayed").empty();
 			if (auto last_event = message.find_header("Last-Event-Id"); !last_event.empty())
 			{
 				call.last_event = std::move(last_event);
@@ -41,7 +42,23 @@
 		{
 			http::request message{
 				original.method, original.target, http::end_to_end_headers(original.headers), original.body};
-			message.headers.push_back({"For-Server", options.server.str()});
+			std::erase_if(message.headers,
+				[](http::header const& each) { return each.name == "Relayed" || each.name == "Time-Left-Ms"; });
+			auto const left_ms = std::chrono::floor<std::chrono::milliseconds>(options.time_left).count();
+			message.headers.push_back({"Time-Left-Ms", std::to_string(left_ms)});
+			if (options.is_relay)
+			{
+				message.headers.push_back({"Relayed", "1"});
+			}
+			else
+			{
+				message.headers.push_back({"For-Server", options.server.str()});
+			}
+			if (!options.resumes.empty())
+			{
+				std::erase_if(message.headers, [](http::header const& each) { return each.name == "Resumes"; });
+				message.headers.push_back({"Resumes", options.resumes.str()});
+			}
 			if (options.last_event)
 			{
 				std::erase_if(message.headers, [](http::header const& each) { return each.name == "Last-Event-Id"; });
