A planned stop answers what still runs before the process ends

Now, one second before the grace ends, each request that has no answer yet is ended: its connection to the server is closed, and it gets 504, or 503 when it has reached no server.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -49,8 +49,8 @@
 
 	asio::awaitable<void> forwarder::serve(http::request message, http::exchange& http_exchange)
 	{
-		++this->in_progress;
 		auto const state = std::make_shared<request_state>();
+		this->requests.insert(state);
 		state->started = monotonic_now();
 		state->message = std::move(message);
 		state->http_exchange = &http_exchange;
@@ -104,7 +104,20 @@
 		}
 		http_exchange.on_close(nullptr);
 		state->http_exchange = nullptr;
-		--this->in_progress;
+		this->requests.erase(state);
+	}
+
+	void forwarder::end_requests()
+	{
+		auto const now = monotonic_now();
+		for (auto const& state : this->requests)
+		{
+			state->deadline = std::min(state->deadline, now);
+			if (state->connection)
+			{
+				state->connection->close();
+			}
+		}
 	}
 
 	asio::awaitable<void> forwarder::forward_plain(state_pointer state)
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -34,6 +34,8 @@
 		constexpr duration drain_poll = milliseconds(50);
 		// Requests that still run this long before SIGKILL are aborted.
 		constexpr duration exit_margin = milliseconds(1000);
+		// Time for the last answers, within exit_margin.
+		constexpr duration last_answers_time = milliseconds(400);
 		// No software version comes and goes within this time.
 		constexpr duration harmless_gap = seconds(5);
 		// A server that leaves a call unanswered for longer than this counts as not heard.
@@ -472,9 +474,13 @@
 			timer.expires_after(drain_poll);
 			std::ignore = co_await timer.async_wait(token);
 		}
-		// Leaves time to send the last answers.
-		timer.expires_after(drain_poll);
-		std::ignore = co_await timer.async_wait(token);
+		this->request_forwarder.end_requests();
+		auto const answered_by = monotonic_now() + last_answers_time;
+		do
+		{
+			timer.expires_after(drain_poll);
+			std::ignore = co_await timer.async_wait(token);
+		} while (monotonic_now() < answered_by && this->request_forwarder.running() > 0);
 		this->log_event("drained", {{"broken_off", std::to_string(this->request_forwarder.running())}});
 		this->on_drained();
 	}
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -53,13 +53,17 @@
 		// since the engine that began a stream may be gone and another one hold the same part from an earlier try.
 		void learn_origins(std::set<service_id> const& changed);
 
+		// Ends the requests that still run, just before this daemon stops: those that are not answered yet get their
+		// final answer.
+		void end_requests();
+
 		// Asks a few servers for a sign of life, to find out whether this daemon reaches servers again.
 		void probe_servers();
 
 		// Returns the number of requests in progress.
 		[[nodiscard]] std::size_t running() const noexcept
 		{
-			return this->in_progress;
+			return this->requests.size();
 		}
 
 		// Returns a uniformly distributed random number in [0, 1).
@@ -259,6 +263,7 @@
 		server_end_check end_check;
 		std::mt19937_64 random;
 		time_point started;
-		std::size_t in_progress = 0;
+		// The requests in progress.
+		std::set<state_pointer> requests;
 	};
 }
--- a/tests/contract/serving_thread.test.cpp
+++ b/tests/contract/serving_thread.test.cpp
@@ -25,9 +25,10 @@
 	namespace asio = boost::asio;
 	using asio::ip::tcp;
 
-	gateway::gateway_settings make_settings()
+	gateway::gateway_settings make_settings(duration termination_grace)
 	{
 		gateway::gateway_settings settings;
+		settings.termination_grace = termination_grace;
 		settings.instance = instance_id("d1");
 		settings.caller_address = free_endpoint();
 		settings.readiness_address = free_endpoint();
@@ -46,14 +47,15 @@
 	}
 
 	// Sends one request and returns all bytes that are received until the connection closes.
-	std::string send_request(http::endpoint const& listen_address, std::string const& path)
+	std::string send_request(
+		http::endpoint const& listen_address, std::string const& path, duration time_left = milliseconds(1400))
 	{
 		asio::io_context loop;
 		tcp::socket socket(loop);
 		socket.connect(tcp::endpoint(asio::ip::make_address(listen_address.address), listen_address.port));
-		auto const text = fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\nTime-Left-Ms: 1400\r\n"
+		auto const text = fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\nTime-Left-Ms: {}\r\n"
 									  "Connection: close\r\n\r\n",
-			path);
+			path, std::chrono::floor<std::chrono::milliseconds>(time_left).count());
 		asio::write(socket, asio::buffer(text));
 		std::string received;
 		boost::system::error_code read_error;
@@ -65,8 +67,8 @@
 	class fixture
 	{
 	  public:
-		fixture()
-			: settings(make_settings())
+		explicit fixture(duration termination_grace = seconds(8))
+			: settings(make_settings(termination_grace))
 			, adapter(make_adapter())
 			, serving(
 				  settings, adapter, [](decide::record_event const&) {}, [] { return 0U; },
@@ -77,11 +79,17 @@
 
 		// Pushes a configuration with one route and a complete list of servers.
 		void publish(std::uint64_t version, std::string prefix, std::vector<routing::registered_server> servers = {})
+		{
+			auto route = make_route(routing::call_kind::idempotent, 1, false);
+			route.prefix = std::move(prefix);
+			this->publish(version, std::move(route), std::move(servers));
+		}
+
+		void publish(std::uint64_t version, routing::route route, std::vector<routing::registered_server> servers)
 		{
 			gateway::published_configuration published;
 			published.value.version = platform_version(version);
-			published.value.routes = {make_route(routing::call_kind::idempotent, 1, false)};
-			published.value.routes.front().prefix = std::move(prefix);
+			published.value.routes = {std::move(route)};
 			gateway::registry_update update;
 			update.is_complete_list = true;
 			update.changes.emplace_back(std::move(published));
@@ -160,3 +168,42 @@
 		tcp::endpoint(asio::ip::make_address("127.0.0.1"), fixture.settings.caller_address.port), refused);
 	REQUIRE(refused);
 }
+
+TEST_CASE("a request that comes late in a planned stop is answered before the process ends", "[late_in_stop]")
+{
+	auto const kind = GENERATE(routing::call_kind::non_idempotent, routing::call_kind::idempotent);
+	fixture fixture(seconds(4));
+	scripted_http_server silent({});
+	routing::registered_server server;
+	server.id = server_id("a");
+	server.service = service_id("s");
+	server.address = http::to_string(silent.listen_address());
+	auto route = make_route(kind, 1, false);
+	route.timeout = seconds(30);
+	fixture.publish(5, route, {server});
+	while (!fixture.is_ready())
+	{
+		std::this_thread::yield();
+	}
+	std::string early_answer;
+	std::thread early([&] { early_answer = send_request(fixture.settings.caller_address, "/x/y", seconds(30)); });
+	fixture.serving.drain();
+	std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+	// The server never answers, and the caller would wait for far longer than this daemon still runs.
+	auto const late_answer = send_request(fixture.settings.caller_address, "/x/y", seconds(30));
+	early.join();
+	auto const was_in_time = !fixture.has_drained;
+	REQUIRE(was_in_time);
+	auto const calls = silent.calls();
+	// Besides, the daemon asks the silent server for signs of life.
+	REQUIRE(std::ranges::count(calls, "GET /x/y") == 2);
+	// It may have run, so no status that promises the contrary.
+	REQUIRE(early_answer.starts_with("HTTP/1.1 504"));
+	REQUIRE(late_answer.starts_with("HTTP/1.1 504"));
+	auto const give_up_at = daemon::monotonic_now() + seconds(60);
+	while (!fixture.has_drained && daemon::monotonic_now() < give_up_at)
+	{
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+	}
+	REQUIRE(fixture.has_drained);
+}
