A started daemon also learns from the prompts that engines hold where a stream began

After a loss of power of all daemons, engines name the streams that they still run; those that they have finished meanwhile were unknown. The request's own prompt part, held by engines of just one version, tells them. Engines that have ever changed their role are left out: they may have prefilled it for others.

--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -72,12 +72,11 @@
 	{
 		std::size_t unanswered = 0;
 		std::size_t engines = 0;
-		bool may_use_parts = false;
 		std::map<fingerprint, std::set<software_version>> runs;
 		std::size_t parts = 0;
 	};
 
-	void forwarder::learn_origins(std::set<service_id> const& changed)
+	void forwarder::learn_origins()
 	{
 		std::set<service_id> services;
 		auto const now = monotonic_now();
@@ -92,11 +91,11 @@
 		}
 		for (auto const& service : services)
 		{
-			asio::co_spawn(this->executor, this->search_origins(service, !changed.contains(service)), asio::detached);
+			asio::co_spawn(this->executor, this->search_origins(service), asio::detached);
 		}
 	}
 
-	asio::awaitable<void> forwarder::search_origins(service_id service, bool may_use_parts)
+	asio::awaitable<void> forwarder::search_origins(service_id service)
 	{
 		auto const begun_at = monotonic_now();
 		auto engines = this->shared->servers.candidates(service, routing::server_role::decode, begun_at);
@@ -105,7 +104,6 @@
 		engines.resize(std::min(engines.size(), max_engines_searched));
 		auto const search = std::make_shared<origin_search>();
 		search->engines = engines.size();
-		search->may_use_parts = may_use_parts;
 		search->unanswered = engines.size();
 		for (auto const& engine : engines)
 		{
@@ -139,18 +137,18 @@
 		auto const& entry = engine->entry;
 		auto report_request = this->protocol.write_report_request(entry.id);
 		auto const report = co_await this->call_server(engine, std::move(report_request), contents_timeout);
-		if (report && report->status == status_ok)
+		auto const contents =
+			report && report->status == status_ok ? this->protocol.read_report(report->body) : std::nullopt;
+		for (auto const& each : contents ? contents->running : std::vector<running_stream>{})
 		{
-			auto const contents = this->protocol.read_report(report->body);
-			for (auto const& each : contents ? contents->running : std::vector<running_stream>{})
+			if (each.events > 0)
 			{
-				if (each.events > 0)
-				{
-					search->runs[fingerprint_of(each.attempt)].insert(entry.version);
-				}
+				search->runs[fingerprint_of(each.attempt)].insert(entry.version);
 			}
 		}
-		if (search->may_use_parts)
+		// An engine that has changed its role may hold prompts that it prefilled for engines of other versions.
+		auto const has_one_role = contents && contents->orders == 0;
+		if (has_one_role)
 		{
 			co_await this->read_held_parts(engine, search);
 		}
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -288,7 +288,7 @@
 			auto const changed = routing::changed_services(servers, life, daemon::wall_clock_us() / us_per_ms);
 			this->shared.versions.note_first_list(servers, changed, life, now);
 			this->note_versions(now);
-			this->request_forwarder.learn_origins(changed);
+			this->request_forwarder.learn_origins();
 		}
 		else if (unobserved > harmless_gap)
 		{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -49,9 +49,8 @@
 
 		// Learns from the engines where streams began before this daemon started: which streams they still run, and
 		// which prompt parts they hold. Does nothing for services of which it is known that only one version was in
-		// service. changed: services whose servers may have changed a moment ago. Prompt parts tell nothing there,
-		// since the engine that began a stream may be gone and another one hold the same part from an earlier try.
-		void learn_origins(std::set<service_id> const& changed);
+		// service.
+		void learn_origins();
 
 		// Ends the requests that still run, just before this daemon stops: those that are not answered yet get their
 		// final answer.
@@ -102,15 +101,14 @@
 		[[nodiscard]] bool apply_known_origin(request_state& state, time_point now);
 		// Asks other daemons about the stream, and waits until one knows it, all have replied, or the timeout.
 		[[nodiscard]] asio::awaitable<void> ask_for_origin(state_pointer state);
-		// Asks one engine what it runs, and what it holds if that matters, and adds it to the search.
+		// Asks one engine what it runs and holds, and adds it to the search.
 		[[nodiscard]] asio::awaitable<void> read_contents(
 			routing::server_pointer engine, std::shared_ptr<origin_search> search);
 		// Asks one engine which prompt parts it holds.
 		[[nodiscard]] asio::awaitable<void> read_held_parts(
 			routing::server_pointer engine, std::shared_ptr<origin_search> search);
-		// Asks the engines of a service. may_use_parts: whether the prompt parts that they hold tell where streams
-		// began.
-		[[nodiscard]] asio::awaitable<void> search_origins(service_id service, bool may_use_parts);
+		// Asks the engines of a service.
+		[[nodiscard]] asio::awaitable<void> search_origins(service_id service);
 		// Records that a server has made an event of the stream that was passed on.
 		void record_origin(request_state& state, routing::server_record const& server, time_point now);
 		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
