--- a/tests/unit/relay_peers.test.cpp
+++ b/tests/unit/relay_peers.test.cpp
@@ -18,6 +18,7 @@
 	std::vector<routing::fleet_member> make_live(int count)
 	{
 		std::vector<routing::fleet_member> live;
+		live.reserve(static_cast<std::size_t>(count));
 		for (int number = 0; number < count; ++number)
 		{
 			live.push_back({instance_id(fmt::format("d{}", number)), incarnation(1), "", at_ms(0)});
