A request that gets no connection to a server goes to another daemon while new connections are refused

A cut may leave old connections alive and refuse new ones: then servers are heard of all the time, the daemon doesn't take itself for cut off, and each request beyond the open connections is refused. The contract test had no such cut.

Now failures to open a connection are noted by themselves: after three servers, a request that gets no connection is passed on.

--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -21,7 +21,7 @@
 		}
 	}
 
-	connection_pool::connection_pool(asio::any_io_executor io_executor, std::function<void()> notify)
+	connection_pool::connection_pool(asio::any_io_executor io_executor, connect_callback notify)
 		: executor(std::move(io_executor))
 		, on_connect(std::move(notify))
 	{
@@ -50,9 +50,9 @@
 			co_return nullptr;
 		}
 		++connections.in_use;
-		this->on_connect();
 		auto fresh = std::make_shared<http::upstream>(this->executor, *where);
 		auto const is_connected = co_await fresh->connect(timeout);
+		this->on_connect(server.id, is_connected);
 		if (!is_connected)
 		{
 			this->release(server, nullptr);
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -40,7 +40,13 @@
 		, protocol(std::move(calls))
 		, totals(&metrics)
 		, log(std::move(event_sink))
-		, pool(io_executor, [this] { this->totals->count_connection(); })
+		, pool(io_executor,
+			  [this](server_id const& server, bool is_connected)
+			  {
+				  this->totals->count_connection();
+				  this->shared->reach.note_connect(server, is_connected);
+			  })
+		, peer_pool(io_executor, [](server_id const& /*daemon*/, bool /*is_connected*/) {})
 		, end_check(io_executor, this->log)
 		, random(std::random_device{}())
 		, started(monotonic_now())
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -30,7 +30,12 @@
 
 	bool forwarder::should_relay(request_state const& state) const
 	{
-		return this->shared->is_cut_off && !state.call.is_relayed && !state.is_caller_gone && !state.is_out_of_time();
+		// Open connections are used first while new ones are refused.
+		auto const has_no_connection = this->shared->reach.is_refused_new_connections() &&
+									   (!state.failure || state.failure == send_failure::not_sent);
+		auto const has_been_tried = state.failure == send_failure::not_sent || state.has_waited;
+		auto const must_relay = this->shared->is_cut_off || (has_no_connection && has_been_tried);
+		return must_relay && !state.call.is_relayed && !state.is_caller_gone && !state.is_out_of_time();
 	}
 
 	void forwarder::note_heard(request_state const& state, time_point now)
@@ -96,13 +101,13 @@
 		auto const& entry = target->entry;
 		state->attempted_servers.push_back(entry.id.str());
 		auto const time_to_connect = std::min(connect_timeout, state->time_left());
-		auto connection = co_await this->pool.acquire(entry, max_connections_per_peer, max_idle, time_to_connect);
+		auto connection = co_await this->peer_pool.acquire(entry, max_connections_per_peer, max_idle, time_to_connect);
 		if (!connection)
 		{
 			this->totals->count_relayed_request("not_sent");
 			co_return send_failure::not_sent;
 		}
-		pooled_connection pooled(this->pool, entry, connection);
+		pooled_connection pooled(this->peer_pool, entry, connection);
 		if (state->is_caller_gone || state->is_out_of_time())
 		{
 			connection->close();
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -119,7 +119,8 @@
 			auto const is_over = this->is_beyond_limits(*state, waiting, gives_up_at, now) ||
 								 stream_queue.should_refuse(ticket, gives_up_at, now) ||
 								 this->must_refuse_before_stop(*state);
-			if (granted || !this->has_engines(*state, now) || is_over)
+			state->has_waited = !granted;
+			if (granted || !this->has_engines(*state, now) || is_over || this->should_relay(*state))
 			{
 				break;
 			}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -160,6 +160,8 @@
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
+		// Whether no engine has granted the stream a reservation at once.
+		bool has_waited = false;
 		// Whether the request was last sent to another daemon instead of a server, and that daemon's last refusal.
 		bool is_relayed_on = false;
 		std::optional<http::response> relayed_refusal;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -56,6 +56,14 @@
 			auto granted = co_await this->wait_for_reservation(state);
 			if (!granted)
 			{
+				if (this->should_relay(*state))
+				{
+					auto const is_relayed = co_await this->relay(state);
+					if (is_relayed)
+					{
+						co_return;
+					}
+				}
 				break;
 			}
 			if (this->shared->crashes.find_block(state->identity) != nullptr)
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -22,8 +22,10 @@
 	class connection_pool
 	{
 	  public:
-		// on_connect: called before each attempt to open a new connection.
-		connection_pool(asio::any_io_executor executor, std::function<void()> on_connect);
+		// Called after each attempt to open a new connection.
+		using connect_callback = std::function<void(server_id const& server, bool is_connected)>;
+
+		connection_pool(asio::any_io_executor executor, connect_callback on_connect);
 
 		// Returns a connection to a server, reused or new. Returns nothing when connecting fails or times out, the
 		// server's address can't be parsed or the limit is reached. limit: the most connections to this server, idle
@@ -63,7 +65,7 @@
 			server_connections& connections, duration max_idle, time_point now);
 
 		asio::any_io_executor executor;
-		std::function<void()> on_connect;
+		connect_callback on_connect;
 		std::map<server_id, server_connections> servers;
 		bool is_closed = false;
 	};
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -258,6 +258,8 @@
 		counters* totals;
 		event_log log;
 		connection_pool pool;
+		// Connections to other daemons.
+		connection_pool peer_pool;
 		server_end_check end_check;
 		std::mt19937_64 random;
 		time_point started;
--- a/packages/routing/impl/server_reach.cpp
+++ b/packages/routing/impl/server_reach.cpp
@@ -23,6 +23,23 @@
 		this->failed.insert(server);
 	}
 
+	void server_reach::note_connect(server_id const& server, bool is_connected)
+	{
+		if (is_connected)
+		{
+			this->unconnected.clear();
+		}
+		else
+		{
+			this->unconnected.insert(server);
+		}
+	}
+
+	bool server_reach::is_refused_new_connections() const noexcept
+	{
+		return this->unconnected.size() >= min_failed_servers;
+	}
+
 	bool server_reach::is_cut_off(std::size_t known_servers, time_point now) const
 	{
 		auto const required = std::min(known_servers, min_failed_servers);
--- a/packages/routing/include/godwittrestle/routing/server_reach.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_reach.hpp
@@ -20,6 +20,12 @@
 		// Records that a server could not be connected to, broke a connection off or left a call unanswered.
 		void note_failure(server_id const& server);
 
+		// Records whether a new connection to a server could be opened.
+		void note_connect(server_id const& server, bool is_connected);
+
+		// Returns whether no new connection to any server can be opened at present, though open ones may live on.
+		[[nodiscard]] bool is_refused_new_connections() const noexcept;
+
 		// Returns whether no server is reached. known_servers: number of servers that are in service.
 		[[nodiscard]] bool is_cut_off(std::size_t known_servers, time_point now) const;
 
@@ -39,5 +45,7 @@
 	  private:
 		time_point heard_at;
 		std::set<server_id> failed;
+		// Servers to which a new connection failed since the last one that was opened.
+		std::set<server_id> unconnected;
 	};
 }
--- a/tests/contract/partitioned_daemons.test.cpp
+++ b/tests/contract/partitioned_daemons.test.cpp
@@ -140,6 +140,17 @@
 			this->threads.clear();
 		}
 
+		// Adds callers at the first daemons; their tries count as those of the first callers do.
+		void add(std::vector<http::endpoint> const& daemons, std::size_t count)
+		{
+			for (std::size_t number = 0; number < count * daemons.size(); ++number)
+			{
+				auto const caller = this->threads.size();
+				this->threads.emplace_back([this, caller, address = daemons[number % daemons.size()]]
+					{ this->run(caller, address, this->counts.cut_off); });
+			}
+		}
+
 		std::atomic<bool> is_counting = false;
 		reach_counts counts;
 
@@ -179,6 +190,8 @@
 	auto const given = GENERATE(cut{link_fault::silent, 2, routing::call_kind::idempotent},
 		cut{link_fault::reset, 2, routing::call_kind::non_idempotent},
 		cut{link_fault::silent, 2, routing::call_kind::non_idempotent},
+		cut{link_fault::refuse_new, 2, routing::call_kind::non_idempotent},
+		cut{link_fault::refuse_new, daemon_count - 1, routing::call_kind::streaming},
 		cut{link_fault::silent, daemon_count - 1, routing::call_kind::streaming},
 		cut{link_fault::reset, daemon_count - 1, routing::call_kind::streaming});
 	auto const servers = make_servers(server_count, "v1");
@@ -197,6 +210,14 @@
 	plain_callers callers(daemons.addresses(), given.daemons);
 	std::this_thread::sleep_for(std::chrono::milliseconds(1000));
 	links.set_fault(given.daemons, given.fault);
+	if (given.fault == link_fault::refuse_new)
+	{
+		// More callers than there are connections: the open ones are heard of all the time, and don't suffice.
+		constexpr std::size_t more_callers = 16;
+		auto const cut_addresses = std::vector<http::endpoint>(
+			daemons.addresses().begin(), daemons.addresses().begin() + static_cast<std::ptrdiff_t>(given.daemons));
+		callers.add(cut_addresses, more_callers);
+	}
 	std::this_thread::sleep_for(contact_time);
 	callers.is_counting = true;
 	std::this_thread::sleep_for(counted_time);
--- a/tests/unit/server_reach.test.cpp
+++ b/tests/unit/server_reach.test.cpp
@@ -60,3 +60,18 @@
 	reach.note_failure(server(2));
 	REQUIRE(reach.is_cut_off(2, at_ms(1000)));
 }
+
+TEST_CASE("new connections that fail to several servers are a fault of the daemon's own path", "[server_reach]")
+{
+	routing::server_reach reach;
+	for (int number = 0; number < 3; ++number)
+	{
+		REQUIRE_FALSE(reach.is_refused_new_connections());
+		reach.note_connect(server(number), false);
+		// Open connections live on.
+		reach.note_heard(at_ms(std::int64_t{100} * number));
+	}
+	REQUIRE(reach.is_refused_new_connections());
+	reach.note_connect(server(1), true);
+	REQUIRE_FALSE(reach.is_refused_new_connections());
+}
