Connections to other daemons are closed before the daemon ends

The pool of connections to other daemons was never closed, so its idle connections were destroyed after their executor; a process that had passed requests on could abort at its end.

Both pools are now closed and expired together, by functions of the forwarder instead of an accessor to one of them.

--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/gateway/connection_pool.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <ranges>
 
 #include <godwittrestle/daemon/core_loop.hpp>
@@ -117,6 +118,13 @@
 		}
 	}
 
+	std::size_t connection_pool::idle_connections() const
+	{
+		auto const idle = this->servers | std::views::values |
+						  std::views::transform([](server_connections const& each) { return each.idle.size(); });
+		return std::accumulate(idle.begin(), idle.end(), std::size_t{0});
+	}
+
 	http::upstream_pointer connection_pool::take_idle(
 		server_connections& connections, duration max_idle, time_point now)
 	{
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -380,6 +380,28 @@
 		asio::co_spawn(this->executor, this->send_release(server, std::move(message)), asio::detached);
 	}
 
+	void forwarder::close_connections()
+	{
+		this->pool.close();
+		this->peer_pool.close();
+	}
+
+	void forwarder::close_expired_connections(time_point now)
+	{
+		this->pool.close_expired(now);
+		this->peer_pool.close_expired(now);
+	}
+
+	void forwarder::forget_server(server_id const& server)
+	{
+		this->pool.remove_server(server);
+	}
+
+	std::size_t forwarder::idle_connections() const
+	{
+		return this->pool.idle_connections() + this->peer_pool.idle_connections();
+	}
+
 	double forwarder::draw()
 	{
 		return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -125,7 +125,7 @@
 		this->callers.reset();
 		this->readiness.reset();
 		this->metrics.reset();
-		this->request_forwarder.connections().close();
+		this->request_forwarder.close_connections();
 		this->thread.reset();
 	}
 
@@ -387,7 +387,7 @@
 			for (auto const& gone : all_gone)
 			{
 				this->shared.permits.forget(gone->entry.id);
-				this->request_forwarder.connections().remove_server(gone->entry.id);
+				this->request_forwarder.forget_server(gone->entry.id);
 				this->log_event("server_forgotten", {{"server", gone->entry.id.str()}});
 			}
 			if (!all_gone.empty())
@@ -405,7 +405,7 @@
 			this->shared.crashes.expire(now);
 			log_block_changes(this->shared.crashes, this->log, now);
 			this->totals.set_request_blocks(this->shared.crashes.blocks().size());
-			this->request_forwarder.connections().close_expired(now);
+			this->request_forwarder.close_expired_connections(now);
 		}
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -46,6 +46,9 @@
 		// something.
 		void close_expired(time_point now);
 
+		// Returns the number of idle connections.
+		[[nodiscard]] std::size_t idle_connections() const;
+
 	  private:
 		struct idle_connection
 		{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -68,10 +68,15 @@
 		// Returns a uniformly distributed random number in [0, 1).
 		[[nodiscard]] double draw();
 
-		[[nodiscard]] connection_pool& connections() noexcept
-		{
-			return this->pool;
-		}
+		// Closes the connections to servers and to other daemons; those in use are closed when they are released. Must be
+		// called before the executor ends.
+		void close_connections();
+		// Closes the idle connections that can't be used any more.
+		void close_expired_connections(time_point now);
+		// Closes the connections to a server that was removed.
+		void forget_server(server_id const& server);
+		// Returns the number of idle connections.
+		[[nodiscard]] std::size_t idle_connections() const;
 
 	  private:
 		struct request_state;
