Records of streams: which services have several versions is worked out once, and the servers' versions once an update

Telling records asked for each record whether its service has several versions, which built a map each time, also while there is only one version; now the services are worked out once, and without any nothing is looked at. A complete list noted the versions twice, and an update without changes did too. No decision changes.

--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -231,8 +231,11 @@
 		{
 			this->apply_list(whole, update.unobserved, now);
 		}
+		else if (!update.changes.empty())
+		{
+			this->note_versions(now);
+		}
 		this->totals.set_servers(this->shared.servers.all().size());
-		this->note_versions(now);
 	}
 
 	void serving_thread::apply_update(published_configuration&& published)
@@ -281,19 +284,19 @@
 		auto const is_first = !std::exchange(this->registry_state.has_servers, true);
 		this->shared.servers.replace(servers, now);
 		this->log_event("servers_listed", {{"count", std::to_string(servers.size())}});
+		if (!is_first && unobserved > harmless_gap)
+		{
+			this->shared.versions.note_gap(now);
+		}
+		this->note_versions(now);
 		if (is_first)
 		{
 			constexpr std::uint64_t us_per_ms = 1000;
 			auto const life = longest_stream_life(this->shared);
 			auto const changed = routing::changed_services(servers, life, daemon::wall_clock_us() / us_per_ms);
 			this->shared.versions.note_first_list(servers, changed, life, now);
-			this->note_versions(now);
 			this->request_forwarder.learn_origins();
 		}
-		else if (unobserved > harmless_gap)
-		{
-			this->shared.versions.note_gap(now);
-		}
 	}
 
 	void serving_thread::note_versions(time_point now)
--- a/packages/gateway/impl/stream_origin_exchange.cpp
+++ b/packages/gateway/impl/stream_origin_exchange.cpp
@@ -55,12 +55,6 @@
 	{
 	}
 
-	bool stream_origin_exchange::has_several_versions(service_id const& service, time_point now) const
-	{
-		auto const since = now - longest_stream_life(*this->shared);
-		return this->shared->versions.served_since(service, since, now).size() > 1;
-	}
-
 	bool stream_origin_exchange::is_known_service(service_id const& service) const
 	{
 		return this->shared->routes && this->shared->routes->find_service(service) != nullptr;
@@ -68,11 +62,9 @@
 
 	void stream_origin_exchange::tell_due(time_point now)
 	{
-		auto const is_needed = [&](service_id const& service)
-		{
-			return this->has_several_versions(service, now);
-		};
-		auto const untold = this->shared->origins.take_untold(this->shared->live_daemons, is_needed);
+		auto const services =
+			this->shared->versions.services_with_several(now - longest_stream_life(*this->shared), now);
+		auto const untold = this->shared->origins.take_untold(this->shared->live_daemons, services);
 		std::map<std::string, wire::PeerMessage> messages;
 		for (auto const& each : untold)
 		{
--- a/packages/gateway/include/godwittrestle/gateway/stream_origin_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_origin_exchange.hpp
@@ -58,8 +58,6 @@
 			answer_callback callback;
 		};
 
-		// Returns whether the records of a service's streams have to be told.
-		[[nodiscard]] bool has_several_versions(service_id const& service, time_point now) const;
 		[[nodiscard]] bool is_known_service(service_id const& service) const;
 		void apply(wire::StreamOrigin const& received, time_point now);
 		void handle_query(wire::StreamOriginQuery const& query, time_point now);
--- a/packages/routing/impl/stream_origins.cpp
+++ b/packages/routing/impl/stream_origins.cpp
@@ -117,14 +117,19 @@
 	}
 
 	std::vector<untold_stream> stream_origins::take_untold(
-		std::vector<fleet_member> const& others, std::function<bool(service_id const&)> const& is_needed)
+		std::vector<fleet_member> const& others, std::set<service_id> const& services)
 	{
+		if (services.empty())
+		{
+			return {};
+		}
 		this->note_fleet(others);
 		std::vector<untold_stream> untold;
 		for (auto& [attempt, known] : this->records)
 		{
 			auto const is_own = known.stream.learnt_from == this->own_id;
-			if (!is_own || known.told_for_fleet == this->fleet_number || !is_needed(known.stream.origin.service))
+			if (!is_own || known.told_for_fleet == this->fleet_number ||
+				!services.contains(known.stream.origin.service))
 			{
 				continue;
 			}
--- a/packages/routing/impl/version_history.cpp
+++ b/packages/routing/impl/version_history.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace godwittrestle::routing
@@ -107,6 +108,19 @@
 		return served;
 	}
 
+	std::set<service_id> version_history::services_with_several(time_point since, time_point now) const
+	{
+		std::set<service_id> services;
+		for (auto const& service : this->in_service | std::views::keys)
+		{
+			if (this->served_since(service, since, now).size() > 1)
+			{
+				services.insert(service);
+			}
+		}
+		return services;
+	}
+
 	std::optional<software_version> version_history::only_version_since(
 		service_id const& service, time_point since, time_point now) const
 	{
--- a/packages/routing/include/godwittrestle/routing/stream_origins.hpp
+++ b/packages/routing/include/godwittrestle/routing/stream_origins.hpp
@@ -86,9 +86,9 @@
 			fingerprint attempt, std::vector<fleet_member> const& others) const;
 
 		// Returns the records of this daemon's streams that keepers have not been told yet, and records them as told.
-		// is_needed: whether a service's streams have to be told at present.
+		// services: those whose streams have to be told at present.
 		[[nodiscard]] std::vector<untold_stream> take_untold(
-			std::vector<fleet_member> const& others, std::function<bool(service_id const&)> const& is_needed);
+			std::vector<fleet_member> const& others, std::set<service_id> const& services);
 
 		[[nodiscard]] std::size_t size() const noexcept
 		{
--- a/packages/routing/include/godwittrestle/routing/version_history.hpp
+++ b/packages/routing/include/godwittrestle/routing/version_history.hpp
@@ -53,6 +53,9 @@
 		[[nodiscard]] std::map<software_version, time_point> served_since(
 			service_id const& service, time_point since, time_point now) const;
 
+		// Returns the services of which several versions were in service after a time.
+		[[nodiscard]] std::set<service_id> services_with_several(time_point since, time_point now) const;
+
 		// Returns the only version of a service that was in service after a time; nothing when there were several or
 		// when the history does not reach back that far.
 		[[nodiscard]] std::optional<software_version> only_version_since(
--- a/tests/unit/stream_origins.test.cpp
+++ b/tests/unit/stream_origins.test.cpp
@@ -33,10 +33,6 @@
 		return others;
 	}
 
-	bool always(service_id const& /*service*/)
-	{
-		return true;
-	}
 }
 
 TEST_CASE("the record of an attempt can't be changed by a later stream with the same id", "[stream_origins]")
@@ -58,18 +54,15 @@
 	origins.note(fingerprint(1), {old_origin, at_ms(0), own});
 	origins.note(fingerprint(2), {old_origin, at_ms(0), instance_id("d1")});
 	auto others = make_others(5);
-	auto const never = [](service_id const&)
-	{
-		return false;
-	};
-	REQUIRE(origins.take_untold(others, never).empty());
-	auto const told = origins.take_untold(others, always);
+	REQUIRE(origins.take_untold(others, {}).empty());
+	REQUIRE(origins.take_untold(others, {service_id("other")}).empty());
+	auto const told = origins.take_untold(others, {digests});
 	REQUIRE(told.size() == 1);
 	REQUIRE(told.front().attempt == fingerprint(1));
 	REQUIRE(told.front().recipients.size() == 5);
-	REQUIRE(origins.take_untold(others, always).empty());
+	REQUIRE(origins.take_untold(others, {digests}).empty());
 	others[2].started = incarnation(2);
-	auto const again = origins.take_untold(others, always);
+	auto const again = origins.take_untold(others, {digests});
 	REQUIRE(again.size() == 1);
 	REQUIRE(again.front().recipients.size() == 1);
 	REQUIRE(again.front().recipients.front().id == others[2].id);
@@ -80,9 +73,9 @@
 {
 	auto origins = make_origins();
 	origins.note(fingerprint(2), {old_origin, at_ms(0), instance_id("d1")});
-	REQUIRE(origins.take_untold(make_others(3), always).empty());
+	REQUIRE(origins.take_untold(make_others(3), {digests}).empty());
 	origins.note(fingerprint(2), {old_origin, at_ms(500), own});
-	REQUIRE(origins.take_untold(make_others(3), always).size() == 1);
+	REQUIRE(origins.take_untold(make_others(3), {digests}).size() == 1);
 	REQUIRE(origins.find(fingerprint(2))->begun_at == at_ms(0));
 }
 
