--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -6,6 +6,8 @@
 #include <numeric>
 #include <thread>
 
+#include <fmt/format.h>
+
 #include "daemon_group.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
@@ -112,3 +114,46 @@
 		REQUIRE(2 * seen.went_on >= seen.taken_up);
 	}
 }
+
+TEST_CASE("a stream is taken up only by naming the attempt that began it, whatever else is named", "[version_odd]")
+{
+	auto const old_servers = make_servers(1, "v1");
+	auto const new_servers = make_servers(1, "v1.1");
+	auto entries = entries_of(old_servers);
+	std::ranges::copy(entries_of(new_servers), std::back_inserter(entries));
+	daemon_group daemons(2, make_route(routing::call_kind::streaming, 3, true), entries);
+	int number = 0;
+	auto const send = [&](std::size_t daemon, std::vector<http::header> headers)
+	{
+		headers.push_back({"Events", "3"});
+		headers.push_back({"Attempt", fmt::format("t{}", number++)});
+		return send_to_daemon(daemons.addresses()[daemon], "POST", headers);
+	};
+	auto const begun = send(0, {});
+	REQUIRE(begun.find("id: 3\n") != std::string::npos);
+	auto const is_new = begun.find("data: v1.1\n") != std::string::npos;
+	auto const goes_on = [&](std::string const& answer)
+	{
+		auto const holds_new = answer.find("data: v1.1\n") != std::string::npos;
+		return answer.starts_with("HTTP/1.1 200") && holds_new == is_new;
+	};
+	// At the daemon that began it and at another one, several times, also after an odd event.
+	for (auto const* last_event : {"1", "2", "-1", "one"})
+	{
+		REQUIRE(goes_on(send(0, {{"Resumes", "t0"}, {"Last-Event-Id", last_event}})));
+		REQUIRE(goes_on(send(1, {{"Resumes", "t0"}, {"Last-Event-Id", last_event}})));
+	}
+	auto const own_attempt = fmt::format("t{}", number);
+	std::vector<std::vector<http::header>> const unknown{{}, {{"Resumes", "other"}}, {{"Resumes", own_attempt}},
+		{{"Resumes", std::string(10'000, 't')}}, {{"Resumes", "other"}, {"Resumes", "t0"}}, {{"Resumes", "t0,t0"}}};
+	for (auto headers : unknown)
+	{
+		headers.push_back({"Last-Event-Id", "1"});
+		auto const answer = send(1, headers);
+		CAPTURE(headers.front().value.substr(0, 20), answer);
+		REQUIRE(answer.starts_with("HTTP/1.1 503"));
+		REQUIRE(answer.find("Retry-After: ") != std::string::npos);
+	}
+	// Without a last event the stream begins anew.
+	REQUIRE(send(1, {{"Resumes", "other"}}).starts_with("HTTP/1.1 200"));
+}
