A request that is passed on keeps to its route's number of servers and to the retry budget

A daemon that reaches no server tried up to three others, each of which allowed itself the route's number of servers, and paid for none of these repeats: more servers for one attempt than max-attempts allows. Test "a request that is passed on reaches no more servers than its route allows": three daemons were told nothing; now the first is told 2, the second 1, and there is no third.

The number of servers that are left travels with the request; repeats pass authorize_retry like all others; another daemon's error is final. A stream that another daemon serves is given up only after three quarters of the caller's patience: with the time-out of our own servers this daemon gave up just when the other one had found out that its server had failed.

Simplified on the way: relaying is decided in one place (may_relay); a daemon that can't open connections is known by failures of the last second, so servers that have ended don't count for long, and passes on only what finds no server; reading an engine's report and memory share one function; constants that stood in several files stand once.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -13,7 +13,6 @@
 	namespace
 	{
 		constexpr unsigned not_found = 404;
-		constexpr duration connect_timeout = milliseconds(250);
 		// A call on a connection that the server has just closed is lost. A non-idempotent call can't be retried, so it
 		// only reuses a connection that was in use within this time.
 		constexpr duration max_idle_non_repeatable = seconds(2);
@@ -44,7 +43,7 @@
 			  [this](server_id const& server, bool is_connected)
 			  {
 				  this->totals->count_connection();
-				  this->shared->reach.note_connect(server, is_connected);
+				  this->shared->reach.note_connect(server, is_connected, monotonic_now());
 			  })
 		, peer_pool(io_executor, [](server_id const& /*daemon*/, bool /*is_connected*/) {})
 		, end_check(io_executor, this->log)
@@ -66,12 +65,13 @@
 		state->routes = this->shared->routes;
 		state->deadline = state->started + state->call.time_left.value_or(default_timeout);
 		http_exchange.on_close([state] { state->handle_caller_gone(); });
-		if (state->call.is_relayed)
+		auto const is_relayed = state->call.relayed_servers_left.has_value();
+		if (is_relayed)
 		{
 			this->totals->count_taken_over_request();
 			this->log_event(*state, "request_taken_over", {{"cut_off", this->shared->is_cut_off ? "yes" : "no"}});
 		}
-		if (state->call.is_relayed && this->shared->is_cut_off)
+		if (is_relayed && this->shared->is_cut_off)
 		{
 			co_await this->refuse(state, unavailable, "this daemon reaches no server either",
 				"come back after Retry-After", this->retry_after_delay(*state));
@@ -94,7 +94,7 @@
 			{
 				state->service = routing::choose_service(*state->matched_route, this->draw());
 				state->deadline = std::min(state->deadline, state->started + state->matched_route->timeout);
-				if (!state->call.is_relayed)
+				if (!is_relayed)
 				{
 					this->shared->retry_budgets[state->service].note_request(state->started);
 				}
@@ -133,11 +133,8 @@
 		{
 			if (this->should_relay(*state))
 			{
-				auto const is_relayed = co_await this->relay(state);
-				if (is_relayed)
-				{
-					co_return;
-				}
+				co_await this->relay(state);
+				co_return;
 			}
 			routing::placement_request request;
 			request.service = state->service;
@@ -149,6 +146,11 @@
 				return this->draw();
 			};
 			auto const server = routing::place_call(this->shared->servers, request, draw_number, monotonic_now());
+			if (!server && this->lacks_connections(*state))
+			{
+				co_await this->relay(state);
+				co_return;
+			}
 			if (!server || state->is_out_of_time())
 			{
 				break;
@@ -156,7 +158,7 @@
 			load_guard const guard(server, token_count{}, token_count{});
 			// When a timeout could not lead to another attempt (a non-idempotent call, or the last server that may be
 			// tried), the server may use the whole remaining time, up to default_timeout.
-			auto const is_last = state->sent_to.size() + 1 >= state->matched_route->max_servers;
+			auto const is_last = state->servers_left() <= 1;
 			auto const max_silence = state->matched_route->is_repeatable() && !is_last
 										 ? routing::response_timeout(*state->matched_route)
 										 : default_timeout;
@@ -313,7 +315,7 @@
 			state.no_retry_reason = "must_not_be_repeated";
 			return false;
 		}
-		if (state.sent_to.size() >= state.matched_route->max_servers)
+		if (state.servers_left() == 0)
 		{
 			state.no_retry_reason = "most_servers_tried";
 			return false;
@@ -369,6 +371,17 @@
 		co_return std::nullopt;
 	}
 
+	asio::awaitable<std::optional<std::string>> forwarder::fetch(
+		routing::server_pointer server, http::request message, duration timeout)
+	{
+		auto answer = co_await this->call_server(server, std::move(message), timeout);
+		if (!answer || answer->status != status_ok)
+		{
+			co_return std::nullopt;
+		}
+		co_return std::move(answer->body);
+	}
+
 	asio::awaitable<void> forwarder::send_release(routing::server_pointer server, http::request message)
 	{
 		auto const answer = co_await this->call_server(server, std::move(message), release_timeout);
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -16,8 +16,6 @@
 	namespace
 	{
 		constexpr unsigned first_server_error = 500;
-		// Statuses by which a server states that it did not run the request.
-		constexpr std::array<unsigned, 4> not_run_statuses{408, 421, 429, 503};
 		constexpr duration rejected_decode_pause = milliseconds(300);
 
 		routing::call_outcome to_call_outcome(send_failure failure) noexcept
@@ -285,7 +283,9 @@
 		}
 		auto const status = routing::status_of_failure(state->may_have_run, state->is_out_of_time());
 		auto reason = state->failure ? std::string(routing::to_string(*state->failure)) : "no_server";
-		if (state->origin && !this->has_engines(*state, monotonic_now()))
+		auto const now = monotonic_now();
+		auto const bound_to = this->bound_origin(*state, now);
+		if (bound_to && !this->has_engines(*state, bound_to, now))
 		{
 			reason = "no_server_of_version";
 		}
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
-#include <tuple>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,10 +16,7 @@
 {
 	namespace
 	{
-		constexpr unsigned status_ok = 200;
-		constexpr std::array<unsigned, 4> not_run_statuses{408, 421, 429, 503};
 		constexpr std::size_t max_relays = 3;
-		constexpr duration connect_timeout = milliseconds(250);
 		// A daemon that leaves closes its connections; one that was used a moment ago is most likely still open.
 		constexpr duration max_idle = seconds(1);
 		constexpr std::size_t max_connections_per_peer = 256;
@@ -28,14 +24,20 @@
 		constexpr std::size_t servers_probed = 2;
 	}
 
+	bool forwarder::may_relay(request_state const& state) const
+	{
+		auto const is_wanted = !state.call.relayed_servers_left && !state.is_caller_gone && !state.is_out_of_time();
+		return is_wanted && this->shared->relays.has_usable(this->shared->live_daemons, monotonic_now());
+	}
+
 	bool forwarder::should_relay(request_state const& state) const
 	{
-		// Open connections are used first while new ones are refused.
-		auto const has_no_connection = this->shared->reach.is_refused_new_connections() &&
-									   (!state.failure || state.failure == send_failure::not_sent);
-		auto const has_been_tried = state.failure == send_failure::not_sent || state.has_waited;
-		auto const must_relay = this->shared->is_cut_off || (has_no_connection && has_been_tried);
-		return must_relay && !state.call.is_relayed && !state.is_caller_gone && !state.is_out_of_time();
+		return this->shared->is_cut_off && this->may_relay(state);
+	}
+
+	bool forwarder::lacks_connections(request_state const& state) const
+	{
+		return !this->shared->reach.can_connect(monotonic_now()) && this->may_relay(state);
 	}
 
 	void forwarder::note_heard(request_state const& state, time_point now)
@@ -54,7 +56,7 @@
 		}
 	}
 
-	asio::awaitable<bool> forwarder::relay(state_pointer state)
+	asio::awaitable<void> forwarder::relay(state_pointer state)
 	{
 		std::set<instance_id> tried;
 		auto const draw_number = [this]
@@ -73,23 +75,17 @@
 			state->connection = nullptr;
 			if (!failure)
 			{
-				state->is_relayed_on = false;
-				co_return true;
+				co_return;
 			}
 			state->failure = failure;
 			state->may_have_run = state->may_have_run || !routing::is_proved_not_run(*failure);
-			if (!routing::may_retry(*state->matched_route, *failure))
+			// An error is the other daemon's final answer, after the servers that it was allowed.
+			if (*failure == send_failure::server_error || !this->authorize_retry(*state, *failure))
 			{
 				break;
 			}
 		}
-		state->is_relayed_on = false;
-		if (tried.empty())
-		{
-			co_return false;
-		}
 		co_await this->fail_request(state);
-		co_return true;
 	}
 
 	asio::awaitable<std::optional<send_failure>> forwarder::relay_to(state_pointer state, routing::relay_peer peer)
@@ -104,7 +100,7 @@
 		auto connection = co_await this->peer_pool.acquire(entry, max_connections_per_peer, max_idle, time_to_connect);
 		if (!connection)
 		{
-			this->totals->count_relayed_request("not_sent");
+			this->totals->count_relayed_request(routing::to_string(send_failure::not_sent));
 			co_return send_failure::not_sent;
 		}
 		pooled_connection pooled(this->peer_pool, entry, connection);
@@ -114,7 +110,7 @@
 			co_return send_failure::not_sent;
 		}
 		send_options options;
-		options.is_relay = true;
+		options.relayed_servers_left = state->servers_left();
 		options.time_left = state->time_left();
 		options.last_event = state->joiner.last_event();
 		if (options.last_event)
@@ -131,20 +127,27 @@
 		state->sent_at = monotonic_now();
 		state->events_before_send = state->joiner.events();
 		connection->send(outgoing);
-		auto head = co_await this->read_own_head(connection, state->call.attempt, state->time_left());
-		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
+		state->sent_to.insert(entry.id);
+		auto const wait = std::min(routing::relayed_response_timeout(*state->matched_route), state->time_left());
+		auto head = co_await this->read_own_head(connection, state->call.attempt, wait);
+		if (auto const* const failed = std::get_if<http::upstream_failure>(&head))
 		{
 			connection->close();
-			this->totals->count_relayed_request("broken");
-			co_return to_send_failure(*failure);
+			auto const failure = to_send_failure(*failed);
+			this->totals->count_relayed_request(routing::to_string(failure));
+			co_return failure;
 		}
 		unread_answer answer{std::move(std::get<http::response>(head)), std::move(pooled)};
 		auto const failure = co_await this->forward_relayed(state, answer, target);
-		this->totals->count_relayed_request(failure ? routing::to_string(*failure) : "served");
 		if (!failure)
 		{
 			this->record_success(*state, *target, answer);
 		}
+		else if (routing::is_proved_not_run(*failure))
+		{
+			state->sent_to.erase(entry.id);
+		}
+		this->totals->count_relayed_request(failure ? routing::to_string(*failure) : "served");
 		co_return failure;
 	}
 
@@ -161,7 +164,8 @@
 				http::response refusal{status, http::end_to_end_headers(answer.head.headers), std::move(*text)};
 				state->relayed_refusal = std::move(refusal);
 			}
-			co_return send_failure::not_run;
+			// It has sent the request to no server, or charged it to its own retry budget.
+			co_return send_failure::not_sent;
 		}
 		if (status == status_ok && state->matched_route->kind == routing::call_kind::streaming)
 		{
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -13,7 +13,6 @@
 {
 	namespace
 	{
-		constexpr unsigned status_ok = 200;
 		constexpr duration reservation_timeout = milliseconds(200);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
 		// it is lost.
@@ -104,7 +103,8 @@
 				state->failure = routing::send_failure::blocked;
 				break;
 			}
-			stream_queue.bind(ticket, this->bound_origin(*state, now));
+			auto const bound_to = this->bound_origin(*state, now);
+			stream_queue.bind(ticket, bound_to);
 			if (stream_queue.may_reserve(ticket, now))
 			{
 				auto engines =
@@ -119,8 +119,8 @@
 			auto const is_over = this->is_beyond_limits(*state, waiting, gives_up_at, now) ||
 								 stream_queue.should_refuse(ticket, gives_up_at, now) ||
 								 this->must_refuse_before_stop(*state);
-			state->has_waited = !granted;
-			if (granted || !this->has_engines(*state, now) || is_over || this->should_relay(*state))
+			auto const is_elsewhere = this->should_relay(*state) || this->lacks_connections(*state);
+			if (granted || is_over || is_elsewhere || !this->has_engines(*state, bound_to, now))
 			{
 				break;
 			}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -21,7 +21,11 @@
 	using daemon::monotonic_now;
 	using routing::send_failure;
 
+	inline constexpr unsigned status_ok = 200;
 	inline constexpr unsigned unavailable = 503;
+	// Statuses by which a server, or another daemon, states that it did not run the request.
+	inline constexpr std::array<unsigned, 4> not_run_statuses{408, 421, 429, 503};
+	inline constexpr duration connect_timeout = milliseconds(250);
 	// A call is not sent when its caller's deadline is closer than this.
 	inline constexpr duration min_time_to_send = milliseconds(25);
 	inline constexpr std::size_t max_small_body_bytes = 65'536;
@@ -160,8 +164,6 @@
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
-		// Whether no engine has granted the stream a reservation at once.
-		bool has_waited = false;
 		// Whether the request was last sent to another daemon instead of a server, and that daemon's last refusal.
 		bool is_relayed_on = false;
 		std::optional<http::response> relayed_refusal;
@@ -200,6 +202,15 @@
 			return std::max(duration{}, std::chrono::duration_cast<duration>(this->deadline - monotonic_now()));
 		}
 
+		// Returns to how many further servers the call may be sent.
+		[[nodiscard]] std::uint32_t servers_left() const
+		{
+			auto const allowed =
+				std::min(this->matched_route->max_servers, this->call.relayed_servers_left.value_or(UINT32_MAX));
+			auto const used = static_cast<std::uint32_t>(this->sent_to.size());
+			return allowed - std::min(allowed, used);
+		}
+
 		[[nodiscard]] bool is_out_of_time() const
 		{
 			return this->time_left() < min_time_to_send;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -9,7 +9,6 @@
 {
 	namespace
 	{
-		constexpr unsigned status_ok = 200;
 		// A prefill engine that rejects a call is most likely changing its role, so it gets no calls for this long.
 		constexpr duration rejected_prefill_pause = milliseconds(1000);
 		constexpr duration first_event_margin = milliseconds(700);
@@ -31,11 +30,8 @@
 	{
 		if (this->should_relay(*state))
 		{
-			auto const is_relayed = co_await this->relay(state);
-			if (is_relayed)
-			{
-				co_return;
-			}
+			co_await this->relay(state);
+			co_return;
 		}
 		if (!co_await this->find_origin(state))
 		{
@@ -56,13 +52,10 @@
 			auto granted = co_await this->wait_for_reservation(state);
 			if (!granted)
 			{
-				if (this->should_relay(*state))
+				if (this->should_relay(*state) || this->lacks_connections(*state))
 				{
-					auto const is_relayed = co_await this->relay(state);
-					if (is_relayed)
-					{
-						co_return;
-					}
+					co_await this->relay(state);
+					co_return;
 				}
 				break;
 			}
@@ -100,11 +93,8 @@
 			}
 			if (this->should_relay(*state))
 			{
-				auto const is_relayed = co_await this->relay(state);
-				if (is_relayed)
-				{
-					co_return;
-				}
+				co_await this->relay(state);
+				co_return;
 			}
 		}
 		if (this->must_refuse_before_stop(*state) && !state->may_have_run && !state->is_caller_gone)
@@ -374,7 +364,8 @@
 				}
 				if (is_repeatable)
 				{
-					max_silence = routing::event_timeout(*state->matched_route);
+					max_silence = state->is_relayed_on ? routing::relayed_event_timeout(*state->matched_route)
+													   : routing::event_timeout(*state->matched_route);
 				}
 			}
 			auto is_accepted = !state->is_caller_gone;
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -24,7 +24,6 @@
 		// heard of them yet.
 		constexpr duration first_contact_time = seconds(1);
 		constexpr duration contact_poll_interval = milliseconds(25);
-		constexpr unsigned status_ok = 200;
 		// Engines of one service whose memory is searched at most.
 		constexpr std::size_t max_engines_searched = 32;
 		constexpr duration contents_timeout = milliseconds(300);
@@ -136,42 +135,33 @@
 	{
 		auto const& entry = engine->entry;
 		auto report_request = this->protocol.write_report_request(entry.id);
-		auto const report = co_await this->call_server(engine, std::move(report_request), contents_timeout);
-		auto const contents =
-			report && report->status == status_ok ? this->protocol.read_report(report->body) : std::nullopt;
-		for (auto const& each : contents ? contents->running : std::vector<running_stream>{})
+		auto const report_text = co_await this->fetch(engine, std::move(report_request), contents_timeout);
+		auto const report = report_text ? this->protocol.read_report(*report_text) : std::nullopt;
+		this->totals->count_send("report", report ? "served" : "failed");
+		if (report)
 		{
-			if (each.events > 0)
+			for (auto const& each : report->running | std::views::filter(&running_stream::has_events))
 			{
 				search->runs[fingerprint_of(each.attempt)].insert(entry.version);
 			}
 		}
 		// An engine that has changed its role may hold prompts that it prefilled for engines of other versions.
-		auto const has_one_role = contents && contents->orders == 0;
-		if (has_one_role)
+		if (report && report->orders == 0)
 		{
-			co_await this->read_held_parts(engine, search);
+			auto memory_request = this->protocol.write_memory_request(entry.id);
+			auto const memory = co_await this->fetch(engine, std::move(memory_request), contents_timeout);
+			auto const parts = memory ? this->protocol.read_memory(*memory) : std::nullopt;
+			this->totals->count_send("memory_list", parts ? "served" : "failed");
+			for (auto const& each : parts.value_or(std::vector<std::string>{}))
+			{
+				++search->parts;
+				this->shared->origins.note_held_part(
+					fingerprint_of(each), {entry.service, entry.version}, monotonic_now());
+			}
 		}
-		this->totals->count_send("report", report ? "served" : "failed");
 		--search->unanswered;
 	}
 
-	asio::awaitable<void> forwarder::read_held_parts(
-		routing::server_pointer engine, std::shared_ptr<origin_search> search)
-	{
-		auto const& entry = engine->entry;
-		auto memory_request = this->protocol.write_memory_request(entry.id);
-		auto const memory = co_await this->call_server(engine, std::move(memory_request), contents_timeout);
-		auto const parts =
-			memory && memory->status == status_ok ? this->protocol.read_memory(memory->body) : std::nullopt;
-		for (auto const& each : parts.value_or(std::vector<std::string>{}))
-		{
-			++search->parts;
-			this->shared->origins.note_held_part(fingerprint_of(each), {entry.service, entry.version}, monotonic_now());
-		}
-		this->totals->count_send("memory_list", parts ? "served" : "failed");
-	}
-
 	bool forwarder::apply_known_origin(request_state& state, time_point now)
 	{
 		auto const attempt = fingerprint_of(state.call.resumes);
@@ -272,11 +262,15 @@
 		return std::ranges::all_of(engines, is_of_origin) ? std::nullopt : state.origin;
 	}
 
-	bool forwarder::has_engines(request_state const& state, time_point now) const
+	bool forwarder::has_engines(
+		request_state const& state, std::optional<routing::stream_origin> const& bound_to, time_point now) const
 	{
 		auto const engines = this->shared->servers.candidates(state.service, routing::server_role::decode, now);
-		auto const bound = this->bound_origin(state, now);
-		return std::ranges::any_of(engines, [&](routing::server_pointer const& each)
-			{ return !bound || (each->entry.version == bound->version && !state.excluded.contains(each->entry.id)); });
+		return std::ranges::any_of(engines,
+			[&](routing::server_pointer const& each)
+			{
+				auto const& entry = each->entry;
+				return !bound_to || (entry.version == bound_to->version && !state.excluded.contains(entry.id));
+			});
 	}
 }
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -68,8 +68,8 @@
 		// Returns a uniformly distributed random number in [0, 1).
 		[[nodiscard]] double draw();
 
-		// Closes the connections to servers and to other daemons; those in use are closed when they are released. Must be
-		// called before the executor ends.
+		// Closes the connections to servers and to other daemons; those in use are closed when they are released. Must
+		// be called before the executor ends.
 		void close_connections();
 		// Closes the idle connections that can't be used any more.
 		void close_expired_connections(time_point now);
@@ -109,9 +109,6 @@
 		// Asks one engine what it runs and holds, and adds it to the search.
 		[[nodiscard]] asio::awaitable<void> read_contents(
 			routing::server_pointer engine, std::shared_ptr<origin_search> search);
-		// Asks one engine which prompt parts it holds.
-		[[nodiscard]] asio::awaitable<void> read_held_parts(
-			routing::server_pointer engine, std::shared_ptr<origin_search> search);
 		// Asks the engines of a service.
 		[[nodiscard]] asio::awaitable<void> search_origins(service_id service);
 		// Records that a server has made an event of the stream that was passed on.
@@ -119,14 +116,19 @@
 		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
 		[[nodiscard]] std::optional<routing::stream_origin> bound_origin(
 			request_state const& state, time_point now) const;
-		// Returns whether there is a decode engine that may serve the stream now or later.
-		[[nodiscard]] bool has_engines(request_state const& state, time_point now) const;
-
-		// Returns whether other daemons are to serve the request, since this one reaches no server.
+		// Returns whether there is a decode engine that may serve the stream now or later. bound_to: see bound_origin.
+		[[nodiscard]] bool has_engines(
+			request_state const& state, std::optional<routing::stream_origin> const& bound_to, time_point now) const;
+		// Returns whether another daemon may and can serve the request.
+		[[nodiscard]] bool may_relay(request_state const& state) const;
+		// Returns whether another daemon is to serve the request, since this one reaches no server.
 		[[nodiscard]] bool should_relay(request_state const& state) const;
-		// Passes the request on to daemons that reach servers, one after the other while that is allowed, and their
-		// answer to the caller. Returns false when no such daemon is known, and nothing has been done.
-		[[nodiscard]] asio::awaitable<bool> relay(state_pointer state);
+		// Returns whether another daemon is to serve a request for which this one has found no server, since it can't
+		// open new connections.
+		[[nodiscard]] bool lacks_connections(request_state const& state) const;
+		// Passes the request on to daemons that reach servers, one after the other while that is allowed, and the
+		// answer, or the final failure, to the caller.
+		[[nodiscard]] asio::awaitable<void> relay(state_pointer state);
 		// Passes the request on to one daemon. Returns nothing when the caller has the whole answer or is gone.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> relay_to(
 			state_pointer state, routing::relay_peer peer);
@@ -238,6 +240,9 @@
 		// the answer incomplete.
 		[[nodiscard]] asio::awaitable<void> fail_request(state_pointer state);
 		// Sends a request that releases a reservation or a KV cache.
+		// Calls a server like call_server(). Returns the body of a successful answer.
+		[[nodiscard]] asio::awaitable<std::optional<std::string>> fetch(
+			routing::server_pointer server, http::request message, duration timeout);
 		[[nodiscard]] asio::awaitable<void> probe_server(routing::server_pointer server);
 		[[nodiscard]] asio::awaitable<void> send_release(routing::server_pointer server, http::request message);
 		void release_in_background(routing::server_pointer const& server, http::request message);
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -35,8 +35,9 @@
 		// The caller's attempt that brought the first event of the stream, when the caller takes a stream up; empty
 		// when the caller names none.
 		request_id resumes;
-		// Whether another daemon that reaches no server has passed the request on.
-		bool is_relayed = false;
+		// Set when another daemon that reaches no server has passed the request on: the number of servers that it may
+		// still be sent to.
+		std::optional<std::uint32_t> relayed_servers_left;
 		// The model that the caller asks for; empty when the caller names none.
 		std::string model;
 		// Ids of the parts of the prompt, in order. Requests share parts; the last part belongs to this request or to
@@ -71,8 +72,9 @@
 		// The reservation that the engine has granted for the call.
 		std::optional<std::string> reservation;
 		std::optional<std::string> last_event;
-		// Whether the request goes to another daemon, which treats it like a caller's.
-		bool is_relay = false;
+		// Set when the request goes to another daemon, which treats it like a caller's: the number of servers that this
+		// daemon may send it to.
+		std::optional<std::uint32_t> relayed_servers_left;
 		// The attempt that began the stream, when a relayed stream goes on after last_event.
 		request_id resumes;
 	};
@@ -109,7 +111,7 @@
 	{
 		// The caller's attempt.
 		request_id attempt;
-		std::uint64_t events = 0;
+		bool has_events = false;
 	};
 
 	// An engine's report about itself.
--- a/packages/routing/impl/relay_peers.cpp
+++ b/packages/routing/impl/relay_peers.cpp
@@ -19,18 +19,26 @@
 		this->peers.insert_or_assign(peer.id, std::move(peer));
 	}
 
+	bool relay_peers::is_usable(relay_peer const& peer, std::vector<fleet_member> const& live, time_point now)
+	{
+		auto const is_fresh = now - peer.heard_at <= max_age;
+		return is_fresh && !peer.is_cut_off && !peer.caller_address.empty() &&
+			   std::ranges::any_of(live,
+				   [&](fleet_member const& member) { return member.id == peer.id && member.started == peer.started; });
+	}
+
+	bool relay_peers::has_usable(std::vector<fleet_member> const& live, time_point now) const
+	{
+		return std::ranges::any_of(
+			this->peers | std::views::values, [&](relay_peer const& each) { return is_usable(each, live, now); });
+	}
+
 	std::optional<relay_peer> relay_peers::choose(std::vector<fleet_member> const& live,
 		std::set<instance_id> const& tried, std::function<double()> const& draw, time_point now) const
 	{
 		std::vector<relay_peer> usable;
 		std::ranges::copy_if(this->peers | std::views::values, std::back_inserter(usable),
-			[&](relay_peer const& each)
-			{
-				auto const is_live = std::ranges::any_of(live,
-					[&](fleet_member const& member) { return member.id == each.id && member.started == each.started; });
-				return is_live && !each.is_cut_off && !each.caller_address.empty() && !tried.contains(each.id) &&
-					   now - each.heard_at <= max_age;
-			});
+			[&](relay_peer const& each) { return !tried.contains(each.id) && is_usable(each, live, now); });
 		if (usable.empty())
 		{
 			return std::nullopt;
--- a/packages/routing/impl/retry_rules.cpp
+++ b/packages/routing/impl/retry_rules.cpp
@@ -61,6 +61,18 @@
 		return std::max(min_event_timeout, 2 * chosen.longest_gap);
 	}
 
+	duration relayed_response_timeout(route const& chosen) noexcept
+	{
+		auto const is_tried_again = chosen.kind == call_kind::idempotent;
+		return is_tried_again ? (chosen.max_servers + 1) * response_timeout(chosen) : duration::max();
+	}
+
+	duration relayed_event_timeout(route const& chosen) noexcept
+	{
+		// The rest of the patience is left for the next daemon.
+		return std::max(event_timeout(chosen), chosen.caller_patience * 3 / 4);
+	}
+
 	duration retry_after(duration time_left, duration objective, duration pause, double draw) noexcept
 	{
 		auto const usable = time_left / time_left_divisor;
--- a/packages/routing/impl/server_reach.cpp
+++ b/packages/routing/impl/server_reach.cpp
@@ -10,6 +10,8 @@
 		// from one of them within this time.
 		constexpr duration max_silence_of_all = milliseconds(300);
 		constexpr std::size_t min_failed_servers = 3;
+		// A new connection that failed longer ago tells nothing of the present.
+		constexpr duration failed_connect_time = seconds(1);
 	}
 
 	void server_reach::note_heard(time_point now)
@@ -23,7 +25,7 @@
 		this->failed.insert(server);
 	}
 
-	void server_reach::note_connect(server_id const& server, bool is_connected)
+	void server_reach::note_connect(server_id const& server, bool is_connected, time_point now)
 	{
 		if (is_connected)
 		{
@@ -31,13 +33,15 @@
 		}
 		else
 		{
-			this->unconnected.insert(server);
+			this->unconnected[server] = now;
 		}
 	}
 
-	bool server_reach::is_refused_new_connections() const noexcept
+	bool server_reach::can_connect(time_point now) const
 	{
-		return this->unconnected.size() >= min_failed_servers;
+		auto const failed_lately = std::ranges::count_if(
+			this->unconnected, [now](auto const& item) { return now - item.second <= failed_connect_time; });
+		return static_cast<std::size_t>(failed_lately) < min_failed_servers;
 	}
 
 	bool server_reach::is_cut_off(std::size_t known_servers, time_point now) const
--- a/packages/routing/include/godwittrestle/routing/relay_peers.hpp
+++ b/packages/routing/include/godwittrestle/routing/relay_peers.hpp
@@ -38,10 +38,16 @@
 		[[nodiscard]] std::optional<relay_peer> choose(std::vector<fleet_member> const& live,
 			std::set<instance_id> const& tried, std::function<double()> const& draw, time_point now) const;
 
+		// Returns whether choose() would find a daemon.
+		[[nodiscard]] bool has_usable(std::vector<fleet_member> const& live, time_point now) const;
+
 		// Forgets daemons that have not been heard of for long.
 		void expire(time_point now);
 
 	  private:
+		[[nodiscard]] static bool is_usable(
+			relay_peer const& peer, std::vector<fleet_member> const& live, time_point now);
+
 		std::map<instance_id, relay_peer> peers;
 	};
 }
--- a/packages/routing/include/godwittrestle/routing/retry_rules.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_rules.hpp
@@ -62,6 +62,11 @@
 	[[nodiscard]] duration response_timeout(route const& chosen) noexcept;
 	[[nodiscard]] duration event_timeout(route const& chosen) noexcept;
 
+	// Returns the same times for a request that another daemon serves. That daemon needs the times above to find out
+	// that a server has failed, and time for the next ones; a caller waits for an event for its patience.
+	[[nodiscard]] duration relayed_response_timeout(route const& chosen) noexcept;
+	[[nodiscard]] duration relayed_event_timeout(route const& chosen) noexcept;
+
 	// Returns the delay after which the caller of a refused request should retry: a random time between one and three
 	// objectives. The spread keeps a refused burst from returning all at once, and the delay keeps callers from being
 	// refused again while the burst lasts. The delay is longer while all servers have requested a pause, and at most a
--- a/packages/routing/include/godwittrestle/routing/server_reach.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_reach.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <set>
 
 #include <godwittrestle/base/ids.hpp>
@@ -21,10 +22,10 @@
 		void note_failure(server_id const& server);
 
 		// Records whether a new connection to a server could be opened.
-		void note_connect(server_id const& server, bool is_connected);
+		void note_connect(server_id const& server, bool is_connected, time_point now);
 
-		// Returns whether no new connection to any server can be opened at present, though open ones may live on.
-		[[nodiscard]] bool is_refused_new_connections() const noexcept;
+		// Returns whether new connections can be opened, as far as is known. Open ones may live on while they can't.
+		[[nodiscard]] bool can_connect(time_point now) const;
 
 		// Returns whether no server is reached. known_servers: number of servers that are in service.
 		[[nodiscard]] bool is_cut_off(std::size_t known_servers, time_point now) const;
@@ -45,7 +46,7 @@
 	  private:
 		time_point heard_at;
 		std::set<server_id> failed;
-		// Servers to which a new connection failed since the last one that was opened.
-		std::set<server_id> unconnected;
+		// Servers to which a new connection failed since the last one that was opened, and when it last did.
+		std::map<server_id, time_point> unconnected;
 	};
 }
--- a/tests/contract/relays.test.cpp
+++ b/tests/contract/relays.test.cpp
@@ -49,6 +49,21 @@
 	};
 }
 
+TEST_CASE("a request that is passed on reaches no more servers than its route allows", "[relays]")
+{
+	constexpr std::uint32_t max_servers = 2;
+	cut_off_daemon daemon(make_route(routing::call_kind::idempotent, max_servers, false), "");
+	REQUIRE(daemon.fixture.send_request().starts_with("HTTP/1.1 502"));
+	std::vector<std::string> servers_left;
+	for (auto const& request : daemon.relayed())
+	{
+		servers_left.push_back(header_value(request, "Relayed"));
+	}
+	std::ranges::sort(servers_left);
+	// Each daemon is told to how many servers it may send the request.
+	REQUIRE(servers_left == std::vector<std::string>{"1", "2"});
+}
+
 TEST_CASE("a request that may run once is passed on once", "[relays]")
 {
 	cut_off_daemon daemon(make_route(routing::call_kind::non_idempotent, 3, false), "");
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -30,7 +30,10 @@
 			call.attempt = request_id(message.find_header("Attempt"));
 			call.time_left = milliseconds(parse_number(message.find_header("Time-Left-Ms")).value());
 			call.resumes = request_id(message.find_header("Resumes"));
-			call.is_relayed = !message.find_header("Relayed").empty();
+			if (auto const left = parse_number(message.find_header("Relayed")))
+			{
+				call.relayed_servers_left = static_cast<std::uint32_t>(*left);
+			}
 			if (auto last_event = message.find_header("Last-Event-Id"); !last_event.empty())
 			{
 				call.last_event = std::move(last_event);
@@ -46,9 +49,9 @@
 				[](http::header const& each) { return each.name == "Relayed" || each.name == "Time-Left-Ms"; });
 			auto const left_ms = std::chrono::floor<std::chrono::milliseconds>(options.time_left).count();
 			message.headers.push_back({"Time-Left-Ms", std::to_string(left_ms)});
-			if (options.is_relay)
+			if (options.relayed_servers_left)
 			{
-				message.headers.push_back({"Relayed", "1"});
+				message.headers.push_back({"Relayed", std::to_string(*options.relayed_servers_left)});
 			}
 			else
 			{
@@ -123,7 +126,7 @@
 			gateway::engine_report report;
 			for (auto const& attempt : split_names(body))
 			{
-				report.running.push_back({request_id(attempt), 1});
+				report.running.push_back({request_id(attempt), true});
 			}
 			return std::optional<gateway::engine_report>(std::move(report));
 		};
--- a/tests/unit/retry_rules.test.cpp
+++ b/tests/unit/retry_rules.test.cpp
@@ -71,3 +71,19 @@
 	REQUIRE(return_time(seconds(12), 0.99) < seconds(3));
 	REQUIRE(return_time(milliseconds(1200), 0.5) <= milliseconds(400));
 }
+
+TEST_CASE("another daemon gets time to find out that a server has failed, and for the next one", "[retry_rules]")
+{
+	routing::route route;
+	route.kind = routing::call_kind::idempotent;
+	route.max_servers = 2;
+	route.objective = milliseconds(150);
+	route.longest_gap = milliseconds(300);
+	route.caller_patience = milliseconds(3600);
+	REQUIRE(routing::relayed_response_timeout(route) == 3 * routing::response_timeout(route));
+	REQUIRE(routing::relayed_event_timeout(route) == milliseconds(2700));
+	REQUIRE(routing::relayed_event_timeout(route) > routing::event_timeout(route));
+	// A call that may run once gets no second daemon, and a stream may wait for memory.
+	route.kind = routing::call_kind::non_idempotent;
+	REQUIRE(routing::relayed_response_timeout(route) == duration::max());
+}
--- a/tests/unit/server_reach.test.cpp
+++ b/tests/unit/server_reach.test.cpp
@@ -66,12 +66,14 @@
 	routing::server_reach reach;
 	for (int number = 0; number < 3; ++number)
 	{
-		REQUIRE_FALSE(reach.is_refused_new_connections());
-		reach.note_connect(server(number), false);
+		REQUIRE(reach.can_connect(at_ms(100)));
+		reach.note_connect(server(number), false, at_ms(100));
 		// Open connections live on.
-		reach.note_heard(at_ms(std::int64_t{100} * number));
+		reach.note_heard(at_ms(100));
 	}
-	REQUIRE(reach.is_refused_new_connections());
-	reach.note_connect(server(1), true);
-	REQUIRE_FALSE(reach.is_refused_new_connections());
+	REQUIRE_FALSE(reach.can_connect(at_ms(1000)));
+	// Servers that have ended, while nothing needs a new connection to others.
+	REQUIRE(reach.can_connect(at_ms(1200)));
+	reach.note_connect(server(1), true, at_ms(300));
+	REQUIRE(reach.can_connect(at_ms(400)));
 }
