--- a/review/standins/case_extra_answer.cpp
+++ b/review/standins/case_extra_answer.cpp
@@ -16,7 +16,7 @@
 		constexpr int daemon_count = 2;
 		constexpr seconds ready_limit(20);
 		constexpr seconds load_time(80);
-		constexpr milliseconds request_interval(25);
+		constexpr milliseconds request_interval(16);
 		constexpr seconds time_limit(14);
 		// The output tokens of the requests, in events of 50 tokens.
 		constexpr int events_per_stream = 8;
@@ -24,7 +24,7 @@
 		// servers, for 5 s. It comes again after a pause.
 		constexpr double extra_share = 0.03;
 		constexpr seconds trouble_time(5);
-		constexpr seconds trouble_period(10);
+		constexpr seconds trouble_period(8);
 
 		struct counts
 		{
--- a/review/standins/servers.cpp
+++ b/review/standins/servers.cpp
@@ -18,6 +18,7 @@
 		constexpr unsigned status_misdirected = 421;
 		constexpr unsigned status_unavailable = 503;
 		constexpr std::string_view attempt_header = "X-Request-Attempt-Id";
+		constexpr std::string_view drop_prefix = "/hold-drop/";
 
 		std::int64_t wall_clock_ms()
 		{
@@ -196,8 +197,17 @@
 		}
 		if (target == "/hold-take")
 		{
-			status = this->is_busy || this->stage != "decode" ? status_unavailable : status_ok;
-			body = status == status_ok ? R"({"hold":"h)" + std::to_string(++this->handles) + R"("})" : "";
+			auto const hold = this->take_hold(message);
+			status = hold.empty() ? status_unavailable : status_ok;
+			body = hold.empty() ? "" : R"({"hold":")" + hold + R"("})";
+			if (hold.empty())
+			{
+				headers.emplace_back("X-Not-Executed", "1");
+			}
+		}
+		else if (target.starts_with(drop_prefix))
+		{
+			this->holds.erase(target.substr(drop_prefix.size()));
 		}
 		else if (target == "/report")
 		{
@@ -218,6 +228,22 @@
 		std::ignore = co_await link.answer(status, headers, body);
 	}
 
+	std::string backend_server::take_hold(incoming_request const& message)
+	{
+		auto const now = clock::now();
+		std::erase_if(this->holds, [now](auto const& item) { return item.second <= now; });
+		auto const taken = static_cast<std::size_t>(this->running) + this->holds.size();
+		if (this->is_busy || this->stage != "decode" || taken >= this->terms.room)
+		{
+			return {};
+		}
+		auto const body = boost::json::parse(message.body()).as_object();
+		auto const lifetime = milliseconds(body.at("ttl-ms").to_number<std::int64_t>());
+		auto name = "h" + std::to_string(++this->handles);
+		this->holds.emplace(name, now + lifetime);
+		return name;
+	}
+
 	std::string backend_server::report() const
 	{
 		auto const at = clock::now() - this->terms.report_age;
@@ -302,6 +328,7 @@
 		auto const attempt = header_of(message, std::string(attempt_header));
 		auto const last = header_of(message, "Last-Event-Id");
 		this->log->runs.push_back({attempt, this->name, clock::now()});
+		this->holds.erase(header_of(message, "X-Kv-Hold"));
 		this->lines->line(this->name + ": begins to run " + attempt);
 		++this->running;
 		if (header_of(message, "X-Kv-Source").empty())
--- a/review/standins/servers.hpp
+++ b/review/standins/servers.hpp
@@ -36,6 +36,8 @@
 		// Tokens in one event of a stream.
 		int stride = 50;
 		milliseconds plain_work{15};
+		// A model server with this many streams has no room for another one.
+		std::size_t room = 64;
 		// How old the values of GET /report are.
 		milliseconds report_age{300};
 		seconds stage_switch{6};
@@ -94,6 +96,8 @@
 		[[nodiscard]] asio::awaitable<void> run_plain(incoming_request const& message, channel& link);
 		[[nodiscard]] std::vector<header> headers_for(incoming_request const& message) const;
 		[[nodiscard]] std::string report() const;
+		// Takes a reservation. Returns its name; empty when there is no room.
+		[[nodiscard]] std::string take_hold(incoming_request const& message);
 
 		struct order_state
 		{
@@ -112,6 +116,8 @@
 		std::string stage;
 		std::int64_t born = 0;
 		int handles = 0;
+		// The reservations that are neither used nor released, with the times at which they end.
+		std::map<std::string, time_point> holds;
 		int running = 0;
 		bool is_busy = false;
 		std::uint64_t orders = 0;
