Review case 1: a planned stop cuts bookings that it has just passed on

A daemon that gets SIGTERM exits once no request runs, 2.5 s later or more, and doesn't count requests that it is still reading. What arrives whole in the last 50 ms is passed on and cut 0.4 s later without an answer (LOST).

--- a/review/standins/cases.hpp
+++ b/review/standins/cases.hpp
@@ -15,4 +15,7 @@
 	// Case "restarted_servers": servers start again under their ids with another version of their software.
 	[[nodiscard]] asio::awaitable<int> run_restarted_servers(
 		asio::io_context& loop, case_arguments const& arguments, record& lines);
+	// Case "planned_stop": daemons are stopped and started in turn while clients send their requests slowly.
+	[[nodiscard]] asio::awaitable<int> run_planned_stop(
+		asio::io_context& loop, case_arguments const& arguments, record& lines);
 }
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -374,14 +374,23 @@
 		{
 			text << name << ": " << value << "\r\n";
 		}
-		text << "Content-Length: " << message.body.size() << "\r\n\r\n" << message.body;
+		text << "Content-Length: " << message.body.size() << "\r\n\r\n";
 		stream.expires_after(time_limit);
-		auto const bytes = text.str();
-		auto const [write_error, written] = co_await asio::async_write(stream, asio::buffer(bytes), token);
+		auto const is_slow = message.upload_time > clock::duration::zero();
+		auto const first_size = is_slow ? message.body.size() / 2 : message.body.size();
+		auto const bytes = text.str() + message.body.substr(0, first_size);
+		auto [write_error, written] = co_await asio::async_write(stream, asio::buffer(bytes), token);
+		if (!write_error && is_slow)
+		{
+			co_await sleep_for(message.upload_time);
+			auto const rest = message.body.substr(first_size);
+			std::tie(write_error, written) = co_await asio::async_write(stream, asio::buffer(rest), token);
+		}
 		if (write_error)
 		{
 			co_return answer;
 		}
+		answer.is_sent = true;
 		beast::flat_buffer buffer;
 		beast::http::response_parser<beast::http::string_body> parser;
 		parser.body_limit(max_body_bytes);
@@ -477,6 +486,14 @@
 		}
 	}
 
+	void daemon_process::terminate()
+	{
+		if (this->process > 0)
+		{
+			::kill(this->process, SIGTERM);
+		}
+	}
+
 	bool daemon_process::has_ended()
 	{
 		if (this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) == this->process)
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -162,6 +162,8 @@
 	// The answer to one request of a client.
 	struct client_answer
 	{
+		// Whether the whole request was sent.
+		bool is_sent = false;
 		// 0 when no head arrived.
 		unsigned status = 0;
 		bool has_seal = false;
@@ -179,6 +181,8 @@
 		std::string attempt;
 		std::vector<header> headers;
 		std::string body;
+		// The second half of the body is sent this much later than the first.
+		clock::duration upload_time{};
 	};
 
 	// Sends one request on a new channel and reads its answer to the end, or until the time limit.
@@ -213,6 +217,8 @@
 		void start(bool bootstrap);
 		// Sends SIGKILL and waits for the end.
 		void kill();
+		// Sends SIGTERM.
+		void terminate();
 		// Returns whether the process has ended by itself.
 		[[nodiscard]] bool has_ended();
 
