--- a/review/standins/cases.hpp
+++ b/review/standins/cases.hpp
@@ -9,6 +9,9 @@
 	// Case "extra_answer": a server sends a second, late copy of its answer to the release of a reservation.
 	[[nodiscard]] asio::awaitable<int> run_extra_answer(
 		asio::io_context& loop, case_arguments const& arguments, record& lines);
+	// Case "extra_refusal": a server sends a second, late copy of its refusal of a reservation.
+	[[nodiscard]] asio::awaitable<int> run_extra_refusal(
+		asio::io_context& loop, case_arguments const& arguments, record& lines);
 	// Case "store_drill": the store comes back from a copy, and a configuration is written right afterwards.
 	[[nodiscard]] asio::awaitable<int> run_store_drill(
 		asio::io_context& loop, case_arguments const& arguments, record& lines);
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -16,8 +16,8 @@
 	int run_case(review::case_arguments const& arguments)
 	{
 		std::map<std::string, review::case_function> const cases{{"extra_answer", review::run_extra_answer},
-			{"store_drill", review::run_store_drill}, {"restarted_servers", review::run_restarted_servers},
-			{"planned_stop", review::run_planned_stop}};
+			{"extra_refusal", review::run_extra_refusal}, {"store_drill", review::run_store_drill},
+			{"restarted_servers", review::run_restarted_servers}, {"planned_stop", review::run_planned_stop}};
 		auto const found = cases.find(arguments.name);
 		if (found == cases.end())
 		{
--- a/review/standins/servers.cpp
+++ b/review/standins/servers.cpp
@@ -231,16 +231,21 @@
 	std::string backend_server::take_hold(incoming_request const& message)
 	{
 		auto const now = clock::now();
-		std::erase_if(this->holds, [now](auto const& item) { return item.second <= now; });
-		auto const taken = static_cast<std::size_t>(this->running) + this->holds.size();
-		if (this->is_busy || this->stage != "decode" || taken >= this->terms.room)
+		std::erase_if(this->holds, [now](auto const& item) { return item.second.ends_at <= now; });
+		auto taken = this->tokens_in_use;
+		for (auto const& [name, held] : this->holds)
 		{
-			return {};
+			taken += held.tokens;
 		}
 		auto const body = boost::json::parse(message.body()).as_object();
+		auto const tokens = body.at("tokens").to_number<int>();
+		if (this->is_busy || this->stage != "decode" || taken + tokens > this->terms.memory)
+		{
+			return {};
+		}
 		auto const lifetime = milliseconds(body.at("ttl-ms").to_number<std::int64_t>());
 		auto name = "h" + std::to_string(++this->handles);
-		this->holds.emplace(name, now + lifetime);
+		this->holds.emplace(name, reservation{now + lifetime, tokens});
 		return name;
 	}
 
@@ -340,6 +345,8 @@
 		headers.emplace_back("X-Weight-Versions", "1");
 		headers.emplace_back("Content-Type", "text/event-stream");
 		auto const events = output_tokens(message) / this->terms.stride;
+		auto const tokens = static_cast<int>(prompt_tokens(message)) + output_tokens(message);
+		this->tokens_in_use += tokens;
 		auto is_open = co_await link.begin_stream(headers);
 		for (int number = last.empty() ? 1 : std::stoi(last) + 1; is_open && number <= events; ++number)
 		{
@@ -347,6 +354,7 @@
 			is_open = co_await link.write_chunk(event_text(attempt, number, this->version));
 		}
 		--this->running;
+		this->tokens_in_use -= tokens;
 		if (is_open)
 		{
 			std::ignore = co_await link.end_stream();
--- a/review/standins/servers.hpp
+++ b/review/standins/servers.hpp
@@ -36,8 +36,8 @@
 		// Tokens in one event of a stream.
 		int stride = 50;
 		milliseconds plain_work{15};
-		// A model server with this many streams has no room for another one.
-		std::size_t room = 64;
+		// The tokens that a model server has memory for.
+		int memory = 86'095;
 		// How old the values of GET /report are.
 		milliseconds report_age{300};
 		seconds stage_switch{6};
@@ -99,6 +99,12 @@
 		// Takes a reservation. Returns its name; empty when there is no room.
 		[[nodiscard]] std::string take_hold(incoming_request const& message);
 
+		struct reservation
+		{
+			time_point ends_at;
+			int tokens = 0;
+		};
+
 		struct order_state
 		{
 			time_point since;
@@ -116,8 +122,10 @@
 		std::string stage;
 		std::int64_t born = 0;
 		int handles = 0;
-		// The reservations that are neither used nor released, with the times at which they end.
-		std::map<std::string, time_point> holds;
+		// The reservations that are neither used nor released.
+		std::map<std::string, reservation> holds;
+		// The tokens of the running streams.
+		int tokens_in_use = 0;
 		int running = 0;
 		bool is_busy = false;
 		std::uint64_t orders = 0;
