--- a/review/standins/case_planned_stop.cpp
+++ b/review/standins/case_planned_stop.cpp
@@ -17,7 +17,7 @@
 	{
 		constexpr int daemon_count = 6;
 		constexpr seconds ready_limit(20);
-		constexpr seconds load_time(95);
+		constexpr seconds load_time(100);
 		constexpr milliseconds request_interval(50);
 		constexpr milliseconds time_limit(6000);
 		constexpr milliseconds work(450);
@@ -31,7 +31,7 @@
 		constexpr seconds grace(8);
 		constexpr seconds contact(3);
 		// Time between two stops, and from a daemon's end to its start.
-		constexpr seconds stop_interval(2);
+		constexpr milliseconds stop_interval(1500);
 		constexpr milliseconds restart_delay(500);
 		constexpr unsigned status_ok = 200;
 
