Review case 5: the store is away while servers restart with another version

The crashes now come 2 s and half a second apart while the store is away, instead of 50 ms after each other: two disruptions, but no narrow window.

--- a/review/standins/case_restarted_servers.cpp
+++ b/review/standins/case_restarted_servers.cpp
@@ -18,9 +18,13 @@
 		constexpr seconds ready_limit(20);
 		constexpr seconds time_limit(14);
 		constexpr milliseconds request_interval(50);
-		// A server is down for this long, and the next one crashes this long after the one before is back.
-		constexpr milliseconds down_time(400);
-		constexpr milliseconds pause_between(50);
+		// The store is away for the time of all crashes: at most 8 s. Servers crash in groups of two of the eight, and
+		// are down for this long.
+		constexpr std::size_t rounds = 3;
+		constexpr std::size_t servers_per_round = 2;
+		constexpr milliseconds time_before_crashes(400);
+		constexpr milliseconds down_time(2000);
+		constexpr milliseconds pause_between(500);
 		// Streams with events of two versions that the rule allows.
 		constexpr int allowed_streams = 2;
 
@@ -112,14 +116,35 @@
 		};
 		asio::co_spawn(loop, load(), asio::detached);
 		co_await sleep_for(seconds(6));
-		for (std::size_t position = 0; position < decode_servers && arguments.has_trouble; ++position)
+		if (arguments.has_trouble)
 		{
-			auto& server = *servers.at(position);
-			server.crash();
-			co_await sleep_for(down_time);
-			server.version = "v2";
-			server.start_again();
-			co_await sleep_for(pause_between);
+			std::vector<backend_server*> restarted;
+			lines.line("store: away");
+			registry.go_away();
+			co_await sleep_for(time_before_crashes);
+			for (std::size_t round = 0; round < rounds; ++round)
+			{
+				std::vector<backend_server*> group;
+				for (std::size_t number = 0; number < servers_per_round; ++number)
+				{
+					group.push_back(servers.at(round * servers_per_round + number).get());
+					group.back()->crash();
+				}
+				co_await sleep_for(down_time);
+				for (auto* const server : group)
+				{
+					server->version = "v2";
+					server->start_again();
+					restarted.push_back(server);
+				}
+				co_await sleep_for(pause_between);
+			}
+			registry.come_back();
+			lines.line("store: back");
+			for (auto* const server : restarted)
+			{
+				server->write_entry();
+			}
 		}
 		co_await sleep_for(seconds(8));
 		is_loading = false;
--- a/review/standins/servers.cpp
+++ b/review/standins/servers.cpp
@@ -136,7 +136,6 @@
 		this->history = {order_state{clock::now()}};
 		this->listener.open();
 		this->lines->line(this->name + ": starts again, version " + this->version);
-		this->write_entry();
 	}
 
 	asio::awaitable<void> backend_server::serve(incoming_request const& message, channel& link)
--- a/review/standins/servers.hpp
+++ b/review/standins/servers.hpp
@@ -71,7 +71,7 @@
 
 		// The server crashes: all channels are reset and new ones are refused.
 		void crash();
-		// Starts again under the same id and at the same address, and writes its entry.
+		// Starts again under the same id and at the same address. Its entry is not written yet.
 		void start_again();
 
 		// The version of the server's software.
