Review case 1: the excuse of the grace's last sixth is counted

A booking that a server still runs in the last sixth of grace-s, sent no later than 3 s after SIGTERM, isn't counted as lost, as the rule says.

--- a/review/standins/case_planned_stop.cpp
+++ b/review/standins/case_planned_stop.cpp
@@ -30,6 +30,9 @@
 		// Bounds of the installation.
 		constexpr seconds grace(8);
 		constexpr seconds contact(3);
+		// The rule excuses what a server still runs in the last sixth of the grace, if it was sent soon after SIGTERM.
+		constexpr milliseconds excused_from = milliseconds(grace) * 5 / 6;
+		constexpr seconds sent_soon(3);
 		// Time between two stops, and from a daemon's end to its start.
 		constexpr milliseconds stop_interval(1500);
 		constexpr milliseconds restart_delay(500);
@@ -213,6 +216,12 @@
 			{
 				continue;
 			}
+			auto const is_excused =
+				each->sent_at <= stop->second + sent_soon && each->ended_at >= stop->second + excused_from;
+			if (is_excused)
+			{
+				continue;
+			}
 			++lost;
 			auto const after = [&](time_point at)
 			{
