A started daemon does not take the version left for the one that began a stream (ORDER)

Cause: routing::changed_services took the one version in a daemon's first list for the only one of a stream's longest life when all its servers had run for long. A server that left before the start isn't in the list. The belief can't be kept by any age: it is gone.

The unit test of the belief is replaced by one that a first list tells nothing.

--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -305,10 +305,6 @@
 		this->note_versions(now);
 		if (is_first)
 		{
-			constexpr std::uint64_t us_per_ms = 1000;
-			auto const life = longest_stream_life(this->shared);
-			auto const changed = routing::changed_services(servers, life, daemon::wall_clock_us() / us_per_ms);
-			this->shared.versions.note_first_list(servers, changed, life, now);
 			this->request_forwarder.learn_origins();
 		}
 	}
--- a/packages/routing/impl/version_history.cpp
+++ b/packages/routing/impl/version_history.cpp
@@ -7,13 +7,6 @@
 
 namespace godwittrestle::routing
 {
-	namespace
-	{
-		// Servers of a new version start this long before the last ones of the old version leave, at most. Covers the
-		// difference of clocks too.
-		constexpr duration replacement_time = seconds(10);
-	}
-
 	void version_history::set_in_service(versions_by_service versions, time_point now)
 	{
 		for (auto const& [service, before] : this->in_service)
@@ -39,38 +32,6 @@
 		known = std::min(known, since);
 	}
 
-	std::set<service_id> changed_services(
-		std::vector<registered_server> const& servers, duration longest_life, std::uint64_t now_ms)
-	{
-		auto const required_age = static_cast<std::uint64_t>(to_milliseconds(longest_life + replacement_time));
-		std::set<service_id> changed;
-		for (auto const& server : servers)
-		{
-			auto const started_ms = server.started.count();
-			auto const is_old = started_ms != 0 && started_ms < now_ms && now_ms - started_ms >= required_age;
-			if (!is_old || server.leaving)
-			{
-				changed.insert(server.service);
-			}
-		}
-		return changed;
-	}
-
-	void version_history::note_first_list(std::vector<registered_server> const& servers,
-		std::set<service_id> const& changed, duration longest_life, time_point now)
-	{
-		versions_by_service versions;
-		std::ranges::for_each(
-			servers, [&](registered_server const& each) { versions[each.service].insert(each.version); });
-		for (auto const& [service, its_versions] : versions)
-		{
-			if (its_versions.size() == 1 && !changed.contains(service))
-			{
-				this->note_complete_since(service, now - longest_life);
-			}
-		}
-	}
-
 	void version_history::note_gap(time_point now)
 	{
 		this->known_since = now;
--- a/packages/routing/include/godwittrestle/routing/version_history.hpp
+++ b/packages/routing/include/godwittrestle/routing/version_history.hpp
@@ -1,26 +1,17 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
-#include <vector>
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
-#include <godwittrestle/routing/server.hpp>
 
 namespace godwittrestle::routing
 {
-	// Returns the services of which other servers may have been in service during a stream's longest life: one of their
-	// servers leaves, or started during that time or a while before it, or does not state its start. A version leaves
-	// when servers of another one have started. now_ms: wall-clock time in milliseconds since 1970, as servers state
-	// their start.
-	[[nodiscard]] std::set<service_id> changed_services(
-		std::vector<registered_server> const& servers, duration longest_life, std::uint64_t now_ms);
-
 	// Which software versions of each service were in service, and when. A stream that nothing else is known of began
-	// at the only version that was in service during a stream's longest life, if there was only one.
+	// at the only version that was in service during a stream's longest life, if there was only one. A list of servers
+	// tells nothing of the time before it, however long its servers have run: a server that has left is not in it.
 	class version_history
 	{
 	  public:
@@ -37,11 +28,6 @@
 		void note_complete_since(service_id const& service, time_point since);
 		void note_complete_since(time_point since);
 
-		// Records what the list that a daemon reads at its start tells of the time before: a service that has not
-		// changed (see changed_services) and has one version had the same one for a stream's longest life.
-		void note_first_list(std::vector<registered_server> const& servers, std::set<service_id> const& changed,
-			duration longest_life, time_point now);
-
 		// Records that the servers were not observed until now: versions may have come and gone.
 		void note_gap(time_point now);
 
--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include <godwittrestle/daemon/wall_clock.hpp>
+
 #include "daemon_group.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
@@ -23,6 +25,14 @@
 	constexpr std::size_t caller_count = 36;
 	constexpr std::chrono::milliseconds restart_time{300};
 
+	// Returns the start of a server that has run for an hour.
+	incarnation started_long_ago()
+	{
+		constexpr std::uint64_t us_per_ms = 1000;
+		constexpr std::uint64_t ms_per_hour = 3'600'000;
+		return incarnation(daemon::wall_clock_us() / us_per_ms - ms_per_hour);
+	}
+
 	void sleep(std::chrono::milliseconds time)
 	{
 		std::this_thread::sleep_for(time);
@@ -115,6 +125,22 @@
 	}
 }
 
+// Guards against a started daemon that takes the one version left for the one that began a stream (ORDER).
+TEST_CASE("no stream goes on at the version that is left, however long its servers have run", "[version_left]")
+{
+	two_versions system;
+	sleep(std::chrono::milliseconds(1500));
+	auto left = entries_of(system.new_servers);
+	std::ranges::for_each(left, [](routing::registered_server& each) { each.started = started_long_ago(); });
+	system.daemons.publish(std::move(left));
+	system.kill_for_a_moment(daemon_count);
+	sleep(std::chrono::milliseconds(1500));
+	auto const seen = system.callers.finish();
+	CAPTURE(seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
+	REQUIRE(seen.taken_up > 0);
+	REQUIRE(seen.mixed <= allowed_mixed);
+}
+
 TEST_CASE("a stream is taken up only by naming the attempt that began it, whatever else is named", "[version_odd]")
 {
 	auto const old_servers = make_servers(1, "v1");
--- a/tests/unit/version_history.test.cpp
+++ b/tests/unit/version_history.test.cpp
@@ -11,15 +11,6 @@
 	software_version const old_version{"v1"};
 	software_version const new_version{"v1.1"};
 	constexpr duration life = seconds(16);
-	constexpr std::uint64_t now_ms = 1'700'000'000'000;
-
-	routing::registered_server started_before(std::string id, software_version const& version, std::uint64_t age_ms)
-	{
-		auto server = make_server(std::move(id), routing::server_role::decode, digests.str());
-		server.version = version;
-		server.started = incarnation(now_ms - age_ms);
-		return server;
-	}
 }
 
 TEST_CASE("the only version is known when it was alone for a stream's longest life", "[version_history]")
@@ -57,28 +48,13 @@
 	REQUIRE_FALSE(history.only_version_since(digests, at_ms(20'000), at_ms(36'000)));
 }
 
-TEST_CASE("a list whose servers have all been there for long tells of the time before", "[version_history]")
+// Guards against the belief that the one version in a daemon's first list was alone before: the servers of another one may
+// have left just before the daemon started.
+TEST_CASE("a first list tells nothing of the time before it", "[version_history]")
 {
-	constexpr std::uint64_t old_ms = 60'000;
-	auto const is_known = [](std::vector<routing::registered_server> const& servers)
-	{
-		routing::version_history history;
-		auto const changed = routing::changed_services(servers, life, now_ms);
-		history.note_first_list(servers, changed, life, at_ms(0));
-		history.set_in_service({{digests, {servers.front().version}}}, at_ms(0));
-		return history.only_version_since(digests, at_ms(0) - life, at_ms(0)).has_value();
-	};
-	auto const old_server = started_before("a", old_version, old_ms);
-	REQUIRE(is_known({old_server, started_before("b", old_version, old_ms)}));
-	REQUIRE_FALSE(is_known({old_server, started_before("b", old_version, 20'000)}));
-	REQUIRE_FALSE(is_known({old_server, started_before("b", new_version, old_ms)}));
-	auto unknown_start = old_server;
-	unknown_start.started = incarnation(0);
-	REQUIRE_FALSE(is_known({unknown_start}));
-	auto future_start = old_server;
-	future_start.started = incarnation(now_ms + 1);
-	REQUIRE_FALSE(is_known({future_start}));
-	auto leaving = old_server;
-	leaving.leaving = true;
-	REQUIRE_FALSE(is_known({leaving}));
+	routing::version_history history;
+	history.set_in_service({{digests, {new_version}}}, at_ms(0));
+	REQUIRE_FALSE(history.only_version_since(digests, at_ms(0) - life, at_ms(0)));
+	REQUIRE_FALSE(history.only_version_since(digests, at_ms(15'900) - life, at_ms(15'900)));
+	REQUIRE(history.only_version_since(digests, at_ms(16'000) - life, at_ms(16'000)) == new_version);
 }
