--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -22,9 +22,11 @@
 		}
 	}
 
-	connection_pool::connection_pool(asio::any_io_executor io_executor, connect_callback notify)
+	connection_pool::connection_pool(
+		asio::any_io_executor io_executor, connect_callback notify_connect, idle_end_callback notify_idle_end)
 		: executor(std::move(io_executor))
-		, on_connect(std::move(notify))
+		, on_connect(std::move(notify_connect))
+		, on_idle_end(std::move(notify_idle_end))
 	{
 	}
 
@@ -36,7 +38,7 @@
 		{
 			connections = server_connections{server.started, server.address, {}, 0};
 		}
-		if (auto idle = this->take_idle(connections, max_idle, daemon::monotonic_now()))
+		if (auto idle = this->take_idle(server.id, connections, max_idle, daemon::monotonic_now()))
 		{
 			++connections.in_use;
 			co_return idle;
@@ -102,19 +104,25 @@
 
 	void connection_pool::close_expired(time_point now)
 	{
-		for (auto& connections : this->servers | std::views::values)
+		for (auto& [server, connections] : this->servers)
 		{
+			auto has_ended = false;
 			std::erase_if(connections.idle,
-				[now](idle_connection& each)
+				[&](idle_connection& each)
 				{
-					auto const is_over =
-						now - each.since > idle_time(*each.connection) || !each.connection->is_open_without_data();
+					auto const is_ended = !each.connection->is_open_without_data();
+					auto const is_over = is_ended || now - each.since > idle_time(*each.connection);
 					if (is_over)
 					{
 						each.connection->close();
 					}
+					has_ended = has_ended || is_ended;
 					return is_over;
 				});
+			if (has_ended)
+			{
+				this->on_idle_end(server);
+			}
 		}
 	}
 
@@ -126,19 +134,23 @@
 	}
 
 	http::upstream_pointer connection_pool::take_idle(
-		server_connections& connections, duration max_idle, time_point now)
+		server_id const& server, server_connections& connections, duration max_idle, time_point now)
 	{
 		while (!connections.idle.empty())
 		{
 			auto const candidate = connections.idle.back();
 			connections.idle.pop_back();
 			auto const age = now - candidate.since;
-			if (age <= std::min(max_idle, idle_time(*candidate.connection)) &&
-				candidate.connection->is_open_without_data())
+			auto const is_open = candidate.connection->is_open_without_data();
+			if (is_open && age <= std::min(max_idle, idle_time(*candidate.connection)))
 			{
 				return candidate.connection;
 			}
 			candidate.connection->close();
+			if (!is_open)
+			{
+				this->on_idle_end(server);
+			}
 		}
 		return nullptr;
 	}
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -39,13 +39,21 @@
 		, protocol(std::move(calls))
 		, totals(&metrics)
 		, log(std::move(event_sink))
-		, pool(io_executor,
+		, pool(
+			  io_executor,
 			  [this](server_id const& server, bool is_connected)
 			  {
 				  this->totals->count_connection();
 				  this->shared->reach.note_connect(server, is_connected, monotonic_now());
-			  })
-		, peer_pool(io_executor, [](server_id const& /*daemon*/, bool /*is_connected*/) {})
+				  if (!is_connected)
+				  {
+					  this->note_start_doubted(server);
+				  }
+			  },
+			  [this](server_id const& server) { this->note_start_doubted(server); })
+		, peer_pool(
+			  io_executor, [](server_id const& /*daemon*/, bool /*is_connected*/) {},
+			  [](server_id const& /*daemon*/) {})
 		, end_check(io_executor, this->log)
 		, random(std::random_device{}())
 		, started(monotonic_now())
@@ -367,6 +375,10 @@
 			}
 		}
 		this->shared->reach.note_failure(server->entry.id);
+		if (connection->was_closed_by_peer())
+		{
+			server->note_start_doubted(monotonic_now());
+		}
 		connection->close();
 		co_return std::nullopt;
 	}
@@ -420,6 +432,14 @@
 		return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
 	}
 
+	void forwarder::note_start_doubted(server_id const& server)
+	{
+		if (auto const known = this->shared->servers.find(server))
+		{
+			known->note_start_doubted(monotonic_now());
+		}
+	}
+
 	std::size_t forwarder::connection_limit(routing::registered_server const& server) const
 	{
 		auto const* const terms = this->shared->routes ? this->shared->routes->find_service(server.service) : nullptr;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -139,6 +139,10 @@
 		auto const connection = std::exchange(state.connection, nullptr);
 		auto const was_closed = connection && (connection->was_closed_by_peer() || connection->ends_with_connection());
 		state.failure = failure;
+		if (connection && connection->was_closed_by_peer())
+		{
+			server.note_start_doubted(monotonic_now());
+		}
 		if (failure == send_failure::not_permitted || failure == send_failure::blocked)
 		{
 			// Says nothing about the server, which stays a candidate for this request.
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -26,6 +26,8 @@
 		constexpr duration discovery_time = seconds(3);
 		constexpr std::uint32_t assumed_daemons = 4;
 		constexpr std::size_t max_engines_tried = 4;
+		// An engine that was asked for its start and gave no answer is asked again after this time.
+		constexpr duration start_check_pause = milliseconds(100);
 	}
 
 	token_count forwarder::needed_tokens(request_state const& state) const
@@ -153,7 +155,12 @@
 		{
 			for (auto const& engine : engines)
 			{
-				if (co_await this->obtain_permit(state, engine))
+				auto may_get_stream = co_await this->confirm_start(engine);
+				if (may_get_stream)
+				{
+					may_get_stream = co_await this->obtain_permit(state, engine);
+				}
+				if (may_get_stream)
 				{
 					co_return reserved_engine{engine, std::nullopt};
 				}
@@ -167,6 +174,11 @@
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
 		{
+			auto const is_confirmed = co_await this->confirm_start(engine);
+			if (!is_confirmed)
+			{
+				continue;
+			}
 			auto reservation = co_await this->request_reservation(engine, needed, lifetime);
 			if (!reservation)
 			{
@@ -201,6 +213,45 @@
 		co_return std::nullopt;
 	}
 
+	asio::awaitable<bool> forwarder::confirm_start(routing::server_pointer engine)
+	{
+		if (!engine->start_doubted_at)
+		{
+			co_return true;
+		}
+		if (std::exchange(engine->is_start_checked, true))
+		{
+			co_return false;
+		}
+		auto const doubted_at = *engine->start_doubted_at;
+		auto message = this->protocol.write_report_request(engine->entry.id);
+		auto const text = co_await this->fetch(engine, std::move(message), reservation_timeout);
+		auto const report = text ? this->protocol.read_report(*text) : std::nullopt;
+		engine->is_start_checked = false;
+		this->totals->count_send("report", report ? "served" : "failed");
+		if (!report)
+		{
+			engine->load.note_full_until(monotonic_now() + start_check_pause);
+			co_return false;
+		}
+		auto const states_start = report->started != incarnation();
+		if (states_start && report->started != engine->entry.started)
+		{
+			engine->is_replaced = true;
+			this->log(make_event("server_start_differs",
+				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
+					{"stated_start", std::to_string(report->started.count())},
+					{"entry_version", engine->entry.version.str()}}));
+			co_return false;
+		}
+		// Another sign may have come while the engine was asked.
+		if (engine->start_doubted_at == doubted_at)
+		{
+			engine->start_doubted_at.reset();
+		}
+		co_return !engine->start_doubted_at;
+	}
+
 	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
 		routing::server_pointer engine, token_count tokens, duration lifetime)
 	{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -157,7 +157,8 @@
 		{
 			options.fetch_from = state->prompt_cache_address;
 		}
-		if (state->is_caller_gone || state->is_out_of_time())
+		// A sign that the engine has ended may have come since its start was confirmed.
+		if (state->is_caller_gone || state->is_out_of_time() || placement.decode->start_doubted_at)
 		{
 			this->release_unused(placement, source, reservation);
 			co_return send_failure::not_sent;
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -24,8 +24,10 @@
 	  public:
 		// Called after each attempt to open a new connection.
 		using connect_callback = std::function<void(server_id const& server, bool is_connected)>;
+		// Called when a server has closed or reset an idle connection, or sent something on it.
+		using idle_end_callback = std::function<void(server_id const& server)>;
 
-		connection_pool(asio::any_io_executor executor, connect_callback on_connect);
+		connection_pool(asio::any_io_executor executor, connect_callback on_connect, idle_end_callback on_idle_end);
 
 		// Returns a connection to a server, reused or new. Returns nothing when connecting fails or times out, the
 		// server's address can't be parsed or the limit is reached. limit: the most connections to this server, idle
@@ -65,10 +67,11 @@
 		};
 
 		[[nodiscard]] http::upstream_pointer take_idle(
-			server_connections& connections, duration max_idle, time_point now);
+			server_id const& server, server_connections& connections, duration max_idle, time_point now);
 
 		asio::any_io_executor executor;
 		connect_callback on_connect;
+		idle_end_callback on_idle_end;
 		std::map<server_id, server_connections> servers;
 		bool is_closed = false;
 	};
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -151,6 +151,13 @@
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> try_reserve(
 			state_pointer state, std::vector<routing::server_pointer> engines, bool is_late);
 
+		// Asks an engine whose start is doubted for it. Returns whether the engine may get a stream: its entry is that
+		// of the process that answers. An engine with another start counts as replaced until its entry is written
+		// again.
+		[[nodiscard]] asio::awaitable<bool> confirm_start(routing::server_pointer engine);
+		// Records a sign that a server's process may have ended.
+		void note_start_doubted(server_id const& server);
+
 		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
 			routing::server_pointer engine, token_count tokens, duration lifetime);
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -123,6 +123,8 @@
 		bool is_busy = false;
 		// Number of orders that the engine has accepted since its start.
 		std::uint64_t orders = 0;
+		// The engine's start, as registered_server::started; 0 when it does not report it.
+		incarnation started;
 	};
 
 	// An order to an engine to change its role.
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -152,6 +152,12 @@
 		return revived;
 	}
 
+	void directory::note_registry_lost(time_point now)
+	{
+		std::ranges::for_each(
+			this->servers | std::views::values, [now](server_pointer const& each) { each->note_start_doubted(now); });
+	}
+
 	void directory::note_registry_return(time_point now)
 	{
 		this->registry_returned_at = now;
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -52,6 +52,13 @@
 		// counts, the server stays what it was known to be.
 		std::optional<doubted_entry> doubted;
 
+		// Set at a sign that the server's process may have ended, and when the registry can't be read any more: the
+		// process that answers now may have another start, and another software version, than the entry states. Reset
+		// when the server itself has stated the entry's start.
+		std::optional<time_point> start_doubted_at;
+		// Whether the server is being asked for its start.
+		bool is_start_checked = false;
+
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
 
@@ -90,6 +97,15 @@
 			return this->entry.leaving || this->has_announced_leaving;
 		}
 
+		// Records a sign that the server's process may have ended. A server that states no start can't be asked.
+		void note_start_doubted(time_point now) noexcept
+		{
+			if (this->entry.started != incarnation())
+			{
+				this->start_doubted_at = now;
+			}
+		}
+
 		// Returns whether the registry lists the server and the server is not leaving.
 		[[nodiscard]] bool is_ready() const noexcept
 		{
@@ -157,6 +173,9 @@
 		[[nodiscard]] copy_summary replace_from_copy(
 			std::vector<registered_server> const& entries, duration unobserved, time_point now);
 
+		// Records that the registry can't be read any more: from now on a server may start again unnoticed.
+		void note_registry_lost(time_point now);
+
 		// Records that the registry is readable again after an outage.
 		void note_registry_return(time_point now);
 
--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -8,8 +8,6 @@
 
 #include <fmt/format.h>
 
-#include <godwittrestle/daemon/wall_clock.hpp>
-
 #include "daemon_group.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
@@ -25,14 +23,6 @@
 	constexpr std::size_t caller_count = 36;
 	constexpr std::chrono::milliseconds restart_time{300};
 
-	// Returns the start of a server that has run for an hour.
-	incarnation started_long_ago()
-	{
-		constexpr std::uint64_t us_per_ms = 1000;
-		constexpr std::uint64_t ms_per_hour = 3'600'000;
-		return incarnation(daemon::wall_clock_us() / us_per_ms - ms_per_hour);
-	}
-
 	void sleep(std::chrono::milliseconds time)
 	{
 		std::this_thread::sleep_for(time);
@@ -130,9 +120,8 @@
 {
 	two_versions system;
 	sleep(std::chrono::milliseconds(1500));
-	auto left = entries_of(system.new_servers);
-	std::ranges::for_each(left, [](routing::registered_server& each) { each.started = started_long_ago(); });
-	system.daemons.publish(std::move(left));
+	// By their entries, these servers have run for decades.
+	system.daemons.publish(entries_of(system.new_servers));
 	system.kill_for_a_moment(daemon_count);
 	sleep(std::chrono::milliseconds(1500));
 	auto const seen = system.callers.finish();
@@ -141,6 +130,28 @@
 	REQUIRE(seen.mixed <= allowed_mixed);
 }
 
+// Guards against streams that go on at a server that has started again with another version while its entry still
+// states the one before, as when the registry can't be written (ORDER).
+TEST_CASE("no stream goes on at a server that has started again with another version", "[version_restart]")
+{
+	auto const servers = make_servers(6, "v1");
+	daemon_group daemons(daemon_count, make_route(routing::call_kind::streaming, 3, true), entries_of(servers));
+	stream_callers callers(daemons.addresses(), caller_count);
+	sleep(std::chrono::milliseconds(700));
+	for (auto const number : {0, 1, 2})
+	{
+		servers[number]->restart("v2");
+		sleep(std::chrono::milliseconds(300));
+		servers[number + 3]->break_streams();
+		sleep(std::chrono::milliseconds(300));
+	}
+	auto const seen = callers.finish();
+	CAPTURE(seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
+	REQUIRE(seen.begun > 0);
+	REQUIRE(seen.mixed <= allowed_mixed);
+	REQUIRE(2 * seen.complete >= seen.begun);
+}
+
 TEST_CASE("a stream is taken up only by naming the attempt that began it, whatever else is named", "[version_odd]")
 {
 	auto const old_servers = make_servers(1, "v1");
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <future>
 #include <iterator>
 #include <set>
 #include <thread>
@@ -9,6 +10,7 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
@@ -63,14 +65,38 @@
 	streaming_server::streaming_server(std::string given_id, std::string given_version)
 		: id(std::move(given_id))
 		, version(std::move(given_version))
-		, listener(std::make_unique<http::server>(this->thread.context().get_executor(), http::endpoint{"127.0.0.1", 0},
-			  http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
-			  { return this->serve(std::move(message), http_exchange); }))
 	{
-		this->listener->start();
+		this->listen(0);
 		this->thread.start();
 	}
 
+	void streaming_server::listen(unsigned short port)
+	{
+		this->listener =
+			std::make_unique<http::server>(this->thread.context().get_executor(), http::endpoint{"127.0.0.1", port},
+				http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
+				{ return this->serve(std::move(message), http_exchange); });
+		this->listener->start();
+	}
+
+	void streaming_server::restart(std::string const& new_version)
+	{
+		std::promise<void> done;
+		asio::post(this->thread.context(),
+			[&]
+			{
+				++this->breaks;
+				this->running.clear();
+				auto const port = this->listener->port();
+				this->listener->stop();
+				this->version = new_version;
+				++this->starts;
+				this->listen(port);
+				done.set_value();
+			});
+		done.get_future().wait();
+	}
+
 	streaming_server::~streaming_server()
 	{
 		this->thread.stop();
@@ -81,6 +107,7 @@
 		auto entry =
 			make_server(this->id, http::to_string({"127.0.0.1", this->listener->port()}), routing::server_role::decode);
 		entry.version = software_version(this->version);
+		entry.started = incarnation(this->starts);
 		return entry;
 	}
 
@@ -100,7 +127,7 @@
 		if (message.path() == "/report")
 		{
 			http::response answer;
-			answer.body = fmt::format("{}", fmt::join(this->running, ","));
+			answer.body = fmt::format("{};{}", this->starts, fmt::join(this->running, ","));
 			std::ignore = co_await http_exchange.reply(std::move(answer));
 			co_return;
 		}
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -40,6 +40,10 @@
 		// Breaks off all streams under way.
 		void break_streams();
 
+		// Ends as a crash does, and starts again under the same id and at the same address with another version. What
+		// entry() returned before is then wrong.
+		void restart(std::string const& new_version);
+
 		// Returns how often each attempt began to run.
 		[[nodiscard]] std::map<std::string, int> run_counts() const;
 
@@ -47,8 +51,13 @@
 		[[nodiscard]] boost::asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] boost::asio::awaitable<void> stream(http::request const& message, http::exchange& http_exchange);
 
+		// Listens at the port; 0 for any.
+		void listen(unsigned short port);
+
 		std::string id;
 		std::string version;
+		// Number of starts, which the server states as its start.
+		std::uint64_t starts = 1;
 		std::atomic<unsigned> breaks = 0;
 		// Attempts whose streams run. Used only on the server's thread.
 		std::set<std::string> running;
--- a/tests/contract/test_protocol.cpp
+++ b/tests/contract/test_protocol.cpp
@@ -120,10 +120,16 @@
 		{
 			return http::request{"GET", "/report", {}, ""};
 		};
-		// The body of a report names the attempts that have made events, separated by commas.
+		// The body of a report names the attempts that have made events, separated by commas. The engine's start and a
+		// semicolon may stand before them.
 		protocol.read_report = [](std::string_view body)
 		{
 			gateway::engine_report report;
+			if (auto const end = body.find(';'); end != std::string_view::npos)
+			{
+				report.started = incarnation(parse_number(body.substr(0, end)).value_or(0));
+				body.remove_prefix(end + 1);
+			}
 			for (auto const& attempt : split_names(body))
 			{
 				report.running.push_back({request_id(attempt), true});
