Only an event with data counts as a stream's event, and what comes between two is bounded (endless bytes)

The caller gets hundreds of kilobytes without one event, then a reset, though other servers are free (10 of 224 streams).

Cause: stream_joiner counted each block that ends with a blank line as an event, blank lines too, and comments were passed on without a bound. A comment with data in the same block was taken for no event.

Change: an event has a line "data"; comments, ids alone and blank lines are passed on as before, are no progress, and may be 64 KiB between two events, as an event may. Beyond that the stream has broken off and goes on elsewhere.

Test: contract "[endless_stream]" (blank lines, comments as blocks, comments as lines). Unit "[joiner]".

Not played: endless bytes from the store and from other daemons. A server that sends a comment now and then and never an event, below the bound, holds a stream until the caller's patience ends.

--- a/packages/gateway/impl/stream_joiner.cpp
+++ b/packages/gateway/impl/stream_joiner.cpp
@@ -36,10 +36,22 @@
 			return std::nullopt;
 		}
 
-		// Returns whether an event is a comment. Servers send comments to keep a connection alive.
-		bool is_comment(std::string_view event)
+		// Returns whether an event has data. Without data it is dispatched to nobody: it is a comment, by which servers
+		// keep a connection alive, an id alone, or blank lines.
+		bool has_data(std::string_view event)
 		{
-			return event.starts_with(':');
+			constexpr std::string_view data_field = "data";
+			while (!event.empty())
+			{
+				auto const line = event.substr(0, event.find('\n'));
+				event.remove_prefix(std::min(event.size(), line.size() + 1));
+				auto const name = line.substr(0, line.find_first_of(":\r"));
+				if (name == data_field)
+				{
+					return true;
+				}
+			}
+			return false;
 		}
 
 		// Returns the position after the first blank line that begins at or after the position; npos when there is
@@ -71,10 +83,12 @@
 			end = find_event_end(text, consumed))
 		{
 			auto const event = text.substr(consumed, end - consumed);
+			auto const is_dispatched = has_data(event);
+			this->bytes_without_data = is_dispatched ? 0 : this->bytes_without_data + event.size();
 			if (this->accept(event))
 			{
 				whole += event;
-				this->events_passed_on += is_comment(event) ? 0 : 1;
+				this->events_passed_on += is_dispatched ? 1 : 0;
 			}
 			consumed = end;
 		}
@@ -104,6 +118,7 @@
 	{
 		this->pending.clear();
 		this->searched_bytes = 0;
+		this->bytes_without_data = 0;
 	}
 
 	bool stream_joiner::accept(std::string_view event)
--- a/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
@@ -16,7 +16,8 @@
 		// last_event: id of the last event that the caller already has.
 		explicit stream_joiner(std::optional<std::string> last_event);
 
-		// Bytes of an incomplete event that may be buffered; a stream with a longer event is invalid.
+		// Bytes of an incomplete event that may be buffered, and of comments and blank lines between two events; a
+		// stream with more is invalid.
 		static constexpr std::size_t max_event_bytes = 65'536;
 
 		// Adds received bytes. Returns the events that they complete, unchanged.
@@ -35,13 +36,14 @@
 			return this->last_id;
 		}
 
-		// Returns whether the incomplete event exceeds max_event_bytes, so that this is no valid stream of events.
+		// Returns whether the incomplete event, or what came since the last event, exceeds max_event_bytes, so that
+		// this is no valid stream of events.
 		[[nodiscard]] bool is_overlong() const noexcept
 		{
-			return this->pending.size() > max_event_bytes;
+			return this->pending.size() > max_event_bytes || this->bytes_without_data > max_event_bytes;
 		}
 
-		// Returns the number of events passed on; comments do not count.
+		// Returns the number of events with data that were passed on. Comments and blank lines do not count.
 		[[nodiscard]] std::uint64_t events() const noexcept
 		{
 			return this->events_passed_on;
@@ -58,6 +60,8 @@
 		std::string pending;
 		// Number of buffered bytes that contain no end of an event.
 		std::size_t searched_bytes = 0;
+		// Bytes of complete comments, blank lines and events without data since the last event with data.
+		std::size_t bytes_without_data = 0;
 		std::optional<std::string> last_id;
 		std::uint64_t events_passed_on = 0;
 	};
--- a/tests/contract/answer_ends.test.cpp
+++ b/tests/contract/answer_ends.test.cpp
@@ -37,6 +37,29 @@
 	};
 }
 
+// Guards against blank lines or comments without end that pass for a stream that has begun, so that the caller gets no
+// event though other servers are free.
+TEST_CASE("a stream goes elsewhere when its server sends blank lines or comments without end", "[endless_stream]")
+{
+	std::string const filler = GENERATE("\n\n", ": x\n\n", ": x\n");
+	gateway_fixture fixture(make_route(call_kind::streaming, 2, true));
+	std::string repeated;
+	while (repeated.size() < 4096)
+	{
+		repeated += filler;
+	}
+	repeating_server const faulty(fixture.loop, stream_without_length(""), repeated, std::chrono::milliseconds(1));
+	fixed_response_server const sound(fixture.loop, stream_answer("id: 1\ndata: x\n\n", true), after_response::closes);
+	fixture.add_server("a", faulty.address(), server_role::decode);
+	fixture.add_server("b", sound.address(), server_role::decode);
+	fixture.shared.servers.find(server_id("b"))->load.set_share(instance_id("o"), {1, 0, 100}, daemon::monotonic_now());
+	auto const answer = fixture.send_request();
+	REQUIRE(sound.received().size() == 1);
+	REQUIRE(answer.find("data: x") != std::string::npos);
+	REQUIRE(is_complete_stream(answer));
+	REQUIRE(answer.size() < 2 * gateway::stream_joiner::max_event_bytes);
+}
+
 TEST_CASE("an answer without length or chunks that ends with its connection is whole", "[answer_ends]")
 {
 	SECTION("plain")
--- a/tests/unit/stream_joiner.test.cpp
+++ b/tests/unit/stream_joiner.test.cpp
@@ -77,6 +77,35 @@
 	REQUIRE(joiner.events() == 0);
 }
 
+// Guards against bytes without end that pass for the first event of a stream.
+TEST_CASE("only events with data count, and what comes between them is bounded", "[joiner]")
+{
+	for (std::string const filler :
+		{"\n\n", "\n\r\n", ": x\n\n", "id: 1\n\n", "event: x\nretry: 3\n\n", "datax: 1\n\n"})
+	{
+		CAPTURE(filler);
+		stream_joiner joiner(std::nullopt);
+		std::size_t received = 0;
+		while (!joiner.is_overlong())
+		{
+			std::ignore = joiner.feed(filler);
+			received += filler.size();
+			REQUIRE(received <= stream_joiner::max_event_bytes + filler.size());
+			REQUIRE(joiner.events() == 0);
+		}
+		// Another server's stream begins anew.
+		joiner.restart();
+		REQUIRE_FALSE(joiner.is_overlong());
+	}
+	for (auto const* const event : {"data: x\n\n", ": note\ndata: x\n\n", "id: 1\r\ndata\r\n\r\n", "data:\n\n"})
+	{
+		CAPTURE(event);
+		stream_joiner joiner(std::nullopt);
+		std::ignore = joiner.feed(event);
+		REQUIRE(joiner.events() == 1);
+	}
+}
+
 TEST_CASE("a stream that ends inside an event or a comment has no end", "[joiner]")
 {
 	for (auto const* const rest : {"data: rest", "id: 2\ndata: rest\n", ": note"})
