--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -73,8 +73,8 @@
 	{
 		while (true)
 		{
-			// One awaited call a statement: GCC 12 also makes the second call of `listed && co_await watch()` after a
-			// list that failed.
+			// One awaited call a statement: as compiled by GCC 12, `is_listed && co_await watch()` also made the second
+			// call after a list that had failed.
 			auto is_followed = co_await this->list();
 			while (is_followed)
 			{
--- a/tests/contract/http_server.test.cpp
+++ b/tests/contract/http_server.test.cpp
@@ -1,11 +1,13 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <memory>
 #include <random>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -79,3 +81,40 @@
 	thread.stop();
 	REQUIRE(answered == requests);
 }
+
+// Guards against a request that a stopped server still reads from a kept connection, and that its process then cuts.
+TEST_CASE("a stopped server reads no further request from a kept connection", "[http]")
+{
+	asio::io_context loop(1);
+	int handled = 0;
+	std::unique_ptr<http::server> server;
+	// The head of the answer, which does not announce the connection's end, is sent before the server is stopped.
+	auto const handle = [&](http::request, http::exchange& http_exchange) -> asio::awaitable<void>
+	{
+		++handled;
+		http::response head;
+		std::ignore = co_await http_exchange.begin_stream(std::move(head));
+		server->stop();
+		std::ignore = co_await http_exchange.end_stream();
+	};
+	server = std::make_unique<http::server>(
+		loop.get_executor(), http::endpoint{"127.0.0.1", 0}, http::server_limits{}, handle);
+	server->start();
+	auto const send_two = [&]() -> asio::awaitable<std::string>
+	{
+		std::string const message = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+		tcp::socket socket(loop);
+		tcp::endpoint const listen_address(asio::ip::make_address("127.0.0.1"), server->port());
+		std::ignore = co_await socket.async_connect(listen_address, token);
+		std::ignore = co_await asio::async_write(socket, asio::buffer(message), token);
+		std::string received;
+		auto buffer = asio::dynamic_buffer(received);
+		std::ignore = co_await asio::async_read_until(socket, buffer, "0\r\n\r\n", token);
+		std::ignore = co_await asio::async_write(socket, asio::buffer(message), token);
+		std::ignore = co_await asio::async_read(socket, buffer, token);
+		co_return received;
+	};
+	auto const received = run_to_end(loop, send_two());
+	REQUIRE(received.starts_with("HTTP/1.1 200"));
+	REQUIRE(handled == 1);
+}
--- a/tests/unit/version_history.test.cpp
+++ b/tests/unit/version_history.test.cpp
@@ -48,8 +48,8 @@
 	REQUIRE_FALSE(history.only_version_since(digests, at_ms(20'000), at_ms(36'000)));
 }
 
-// Guards against the belief that the one version in a daemon's first list was alone before: the servers of another one may
-// have left just before the daemon started.
+// Guards against the belief that the one version in a daemon's first list was alone before: the servers of another one
+// may have left just before the daemon started.
 TEST_CASE("a first list tells nothing of the time before it", "[version_history]")
 {
 	routing::version_history history;
