An engine that reports no start serves streams after a connection has broken

Cause: forwarder::confirm_start took an answer without a readable report for no answer.

Test: contract "a server that does not report its start serves streams after a connection has broken": failed before, passes now.

--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -225,23 +225,22 @@
 		}
 		auto const doubted_at = *engine->start_doubted_at;
 		auto message = this->protocol.write_report_request(engine->entry.id);
-		auto const text = co_await this->fetch(engine, std::move(message), reservation_timeout);
-		auto const report = text ? this->protocol.read_report(*text) : std::nullopt;
+		auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
 		engine->is_start_checked = false;
-		this->totals->count_send("report", report ? "served" : "failed");
-		if (!report)
+		this->totals->count_send("report", answer ? "served" : "failed");
+		if (!answer)
 		{
 			engine->load.note_full_until(monotonic_now() + start_check_pause);
 			co_return false;
 		}
-		auto const states_start = report->started != incarnation();
-		if (states_start && report->started != engine->entry.started)
+		auto const report = answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt;
+		auto const stated = report ? report->started : incarnation();
+		if (stated != incarnation() && stated != engine->entry.started)
 		{
 			engine->is_replaced = true;
 			this->log(make_event("server_start_differs",
 				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
-					{"stated_start", std::to_string(report->started.count())},
-					{"entry_version", engine->entry.version.str()}}));
+					{"stated_start", std::to_string(stated.count())}, {"entry_version", engine->entry.version.str()}}));
 			co_return false;
 		}
 		// Another sign may have come while the engine was asked.
--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -152,6 +152,23 @@
 	REQUIRE(2 * seen.complete >= seen.begun);
 }
 
+// Guards against servers that get no stream any more after a connection has broken, since their report names no start.
+TEST_CASE("a server that does not report its start serves streams after a connection has broken", "[version_restart]")
+{
+	auto servers = make_servers(1, "v1");
+	auto entries = entries_of(servers);
+	servers.front()->set_reporting(false);
+	daemon_group daemons(1, make_route(routing::call_kind::streaming, 1, true), entries);
+	auto const send = [&](std::string const& attempt)
+	{
+		return send_to_daemon(daemons.addresses()[0], "POST", {{"Events", "3"}, {"Attempt", attempt}});
+	};
+	REQUIRE(send("t1").find("id: 3\n") != std::string::npos);
+	servers.front()->restart("v1");
+	REQUIRE_FALSE(send("t2").empty());
+	REQUIRE(send("t3").find("id: 3\n") != std::string::npos);
+}
+
 TEST_CASE("a stream is taken up only by naming the attempt that began it, whatever else is named", "[version_odd]")
 {
 	auto const old_servers = make_servers(1, "v1");
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -79,6 +79,11 @@
 		this->listener->start();
 	}
 
+	void streaming_server::set_reporting(bool reports)
+	{
+		this->is_reporting = reports;
+	}
+
 	void streaming_server::restart(std::string const& new_version)
 	{
 		std::promise<void> done;
@@ -126,7 +131,9 @@
 	{
 		if (message.path() == "/report")
 		{
+			constexpr unsigned not_found = 404;
 			http::response answer;
+			answer.status = this->is_reporting ? answer.status : not_found;
 			answer.body = fmt::format("{};{}", this->starts, fmt::join(this->running, ","));
 			std::ignore = co_await http_exchange.reply(std::move(answer));
 			co_return;
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -40,6 +40,9 @@
 		// Breaks off all streams under way.
 		void break_streams();
 
+		// Sets whether the server answers questions for its report; otherwise it answers 404.
+		void set_reporting(bool reports);
+
 		// Ends as a crash does, and starts again under the same id and at the same address with another version. What
 		// entry() returned before is then wrong.
 		void restart(std::string const& new_version);
@@ -59,6 +62,7 @@
 		// Number of starts, which the server states as its start.
 		std::uint64_t starts = 1;
 		std::atomic<unsigned> breaks = 0;
+		std::atomic<bool> is_reporting = true;
 		// Attempts whose streams run. Used only on the server's thread.
 		std::set<std::string> running;
 		mutable std::mutex mutex;
