A server's start is doubted only while no entry would tell

Where servers reset connections (those beyond max-connections, disturbances of links) that costs reports on connections that may be reset too. While the store can be read, a server that starts again tells by its entry; so signs count only from the store's loss until entries are back, 2.3 s after its return. The decision sits in routing/directory (note_end_sign) with a test that has no I/O.

Unit "a server's start is doubted at a sign ...".

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -47,10 +47,10 @@
 				  this->shared->reach.note_connect(server, is_connected, monotonic_now());
 				  if (!is_connected)
 				  {
-					  this->note_start_doubted(server);
+					  this->shared->servers.note_end_sign(server, monotonic_now());
 				  }
 			  },
-			  [this](server_id const& server) { this->note_start_doubted(server); })
+			  [this](server_id const& server) { this->shared->servers.note_end_sign(server, monotonic_now()); })
 		, peer_pool(
 			  io_executor, [](server_id const& /*daemon*/, bool /*is_connected*/) {},
 			  [](server_id const& /*daemon*/) {})
@@ -377,7 +377,7 @@
 		this->shared->reach.note_failure(server->entry.id);
 		if (connection->was_closed_by_peer())
 		{
-			server->note_start_doubted(monotonic_now());
+			this->shared->servers.note_end_sign(server->entry.id, monotonic_now());
 		}
 		connection->close();
 		co_return std::nullopt;
@@ -432,14 +432,6 @@
 		return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
 	}
 
-	void forwarder::note_start_doubted(server_id const& server)
-	{
-		if (auto const known = this->shared->servers.find(server))
-		{
-			known->note_start_doubted(monotonic_now());
-		}
-	}
-
 	std::size_t forwarder::connection_limit(routing::registered_server const& server) const
 	{
 		auto const* const terms = this->shared->routes ? this->shared->routes->find_service(server.service) : nullptr;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -141,7 +141,7 @@
 		state.failure = failure;
 		if (connection && connection->was_closed_by_peer())
 		{
-			server.note_start_doubted(monotonic_now());
+			this->shared->servers.note_end_sign(server.entry.id, monotonic_now());
 		}
 		if (failure == send_failure::not_permitted || failure == send_failure::blocked)
 		{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -155,8 +155,6 @@
 		// of the process that answers. An engine with another start counts as replaced until its entry is written
 		// again.
 		[[nodiscard]] asio::awaitable<bool> confirm_start(routing::server_pointer engine);
-		// Records a sign that a server's process may have ended.
-		void note_start_doubted(server_id const& server);
 
 		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -154,12 +154,31 @@
 
 	void directory::note_registry_lost(time_point now)
 	{
+		this->is_registry_lost = true;
 		std::ranges::for_each(
-			this->servers | std::views::values, [now](server_pointer const& each) { each->note_start_doubted(now); });
+			this->servers | std::views::values, [now](server_pointer const& each) { doubt_start(*each, now); });
+	}
+
+	void directory::note_end_sign(server_id const& id, time_point now)
+	{
+		auto const known = this->find(id);
+		if (known && (this->is_registry_lost || now < this->registry_returned_at + this->terms.return_grace))
+		{
+			doubt_start(*known, now);
+		}
+	}
+
+	void directory::doubt_start(server_record& known, time_point now) noexcept
+	{
+		if (known.entry.started != incarnation())
+		{
+			known.start_doubted_at = now;
+		}
 	}
 
 	void directory::note_registry_return(time_point now)
 	{
+		this->is_registry_lost = false;
 		this->registry_returned_at = now;
 		for (auto const& known : this->servers | std::views::values)
 		{
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -52,9 +52,9 @@
 		// counts, the server stays what it was known to be.
 		std::optional<doubted_entry> doubted;
 
-		// Set at a sign that the server's process may have ended, and when the registry can't be read any more: the
-		// process that answers now may have another start, and another software version, than the entry states. Reset
-		// when the server itself has stated the entry's start.
+		// Set when the registry can't be read any more, and at a sign that the server's process may have ended while no
+		// entry would tell: the process that answers now may have another start, and another software version, than the
+		// entry states. Reset when the server itself has stated the entry's start.
 		std::optional<time_point> start_doubted_at;
 		// Whether the server is being asked for its start.
 		bool is_start_checked = false;
@@ -97,15 +97,6 @@
 			return this->entry.leaving || this->has_announced_leaving;
 		}
 
-		// Records a sign that the server's process may have ended. A server that states no start can't be asked.
-		void note_start_doubted(time_point now) noexcept
-		{
-			if (this->entry.started != incarnation())
-			{
-				this->start_doubted_at = now;
-			}
-		}
-
 		// Returns whether the registry lists the server and the server is not leaving.
 		[[nodiscard]] bool is_ready() const noexcept
 		{
@@ -176,6 +167,10 @@
 		// Records that the registry can't be read any more: from now on a server may start again unnoticed.
 		void note_registry_lost(time_point now);
 
+		// Records a sign that a server's process may have ended. While the registry can be read, the entry of a server
+		// that starts again tells at once; otherwise, and until entries are back after an outage, its start is doubted.
+		void note_end_sign(server_id const& id, time_point now);
+
 		// Records that the registry is readable again after an outage.
 		void note_registry_return(time_point now);
 
@@ -219,12 +214,15 @@
 		[[nodiscard]] server_pointer find_or_revive(registered_server const& entry);
 		// Applies an entry of a copy to the server's record and counts it.
 		void put_from_copy(server_record& known, registered_server const& entry, copy_summary& summary, time_point now);
+		// Doubts the start that a server's entry states. A server that states none can't be asked.
+		static void doubt_start(server_record& known, time_point now) noexcept;
 		// Ends the times of a server during which its entry is awaited or doubted. Returns whether the server is gone.
 		[[nodiscard]] bool settle(server_record& known, time_point now) const;
 
 		directory_settings terms;
 		std::map<server_id, server_pointer> servers;
 		std::map<server_id, departed_server> departed;
+		bool is_registry_lost = false;
 		time_point registry_returned_at;
 	};
 }
--- a/tests/contract/daemon_group.cpp
+++ b/tests/contract/daemon_group.cpp
@@ -98,6 +98,19 @@
 		}
 	}
 
+	void daemon_group::lose_registry()
+	{
+		for (auto const& each : this->serving)
+		{
+			if (each)
+			{
+				gateway::registry_update update;
+				update.is_lost = true;
+				each->push(std::move(update));
+			}
+		}
+	}
+
 	routing::registered_server make_server(std::string id, std::string address, routing::server_role role)
 	{
 		constexpr std::uint32_t slots = 64;
--- a/tests/contract/daemon_group.hpp
+++ b/tests/contract/daemon_group.hpp
@@ -25,6 +25,9 @@
 		// Publishes a changed list of servers to the daemons that run, and to those that start later.
 		void publish(std::vector<routing::registered_server> servers);
 
+		// Lets no daemon that runs read the registry any more.
+		void lose_registry();
+
 		// Returns where callers reach the daemons.
 		[[nodiscard]] std::vector<http::endpoint> const& addresses() const noexcept
 		{
--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -138,6 +138,7 @@
 	daemon_group daemons(daemon_count, make_route(routing::call_kind::streaming, 3, true), entries_of(servers));
 	stream_callers callers(daemons.addresses(), caller_count);
 	sleep(std::chrono::milliseconds(700));
+	daemons.lose_registry();
 	for (auto const number : {0, 1, 2})
 	{
 		servers[number]->restart("v2");
@@ -164,6 +165,7 @@
 		return send_to_daemon(daemons.addresses()[0], "POST", {{"Events", "3"}, {"Attempt", attempt}});
 	};
 	REQUIRE(send("t1").find("id: 3\n") != std::string::npos);
+	daemons.lose_registry();
 	servers.front()->restart("v1");
 	REQUIRE_FALSE(send("t2").empty());
 	REQUIRE(send("t3").find("id: 3\n") != std::string::npos);
--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -248,3 +248,25 @@
 	std::ignore = registry.servers.expire(at_ms(61'400));
 	REQUIRE(registry.restore({registry.d1}).added == 1);
 }
+
+TEST_CASE("a server's start is doubted at a sign of its end only while no entry would tell", "[directory]")
+{
+	routing::directory servers;
+	auto const entry = make_server("d1", server_role::decode);
+	servers.put(entry);
+	auto const& known = *servers.find(entry.id);
+	servers.note_end_sign(entry.id, at_ms(0));
+	REQUIRE_FALSE(known.start_doubted_at);
+	servers.note_registry_lost(at_ms(100));
+	REQUIRE(known.start_doubted_at == at_ms(100));
+	servers.note_end_sign(entry.id, at_ms(200));
+	REQUIRE(known.start_doubted_at == at_ms(200));
+	servers.find(entry.id)->start_doubted_at.reset();
+	// Entries may take this long to be written again.
+	servers.note_registry_return(at_ms(1000));
+	servers.note_end_sign(entry.id, at_ms(3200));
+	REQUIRE(known.start_doubted_at == at_ms(3200));
+	servers.find(entry.id)->start_doubted_at.reset();
+	servers.note_end_sign(entry.id, at_ms(3400));
+	REQUIRE_FALSE(known.start_doubted_at);
+}
