--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -153,6 +153,37 @@
 	REQUIRE(2 * seen.complete >= seen.begun);
 }
 
+// Guards against streams that go on at another version, since a server is back under its id with that version before its
+// entry says so, while the registry can be read (ORDER).
+TEST_CASE("no stream goes on at another version while a server's entry is older than its process", "[version_back]")
+{
+	constexpr std::chrono::milliseconds until_break{120};
+	constexpr std::chrono::milliseconds until_entry{200};
+	// Where streams break off before the entry is written: at another server of the version before, so that its streams
+	// might go on at the new process, or at the new process, so that its streams might go on at the version before.
+	auto const breaks_new_process = GENERATE(false, true);
+	two_versions system;
+	sleep(std::chrono::milliseconds(700));
+	for (std::size_t number = 0; number < 9; ++number)
+	{
+		auto const& back = system.old_servers[number % 3];
+		auto const& other = system.old_servers.back();
+		auto const is_new = back->entry().version == software_version("v1.1");
+		back->restart(is_new ? "v1" : "v1.1");
+		sleep(until_break);
+		auto const& broken = breaks_new_process ? back : (is_new ? system.new_servers.back() : other);
+		broken->break_streams();
+		sleep(until_entry);
+		system.daemons.publish(system.all_entries());
+		sleep(until_entry);
+	}
+	auto const seen = system.callers.finish();
+	CAPTURE(breaks_new_process, seen.begun, seen.complete, seen.mixed, seen.taken_up, seen.went_on);
+	REQUIRE(seen.begun > 0);
+	REQUIRE(seen.mixed <= allowed_mixed);
+	REQUIRE(2 * seen.complete >= seen.begun);
+}
+
 // Guards against servers that get no stream any more after a connection has broken, since their report names no start.
 TEST_CASE("a server that does not report its start serves streams after a connection has broken", "[version_restart]")
 {
