--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -54,7 +54,8 @@
 		, peer_pool(
 			  io_executor, [](server_id const& /*daemon*/, bool /*is_connected*/) {},
 			  [](server_id const& /*daemon*/) {})
-		, end_check(io_executor, this->log)
+		, end_check(io_executor, this->log,
+			  [this](routing::registered_server called) { return this->ask_start(std::move(called)); })
 		, random(std::random_device{}())
 		, started(monotonic_now())
 	{
@@ -175,7 +176,7 @@
 			std::optional<send_failure> failure;
 			if (auto* const answer = std::get_if<unread_answer>(&outcome))
 			{
-				failure = co_await this->forward_answer(state, *answer);
+				failure = co_await this->forward_answer(state, *answer, server);
 				if (!failure)
 				{
 					this->record_success(*state, *server, *answer);
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -48,7 +48,8 @@
 		}
 	}
 
-	asio::awaitable<std::optional<send_failure>> forwarder::forward_answer(state_pointer state, unread_answer& answer)
+	asio::awaitable<std::optional<send_failure>> forwarder::forward_answer(
+		state_pointer state, unread_answer& answer, routing::server_pointer server)
 	{
 		if (state->is_head_sent)
 		{
@@ -57,18 +58,27 @@
 			co_return send_failure::server_error;
 		}
 		auto const head_at = monotonic_now();
+		auto const connection = answer.connection.get();
 		std::string body;
 		while (true)
 		{
-			auto piece = co_await answer.connection->read_piece(state->time_left());
+			auto piece = co_await connection->read_piece(state->time_left());
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
-				answer.connection->close();
+				connection->close();
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
 			}
 			auto& text = std::get<std::string>(piece);
 			auto const is_end = text.empty();
 			body += text;
+			if (is_end)
+			{
+				auto const is_whole = co_await this->is_whole(state, answer, server);
+				if (!is_whole)
+				{
+					co_return send_failure::broken;
+				}
+			}
 			if (is_end && !state->is_head_sent)
 			{
 				break;
@@ -118,6 +128,30 @@
 		co_return std::nullopt;
 	}
 
+	asio::awaitable<bool> forwarder::is_whole(
+		state_pointer state, unread_answer& answer, routing::server_pointer server)
+	{
+		if (state->is_relayed_on || state->is_caller_gone || !answer.connection->ends_with_connection())
+		{
+			co_return true;
+		}
+		auto const ended_at = monotonic_now();
+		// The connection has ended, so it takes no place of the one that asks.
+		answer.connection.release();
+		auto const seen = co_await this->end_check.ask_start(server->entry, ended_at);
+		auto const process = routing::judge_process(server->entry, seen);
+		if (process == routing::process_state::ended)
+		{
+			this->shared->servers.note_end_sign(server->entry.id, ended_at);
+		}
+		this->log_event(*state, "answer_ended_with_connection",
+			{{"server", server->entry.id.str()}, {"process", std::string(routing::to_string(process))},
+				{"events", std::to_string(state->joiner.events() - state->events_before_send)},
+				{"last_event", state->joiner.last_event().value_or("")},
+				{"asked_ms", milliseconds_text(monotonic_now() - ended_at)}});
+		co_return process == routing::process_state::same;
+	}
+
 	void forwarder::record_server_state(routing::server_record& server, answer_metadata const& metadata)
 	{
 		server.load.note_heard(monotonic_now());
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -48,10 +48,10 @@
 		auto report = this->shared->crashes.make_report(
 			server.entry.id, server.entry.started, state.identity, this->shared->own_id, at);
 		report.is_trial = state.is_trial;
-		this->end_check.start(server.entry,
-			[this, report = std::move(report), attempt = state.call.attempt](http::port_state port)
+		this->end_check.check_port(server.entry,
+			[this, report = std::move(report), attempt = state.call.attempt](routing::process_evidence const& seen)
 			{
-				if (port != http::port_state::refused || this->shared->reach.is_doubtful())
+				if (!seen.is_refused || this->shared->reach.is_doubtful())
 				{
 					return;
 				}
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -172,7 +172,7 @@
 			load_guard const guard(peer, token_count{}, token_count{});
 			co_return co_await this->forward_events(state, answer, peer, guard.id());
 		}
-		co_return co_await this->forward_answer(state, answer);
+		co_return co_await this->forward_answer(state, answer, peer);
 	}
 
 	void forwarder::probe_servers()
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -213,34 +213,54 @@
 		co_return std::nullopt;
 	}
 
+	asio::awaitable<routing::process_evidence> forwarder::ask_start(routing::registered_server called)
+	{
+		routing::process_evidence seen;
+		auto const known = this->shared->servers.find(called.id);
+		if (known == nullptr)
+		{
+			co_return seen;
+		}
+		if (known->entry.started != called.started && known->entry.started != incarnation())
+		{
+			// Its entry tells that it has started again.
+			seen.has_answered = true;
+			seen.stated = known->entry.started;
+			co_return seen;
+		}
+		auto message = this->protocol.write_report_request(called.id);
+		auto const answer = co_await this->call_server(known, std::move(message), reservation_timeout);
+		this->totals->count_send("report", answer ? "served" : "failed");
+		if (answer)
+		{
+			seen.is_accepted = true;
+			seen.has_answered = true;
+			auto const report = answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt;
+			seen.stated = report ? report->started : incarnation();
+		}
+		co_return seen;
+	}
+
 	asio::awaitable<bool> forwarder::confirm_start(routing::server_pointer engine)
 	{
 		if (!engine->start_doubted_at)
 		{
 			co_return true;
 		}
-		if (std::exchange(engine->is_start_checked, true))
-		{
-			co_return false;
-		}
 		auto const doubted_at = *engine->start_doubted_at;
-		auto message = this->protocol.write_report_request(engine->entry.id);
-		auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
-		engine->is_start_checked = false;
-		this->totals->count_send("report", answer ? "served" : "failed");
-		if (!answer)
+		auto const seen = co_await this->end_check.ask_start(engine->entry, doubted_at);
+		if (!seen.has_answered)
 		{
 			engine->load.note_full_until(monotonic_now() + start_check_pause);
 			co_return false;
 		}
-		auto const report = answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt;
-		auto const stated = report ? report->started : incarnation();
-		if (stated != incarnation() && stated != engine->entry.started)
+		if (seen.stated != incarnation() && seen.stated != engine->entry.started)
 		{
 			engine->is_replaced = true;
 			this->log(make_event("server_start_differs",
 				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
-					{"stated_start", std::to_string(stated.count())}, {"entry_version", engine->entry.version.str()}}));
+					{"stated_start", std::to_string(seen.stated.count())},
+					{"entry_version", engine->entry.version.str()}}));
 			co_return false;
 		}
 		// Another sign may have come while the engine was asked.
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -84,10 +84,7 @@
 
 		~pooled_connection()
 		{
-			if (this->connection)
-			{
-				this->pool->release(this->server, this->connection);
-			}
+			this->release();
 		}
 
 		pooled_connection(pooled_connection const&) = delete;
@@ -95,6 +92,15 @@
 		pooled_connection(pooled_connection&& other) noexcept = default;
 		pooled_connection& operator=(pooled_connection&&) = delete;
 
+		// Returns the connection to the pool before this object is destroyed.
+		void release()
+		{
+			if (auto const returned = std::exchange(this->connection, nullptr))
+			{
+				this->pool->release(this->server, returned);
+			}
+		}
+
 		[[nodiscard]] http::upstream& operator*() const noexcept
 		{
 			return *this->connection;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -190,7 +190,7 @@
 			}
 			else
 			{
-				failure = co_await this->forward_answer(state, *answer);
+				failure = co_await this->forward_answer(state, *answer, placement.decode);
 			}
 			if (source && is_first && state->first_event_at)
 			{
@@ -311,6 +311,7 @@
 		state_pointer state, unread_answer& answer, routing::server_pointer server, call_id call)
 	{
 		auto const is_repeatable = state->matched_route->is_repeatable();
+		auto const connection = answer.connection.get();
 		auto max_silence = default_timeout;
 		// Only complete events count as progress of the stream.
 		auto progress_at = monotonic_now();
@@ -318,10 +319,10 @@
 		{
 			auto const left = std::max(duration{}, max_silence - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
-			auto piece = co_await answer.connection->read_piece(wait);
+			auto piece = co_await connection->read_piece(wait);
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
-				answer.connection->close();
+				connection->close();
 				this->note_unheard(*state, server->entry.id);
 				state->joiner.restart();
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
@@ -332,10 +333,16 @@
 			auto const events_before = state->joiner.events();
 			auto const passed_on = is_end ? state->joiner.finish() : state->joiner.feed(received);
 			auto const is_empty_without_length =
-				is_end && events_before == state->events_before_send && answer.connection->ends_with_connection();
-			if (!passed_on || is_empty_without_length || state->joiner.is_overlong())
+				is_end && events_before == state->events_before_send && connection->ends_with_connection();
+			auto is_broken = !passed_on || is_empty_without_length || state->joiner.is_overlong();
+			if (is_end && !is_broken)
 			{
-				answer.connection->close();
+				auto const is_whole = co_await this->is_whole(state, answer, server);
+				is_broken = !is_whole;
+			}
+			if (is_broken)
+			{
+				connection->close();
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
@@ -390,7 +397,7 @@
 			if (!is_accepted)
 			{
 				state->is_caller_gone = true;
-				answer.connection->close();
+				connection->close();
 				co_return std::nullopt;
 			}
 			if (is_end)
--- a/packages/gateway/impl/server_end_check.cpp
+++ b/packages/gateway/impl/server_end_check.cpp
@@ -1,52 +1,125 @@
 #include <godwittrestle/gateway/server_end_check.hpp>
 
-#include <string>
+#include <memory>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/daemon/core_loop.hpp>
+#include <godwittrestle/http/port_probe.hpp>
+
 namespace godwittrestle::gateway
 {
+	using routing::process_evidence;
+	using routing::registered_server;
+
 	namespace
 	{
 		namespace asio = boost::asio;
 
 		constexpr duration probe_timeout = milliseconds(250);
+		constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+		// A caller of ask_start() that waits for the answer.
+		struct waiting_caller
+		{
+			explicit waiting_caller(asio::any_io_executor const& executor)
+				: answered(executor, asio::steady_timer::time_point::max())
+			{
+			}
+
+			// Cancelled when the answer is there.
+			asio::steady_timer answered;
+			bool is_answered = false;
+			process_evidence seen;
+		};
 	}
 
-	server_end_check::server_end_check(asio::any_io_executor io_executor, event_log event_sink)
+	server_end_check::server_end_check(
+		asio::any_io_executor io_executor, event_log event_sink, start_question asks_for_start)
 		: executor(std::move(io_executor))
 		, log(std::move(event_sink))
+		, question(std::move(asks_for_start))
 	{
 	}
 
-	void server_end_check::start(routing::registered_server const& server, result_callback callback)
+	void server_end_check::check_port(registered_server const& server, result_callback callback)
 	{
-		auto& callbacks = this->waiting[server.id];
+		this->start(server, question_kind::port, std::move(callback));
+	}
+
+	asio::awaitable<process_evidence> server_end_check::ask_start(registered_server server, time_point since)
+	{
+		auto const caller = std::make_shared<waiting_caller>(this->executor);
+		// The first answer may be that to an earlier question; the next question is asked after it.
+		do
+		{
+			caller->is_answered = false;
+			this->start(server, question_kind::start,
+				[caller](process_evidence const& seen)
+				{
+					caller->seen = seen;
+					caller->is_answered = true;
+					caller->answered.cancel();
+				});
+			if (!caller->is_answered)
+			{
+				std::ignore = co_await caller->answered.async_wait(token);
+			}
+		} while (caller->seen.asked_at < since);
+		co_return caller->seen;
+	}
+
+	void server_end_check::start(registered_server const& server, question_kind kind, result_callback callback)
+	{
+		auto& callbacks = this->waiting[{server.id, server.address, server.started, kind}];
 		callbacks.push_back(std::move(callback));
 		if (callbacks.size() == 1)
 		{
-			asio::co_spawn(this->executor, this->run(server), asio::detached);
+			asio::co_spawn(this->executor, this->run(server, kind), asio::detached);
 		}
 	}
 
-	asio::awaitable<void> server_end_check::run(routing::registered_server server)
+	asio::awaitable<void> server_end_check::run(registered_server server, question_kind kind)
 	{
-		auto state = http::port_state::unknown;
-		if (auto const where = http::parse_endpoint(server.address, server.id.str()))
+		auto const asked_at = daemon::monotonic_now();
+		process_evidence seen;
+		if (kind == question_kind::start && routing::states_start(server))
 		{
-			state = co_await http::probe_port(this->executor, *where, probe_timeout);
+			seen = co_await this->question(server);
 		}
-		auto const callbacks = std::exchange(this->waiting[server.id], {});
-		this->waiting.erase(server.id);
-		this->log(make_event("server_end_checked",
-			{{"server", server.id.str()}, {"address", server.address}, {"port", std::string(http::to_string(state))},
-				{"broken_calls", fmt::format("{}", callbacks.size())}}));
+		auto const where = http::parse_endpoint(server.address, server.id.str());
+		if (!seen.has_answered && where)
+		{
+			auto const port = co_await http::probe_port(this->executor, *where, probe_timeout);
+			seen.is_refused = port == http::port_state::refused;
+			seen.is_accepted = port == http::port_state::open;
+		}
+		seen.asked_at = asked_at;
+		auto waiters = this->waiting.extract({server.id, server.address, server.started, kind});
+		auto const callbacks = std::move(waiters.mapped());
+		this->log_check(server, seen, callbacks.size());
 		for (auto const& each : callbacks)
 		{
-			each(state);
+			each(seen);
 		}
 	}
+
+	void server_end_check::log_check(
+		registered_server const& server, process_evidence const& seen, std::size_t waiting_calls) const
+	{
+		auto const accepted = seen.is_accepted ? http::port_state::open : http::port_state::unknown;
+		auto const port = seen.is_refused ? http::port_state::refused : accepted;
+		this->log(make_event("server_end_checked",
+			{{"server", server.id.str()}, {"address", server.address}, {"port", std::string(http::to_string(port))},
+				{"entry_start", std::to_string(server.started.count())},
+				{"stated_start", std::to_string(seen.stated.count())},
+				{"process", std::string(routing::to_string(routing::judge_process(server, seen)))},
+				{"broken_calls", std::to_string(waiting_calls)}}));
+	}
 }
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -197,7 +197,14 @@
 		// Passes an answer on. A large one is streamed, whatever its status. A smaller one is passed on when it is
 		// complete; if its status is an error of the server, server_error is returned instead.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_answer(
-			state_pointer state, unread_answer& answer);
+			state_pointer state, unread_answer& answer, routing::server_pointer server);
+		// Returns whether an answer that has been read to its end is whole. One that has neither a length nor chunks
+		// ends with its connection, also when its server is killed, so it is whole only if the process that wrote it
+		// lives on.
+		[[nodiscard]] asio::awaitable<bool> is_whole(
+			state_pointer state, unread_answer& answer, routing::server_pointer server);
+		// Asks an engine for its start. called: its entry when the call in question was sent.
+		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start(routing::registered_server called);
 
 		// Returns whether the call may be sent once more. Spends one retry of the budget unless the failed call was
 		// never sent.
--- a/packages/gateway/include/godwittrestle/gateway/server_end_check.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/server_end_check.hpp
@@ -1,39 +1,66 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
+#include <tuple>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
 #include <godwittrestle/gateway/event_log.hpp>
-#include <godwittrestle/http/port_probe.hpp>
+#include <godwittrestle/routing/process_evidence.hpp>
 #include <godwittrestle/routing/server.hpp>
 
 namespace godwittrestle::gateway
 {
-	// Finds out whether the process of a backend server has ended after a connection to it broke. A connection also
-	// breaks when the network, the server or this daemon resets it; only a host that refuses new connections shows that
-	// the process is gone. Used only on the thread that serves callers.
+	// Finds out what has become of the process of a backend server after a connection to it has ended. A connection
+	// also ends when the network, the server or this daemon resets it. A host that refuses new connections shows that
+	// the process is gone, and the start that an engine states shows whether another process has taken its place. Used
+	// only on the thread that serves callers.
 	class server_end_check
 	{
 	  public:
+		// Asks a server for its start. Returns what that has shown; empty evidence when the server gave no answer.
+		using start_question =
+			std::function<boost::asio::awaitable<routing::process_evidence>(routing::registered_server server)>;
 		// Called with what the check has shown.
-		using result_callback = std::function<void(http::port_state)>;
+		using result_callback = std::function<void(routing::process_evidence const&)>;
 
-		server_end_check(boost::asio::any_io_executor executor, event_log log);
+		server_end_check(boost::asio::any_io_executor executor, event_log log, start_question question);
 
-		// Starts a check. Connections to one server that break together share one check. The callback is called when it
-		// has ended, never within this call.
-		void start(routing::registered_server const& server, result_callback callback);
+		// Checks the port of a server. Calls for one server that wait at the same time share one check. The callback is
+		// called when it has ended, never within this call.
+		void check_port(routing::registered_server const& server, result_callback callback);
+
+		// Asks a server that states its start for it, and checks the port when it gives no answer. Calls for one server
+		// that wait at the same time share one question. since: time of what led to the question; one that was sent
+		// earlier is not shared.
+		[[nodiscard]] boost::asio::awaitable<routing::process_evidence> ask_start(
+			routing::registered_server server, time_point since);
 
 	  private:
-		[[nodiscard]] boost::asio::awaitable<void> run(routing::registered_server server);
+		enum class question_kind : std::uint8_t
+		{
+			port,
+			start,
+		};
+
+		using check_key = std::tuple<server_id, std::string, incarnation, question_kind>;
+
+		void start(routing::registered_server const& server, question_kind kind, result_callback callback);
+		[[nodiscard]] boost::asio::awaitable<void> run(routing::registered_server server, question_kind kind);
+		void log_check(routing::registered_server const& server, routing::process_evidence const& seen,
+			std::size_t waiting_calls) const;
 
 		boost::asio::any_io_executor executor;
 		event_log log;
-		std::map<server_id, std::vector<result_callback>> waiting;
+		start_question question;
+		std::map<check_key, std::vector<result_callback>> waiting;
 	};
 }
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -56,8 +56,6 @@
 		// entry would tell: the process that answers now may have another start, and another software version, than the
 		// entry states. Reset when the server itself has stated the entry's start.
 		std::optional<time_point> start_doubted_at;
-		// Whether the server is being asked for its start.
-		bool is_start_checked = false;
 
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
--- /dev/null
+++ b/tests/unit/process_evidence.test.cpp
@@ -0,0 +1,48 @@
+#include <catch2/catch.hpp>
+
+#include <godwittrestle/routing/process_evidence.hpp>
+
+using namespace godwittrestle;
+using namespace godwittrestle::routing;
+
+namespace
+{
+	registered_server make_called(server_role role, std::uint64_t started)
+	{
+		registered_server server;
+		server.role = role;
+		server.started = incarnation(started);
+		return server;
+	}
+
+	process_evidence make_evidence(bool is_refused, bool is_accepted, bool has_answered, std::uint64_t stated)
+	{
+		return {time_point(), is_refused, is_accepted, has_answered, incarnation(stated)};
+	}
+
+	struct evidence_case
+	{
+		std::string_view name;
+		process_evidence seen;
+		process_state of_engine;
+		process_state of_plain_server;
+		process_state of_engine_without_start;
+	};
+}
+
+TEST_CASE("what is seen of a server tells what has become of its process")
+{
+	using enum process_state;
+	auto const each = GENERATE(values<evidence_case>({
+		{"the port is refused", make_evidence(true, false, false, 0), ended, ended, ended},
+		{"it states the start of its entry", make_evidence(false, true, true, 7), same, same, same},
+		{"it states another start", make_evidence(false, true, true, 8), ended, same, same},
+		{"it answers and states no start", make_evidence(false, true, true, 0), unknown, same, same},
+		{"it accepts a connection only", make_evidence(false, true, false, 0), unknown, same, same},
+		{"nothing", make_evidence(false, false, false, 0), unknown, unknown, unknown},
+	}));
+	CAPTURE(each.name);
+	REQUIRE(judge_process(make_called(server_role::decode, 7), each.seen) == each.of_engine);
+	REQUIRE(judge_process(make_called(server_role::plain, 7), each.seen) == each.of_plain_server);
+	REQUIRE(judge_process(make_called(server_role::decode, 0), each.seen) == each.of_engine_without_start);
+}
