--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -155,7 +155,7 @@
 		{
 			for (auto const& engine : engines)
 			{
-				auto may_get_stream = co_await this->confirm_start(engine);
+				auto may_get_stream = co_await this->confirm_start(state, engine);
 				if (may_get_stream)
 				{
 					may_get_stream = co_await this->obtain_permit(state, engine);
@@ -174,7 +174,7 @@
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
 		{
-			auto const is_confirmed = co_await this->confirm_start(engine);
+			auto const is_confirmed = co_await this->confirm_start(state, engine);
 			if (!is_confirmed)
 			{
 				continue;
@@ -241,14 +241,22 @@
 		co_return seen;
 	}
 
-	asio::awaitable<bool> forwarder::confirm_start(routing::server_pointer engine)
+	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine)
 	{
-		if (!engine->start_doubted_at)
+		auto const has_begun = state.joiner.last_event().has_value();
+		return engine.start_doubted_at || (has_begun && engine.end_sign_at);
+	}
+
+	asio::awaitable<bool> forwarder::confirm_start(state_pointer state, routing::server_pointer engine)
+	{
+		auto const now = monotonic_now();
+		auto const is_bound = state->joiner.last_event() && routing::states_start(engine->entry) &&
+							  this->has_several_versions(state->service, now);
+		if (!is_bound && !is_start_doubtful(*state, *engine))
 		{
 			co_return true;
 		}
-		auto const doubted_at = *engine->start_doubted_at;
-		auto const seen = co_await this->end_check.ask_start(engine->entry, doubted_at);
+		auto const seen = co_await this->end_check.ask_start(engine->entry, now);
 		if (!seen.has_answered)
 		{
 			engine->load.note_full_until(monotonic_now() + start_check_pause);
@@ -264,11 +272,8 @@
 			co_return false;
 		}
 		// Another sign may have come while the engine was asked.
-		if (engine->start_doubted_at == doubted_at)
-		{
-			engine->start_doubted_at.reset();
-		}
-		co_return !engine->start_doubted_at;
+		routing::directory::note_start_confirmed(*engine, seen.asked_at);
+		co_return !is_start_doubtful(*state, *engine);
 	}
 
 	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -176,6 +176,8 @@
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
+		// The server that made the stream's first event, until the origin is recorded.
+		routing::server_pointer unconfirmed_origin;
 		// Software versions of the servers whose events were passed on, in order and without repetitions.
 		std::vector<software_version> event_versions;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -87,6 +87,11 @@
 				state->excluded.erase(granted->engine->entry.id);
 				state->sent_to.erase(granted->engine->entry.id);
 			}
+			auto const is_origin_known = co_await this->settle_origin(state);
+			if (!is_origin_known)
+			{
+				break;
+			}
 			if (!this->authorize_retry(*state, *failure))
 			{
 				break;
@@ -158,7 +163,7 @@
 			options.fetch_from = state->prompt_cache_address;
 		}
 		// A sign that the engine has ended may have come since its start was confirmed.
-		if (state->is_caller_gone || state->is_out_of_time() || placement.decode->start_doubted_at)
+		if (state->is_caller_gone || state->is_out_of_time() || is_start_doubtful(*state, *placement.decode))
 		{
 			this->release_unused(placement, source, reservation);
 			co_return send_failure::not_sent;
@@ -359,7 +364,7 @@
 				state->note_event(progress_at);
 				if (!state->is_relayed_on)
 				{
-					this->record_origin(*state, *server, progress_at);
+					this->note_event_server(state, server, progress_at);
 				}
 				auto const begun_at = state->events_before_send + min_events_of_answer;
 				if (events_before < begun_at && state->joiner.events() >= begun_at)
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -228,14 +228,66 @@
 				{"history_ms", history_text(*this->shared, state->service, now)}});
 	}
 
-	void forwarder::record_origin(request_state& state, routing::server_record const& server, time_point now)
+	void forwarder::note_event_server(state_pointer state, routing::server_pointer server, time_point now)
 	{
-		state.note_event_version(server.entry.version);
-		auto const is_first = state.joiner.events() > 0 && !state.is_origin_recorded;
-		if (!is_first)
+		state->note_event_version(server->entry.version);
+		if (state->joiner.events() == 0 || state->is_origin_recorded || state->unconfirmed_origin)
+		{
+			return;
+		}
+		auto const is_doubtful =
+			(server->end_sign_at || server->start_doubted_at) && this->has_several_versions(state->service, now);
+		if (state->origin || !is_doubtful)
 		{
+			this->record_origin(*state, *server, now);
 			return;
 		}
+		state->unconfirmed_origin = server;
+		asio::co_spawn(this->executor, this->confirm_origin(state, server), asio::detached);
+	}
+
+	asio::awaitable<void> forwarder::confirm_origin(state_pointer state, routing::server_pointer server)
+	{
+		auto const begun_at = monotonic_now();
+		auto const seen = co_await this->end_check.ask_start(server->entry, begun_at);
+		auto const process = routing::judge_process(server->entry, seen);
+		if (state->is_origin_recorded)
+		{
+			co_return;
+		}
+		if (process == routing::process_state::same)
+		{
+			routing::directory::note_start_confirmed(*server, seen.asked_at);
+			this->record_origin(*state, *server, begun_at);
+			co_return;
+		}
+		this->log_event(*state, "stream_origin_unconfirmed",
+			{{"server", server->entry.id.str()}, {"process", std::string(routing::to_string(process))},
+				{"entry_version", server->entry.version.str()}});
+	}
+
+	asio::awaitable<bool> forwarder::settle_origin(state_pointer state)
+	{
+		if (auto const server = state->unconfirmed_origin; server && !state->is_origin_recorded)
+		{
+			co_await this->confirm_origin(state, server);
+			if (!state->is_origin_recorded)
+			{
+				state->no_retry_reason = "origin_unknown";
+				co_return false;
+			}
+		}
+		co_return true;
+	}
+
+	bool forwarder::has_several_versions(service_id const& service, time_point now) const
+	{
+		auto const since = now - longest_stream_life(*this->shared);
+		return !this->shared->versions.only_version_since(service, since, now);
+	}
+
+	void forwarder::record_origin(request_state& state, routing::server_record const& server, time_point now)
+	{
 		state.is_origin_recorded = true;
 		state.origin = state.origin.value_or(routing::stream_origin{state.service, server.entry.version});
 		// A stream that was taken up is known by the attempt that began it, also at a third try.
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -111,8 +111,19 @@
 			routing::server_pointer engine, std::shared_ptr<origin_search> search);
 		// Asks the engines of a service.
 		[[nodiscard]] asio::awaitable<void> search_origins(service_id service);
-		// Records that a server has made an event of the stream that was passed on.
+		// Records that a server has made an event of the stream that was passed on. The stream's origin is recorded
+		// when it is sure that the server's entry is that of its process.
+		void note_event_server(state_pointer state, routing::server_pointer server, time_point now);
+		// Records that the stream began at the server's version.
 		void record_origin(request_state& state, routing::server_record const& server, time_point now);
+		// Asks the server that made the stream's first event for its start, and records the origin when its entry is
+		// that of its process. The origin stays unknown otherwise.
+		[[nodiscard]] asio::awaitable<void> confirm_origin(state_pointer state, routing::server_pointer server);
+		// Returns whether the stream may go on at another server: it has no event yet, or its origin is known.
+		[[nodiscard]] asio::awaitable<bool> settle_origin(state_pointer state);
+		// Returns whether several software versions of a service were in service during a stream's longest life, or may
+		// have been.
+		[[nodiscard]] bool has_several_versions(service_id const& service, time_point now) const;
 		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
 		[[nodiscard]] std::optional<routing::stream_origin> bound_origin(
 			request_state const& state, time_point now) const;
@@ -151,10 +162,13 @@
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> try_reserve(
 			state_pointer state, std::vector<routing::server_pointer> engines, bool is_late);
 
-		// Asks an engine whose start is doubted for it. Returns whether the engine may get a stream: its entry is that
-		// of the process that answers. An engine with another start counts as replaced until its entry is written
-		// again.
-		[[nodiscard]] asio::awaitable<bool> confirm_start(routing::server_pointer engine);
+		// Asks an engine for its start, if it is doubted, or if the stream has begun and may go on at one of several
+		// versions only. Returns whether the engine may get the stream: its entry is that of the process that answers.
+		// An engine with another start counts as replaced until its entry is written again.
+		[[nodiscard]] asio::awaitable<bool> confirm_start(state_pointer state, routing::server_pointer engine);
+		// Returns whether the engine must be asked for its start before it gets the stream, since its process may have
+		// ended.
+		[[nodiscard]] static bool is_start_doubtful(request_state const& state, routing::server_record const& engine);
 
 		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -162,12 +162,28 @@
 	void directory::note_end_sign(server_id const& id, time_point now)
 	{
 		auto const known = this->find(id);
+		if (known && known->entry.started != incarnation())
+		{
+			known->end_sign_at = now;
+		}
 		if (known && (this->is_registry_lost || now < this->registry_returned_at + this->terms.return_grace))
 		{
 			doubt_start(*known, now);
 		}
 	}
 
+	void directory::note_start_confirmed(server_record& known, time_point asked_at) noexcept
+	{
+		if (known.start_doubted_at <= asked_at)
+		{
+			known.start_doubted_at.reset();
+		}
+		if (known.end_sign_at <= asked_at)
+		{
+			known.end_sign_at.reset();
+		}
+	}
+
 	void directory::doubt_start(server_record& known, time_point now) noexcept
 	{
 		if (known.entry.started != incarnation())
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -57,6 +57,10 @@
 		// entry states. Reset when the server itself has stated the entry's start.
 		std::optional<time_point> start_doubted_at;
 
+		// Time of the last sign that the server's process may have ended. Reset when the server has since stated the
+		// entry's start. Unlike start_doubted_at it concerns only streams that have begun, so it is kept at all times.
+		std::optional<time_point> end_sign_at;
+
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
 
@@ -166,9 +170,12 @@
 		void note_registry_lost(time_point now);
 
 		// Records a sign that a server's process may have ended. While the registry can be read, the entry of a server
-		// that starts again tells at once; otherwise, and until entries are back after an outage, its start is doubted.
+		// that starts again tells soon; otherwise, and until entries are back after an outage, its start is doubted.
 		void note_end_sign(server_id const& id, time_point now);
 
+		// Records that a server has stated the start of its entry. asked_at: signs from before this time are settled.
+		static void note_start_confirmed(server_record& known, time_point asked_at) noexcept;
+
 		// Records that the registry is readable again after an outage.
 		void note_registry_return(time_point now);
 
