--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -155,7 +155,7 @@
 		{
 			for (auto const& engine : engines)
 			{
-				auto may_get_stream = co_await this->confirm_start(engine);
+				auto may_get_stream = co_await this->confirm_start(state, engine);
 				if (may_get_stream)
 				{
 					may_get_stream = co_await this->obtain_permit(state, engine);
@@ -174,7 +174,7 @@
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
 		{
-			auto const is_confirmed = co_await this->confirm_start(engine);
+			auto const is_confirmed = co_await this->confirm_start(state, engine);
 			if (!is_confirmed)
 			{
 				continue;
@@ -213,42 +213,67 @@
 		co_return std::nullopt;
 	}
 
-	asio::awaitable<bool> forwarder::confirm_start(routing::server_pointer engine)
+	asio::awaitable<routing::process_evidence> forwarder::ask_start(routing::registered_server called)
 	{
-		if (!engine->start_doubted_at)
+		routing::process_evidence seen;
+		auto const known = this->shared->servers.find(called.id);
+		if (known == nullptr)
 		{
-			co_return true;
+			co_return seen;
 		}
-		if (std::exchange(engine->is_start_checked, true))
+		if (known->entry.started != called.started && known->entry.started != incarnation())
 		{
-			co_return false;
+			// Its entry tells that it has started again.
+			seen.has_answered = true;
+			seen.stated = known->entry.started;
+			co_return seen;
 		}
-		auto const doubted_at = *engine->start_doubted_at;
-		auto message = this->protocol.write_report_request(engine->entry.id);
-		auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
-		engine->is_start_checked = false;
+		auto message = this->protocol.write_report_request(called.id);
+		auto const answer = co_await this->call_server(known, std::move(message), reservation_timeout);
 		this->totals->count_send("report", answer ? "served" : "failed");
-		if (!answer)
+		if (answer)
+		{
+			seen.is_accepted = true;
+			seen.has_answered = true;
+			auto const report = answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt;
+			seen.stated = report ? report->started : incarnation();
+		}
+		co_return seen;
+	}
+
+	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine)
+	{
+		auto const has_begun = state.joiner.last_event().has_value();
+		return engine.start_doubted_at || (has_begun && engine.end_sign_at);
+	}
+
+	asio::awaitable<bool> forwarder::confirm_start(state_pointer state, routing::server_pointer engine)
+	{
+		auto const now = monotonic_now();
+		auto const is_bound = state->joiner.last_event() && routing::states_start(engine->entry) &&
+							  this->has_several_versions(state->service, now);
+		if (!is_bound && !is_start_doubtful(*state, *engine))
+		{
+			co_return true;
+		}
+		auto const seen = co_await this->end_check.ask_start(engine->entry, now);
+		if (!seen.has_answered)
 		{
 			engine->load.note_full_until(monotonic_now() + start_check_pause);
 			co_return false;
 		}
-		auto const report = answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt;
-		auto const stated = report ? report->started : incarnation();
-		if (stated != incarnation() && stated != engine->entry.started)
+		if (seen.stated != incarnation() && seen.stated != engine->entry.started)
 		{
 			engine->is_replaced = true;
 			this->log(make_event("server_start_differs",
 				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
-					{"stated_start", std::to_string(stated.count())}, {"entry_version", engine->entry.version.str()}}));
+					{"stated_start", std::to_string(seen.stated.count())},
+					{"entry_version", engine->entry.version.str()}}));
 			co_return false;
 		}
 		// Another sign may have come while the engine was asked.
-		if (engine->start_doubted_at == doubted_at)
-		{
-			engine->start_doubted_at.reset();
-		}
-		co_return !engine->start_doubted_at;
+		routing::directory::note_start_confirmed(*engine, seen.asked_at);
+		co_return !is_start_doubtful(*state, *engine);
 	}
 
 	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -84,10 +84,7 @@
 
 		~pooled_connection()
 		{
-			if (this->connection)
-			{
-				this->pool->release(this->server, this->connection);
-			}
+			this->release();
 		}
 
 		pooled_connection(pooled_connection const&) = delete;
@@ -95,6 +92,15 @@
 		pooled_connection(pooled_connection&& other) noexcept = default;
 		pooled_connection& operator=(pooled_connection&&) = delete;
 
+		// Returns the connection to the pool before this object is destroyed.
+		void release()
+		{
+			if (auto const returned = std::exchange(this->connection, nullptr))
+			{
+				this->pool->release(this->server, returned);
+			}
+		}
+
 		[[nodiscard]] http::upstream& operator*() const noexcept
 		{
 			return *this->connection;
@@ -170,6 +176,8 @@
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
+		// The server that made the stream's first event, until the origin is recorded.
+		routing::server_pointer unconfirmed_origin;
 		// Software versions of the servers whose events were passed on, in order and without repetitions.
 		std::vector<software_version> event_versions;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -87,6 +87,11 @@
 				state->excluded.erase(granted->engine->entry.id);
 				state->sent_to.erase(granted->engine->entry.id);
 			}
+			auto const is_origin_known = co_await this->settle_origin(state);
+			if (!is_origin_known)
+			{
+				break;
+			}
 			if (!this->authorize_retry(*state, *failure))
 			{
 				break;
@@ -158,7 +163,7 @@
 			options.fetch_from = state->prompt_cache_address;
 		}
 		// A sign that the engine has ended may have come since its start was confirmed.
-		if (state->is_caller_gone || state->is_out_of_time() || placement.decode->start_doubted_at)
+		if (state->is_caller_gone || state->is_out_of_time() || is_start_doubtful(*state, *placement.decode))
 		{
 			this->release_unused(placement, source, reservation);
 			co_return send_failure::not_sent;
@@ -190,7 +195,7 @@
 			}
 			else
 			{
-				failure = co_await this->forward_answer(state, *answer);
+				failure = co_await this->forward_answer(state, *answer, placement.decode);
 			}
 			if (source && is_first && state->first_event_at)
 			{
@@ -311,6 +316,7 @@
 		state_pointer state, unread_answer& answer, routing::server_pointer server, call_id call)
 	{
 		auto const is_repeatable = state->matched_route->is_repeatable();
+		auto const connection = answer.connection.get();
 		auto max_silence = default_timeout;
 		// Only complete events count as progress of the stream.
 		auto progress_at = monotonic_now();
@@ -318,10 +324,10 @@
 		{
 			auto const left = std::max(duration{}, max_silence - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
-			auto piece = co_await answer.connection->read_piece(wait);
+			auto piece = co_await connection->read_piece(wait);
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
-				answer.connection->close();
+				connection->close();
 				this->note_unheard(*state, server->entry.id);
 				state->joiner.restart();
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
@@ -332,10 +338,16 @@
 			auto const events_before = state->joiner.events();
 			auto const passed_on = is_end ? state->joiner.finish() : state->joiner.feed(received);
 			auto const is_empty_without_length =
-				is_end && events_before == state->events_before_send && answer.connection->ends_with_connection();
-			if (!passed_on || is_empty_without_length || state->joiner.is_overlong())
+				is_end && events_before == state->events_before_send && connection->ends_with_connection();
+			auto is_broken = !passed_on || is_empty_without_length || state->joiner.is_overlong();
+			if (is_end && !is_broken)
+			{
+				auto const is_whole = co_await this->is_whole(state, answer, server);
+				is_broken = !is_whole;
+			}
+			if (is_broken)
 			{
-				answer.connection->close();
+				connection->close();
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
@@ -352,7 +364,7 @@
 				state->note_event(progress_at);
 				if (!state->is_relayed_on)
 				{
-					this->record_origin(*state, *server, progress_at);
+					this->note_event_server(state, server, progress_at);
 				}
 				auto const begun_at = state->events_before_send + min_events_of_answer;
 				if (events_before < begun_at && state->joiner.events() >= begun_at)
@@ -390,7 +402,7 @@
 			if (!is_accepted)
 			{
 				state->is_caller_gone = true;
-				answer.connection->close();
+				connection->close();
 				co_return std::nullopt;
 			}
 			if (is_end)
