The origin of a stream that begins after a sign of an end is confirmed, also in a release's first restart (ORDER)

What callers would see: a stream that begins at the first server that is back with a new version, before its entry says so, is recorded under the old version and goes on at that when it breaks off; a started daemon credits what a process of another start runs and holds to the entry's version.

The origin was confirmed only while several versions were known.

Change: after a sign the origin is always confirmed, after the first event, without holding it up. While one version is known, only another start counts against it; an engine that can't be asked any more is believed. A report with another start than the entry's teaches a started daemon nothing.

--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -138,7 +138,9 @@
 		auto const report_text = co_await this->fetch(engine, std::move(report_request), contents_timeout);
 		auto const report = report_text ? this->protocol.read_report(*report_text) : std::nullopt;
 		this->totals->count_send("report", report ? "served" : "failed");
-		if (report)
+		// The streams of a process with another start are not of the entry's version.
+		auto const is_of_entry = report && (report->started == incarnation() || report->started == entry.started);
+		if (is_of_entry)
 		{
 			for (auto const& each : report->running | std::views::filter(&running_stream::has_events))
 			{
@@ -146,7 +148,7 @@
 			}
 		}
 		// An engine that has changed its role may hold prompts that it prefilled for engines of other versions.
-		if (report && report->orders == 0)
+		if (is_of_entry && report->orders == 0)
 		{
 			auto memory_request = this->protocol.write_memory_request(entry.id);
 			auto const memory = co_await this->fetch(engine, std::move(memory_request), contents_timeout);
@@ -235,9 +237,7 @@
 		{
 			return;
 		}
-		auto const is_doubtful =
-			(server->end_sign_at || server->start_doubted_at) && this->has_several_versions(state->service, now);
-		if (state->origin || !is_doubtful)
+		if (state->origin || !(server->end_sign_at || server->start_doubted_at))
 		{
 			this->record_origin(*state, *server, now);
 			return;
@@ -258,6 +258,12 @@
 		if (process == routing::process_state::same)
 		{
 			routing::directory::note_start_confirmed(*server, seen.asked_at);
+		}
+		// While one version is known, only another start shows that there may be a second one.
+		auto const is_only_version = !this->has_several_versions(state->service, begun_at);
+		auto const is_replaced = routing::is_proved_replaced(server->entry, seen);
+		if (process == routing::process_state::same || (is_only_version && !is_replaced))
+		{
 			this->record_origin(*state, *server, begun_at);
 			co_return;
 		}
