--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -322,6 +322,14 @@
 		auto progress_at = monotonic_now();
 		while (true)
 		{
+			if (state->joiner.is_out_of_order())
+			{
+				this->log_event(*state, "stream_out_of_order",
+					{{"server", server->entry.id.str()}, {"last_event", state->joiner.last_event().value_or("")}});
+				connection->close();
+				state->joiner.restart();
+				co_return send_failure::broken;
+			}
 			auto const left = std::max(duration{}, max_silence - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
 			auto piece = co_await connection->read_piece(wait);
--- a/tests/unit/stream_joiner.test.cpp
+++ b/tests/unit/stream_joiner.test.cpp
@@ -1,3 +1,8 @@
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include <godwittrestle/gateway/stream_joiner.hpp>
@@ -117,3 +122,124 @@
 		REQUIRE(joiner.finish() == std::nullopt);
 	}
 }
+
+namespace
+{
+	// Returns a joiner that has passed on events with the ids and whose run was then broken off.
+	stream_joiner after_break(std::vector<std::string> const& ids)
+	{
+		stream_joiner joiner(std::nullopt);
+		for (auto const& id : ids)
+		{
+			REQUIRE_FALSE(joiner.feed("id: " + id + "\ndata: x\n\n").empty());
+		}
+		joiner.restart();
+		return joiner;
+	}
+
+	// Returns whether a run that begins with an event of the id goes on with the stream.
+	bool goes_on(stream_joiner joiner, std::string const& id)
+	{
+		auto const text = "id: " + id + "\ndata: y\n\n";
+		return joiner.feed(text) == text && !joiner.is_out_of_order();
+	}
+
+	// Returns whether a run that begins with an event of the id is out of order.
+	bool is_refused(stream_joiner joiner, std::string const& id)
+	{
+		return joiner.feed("id: " + id + "\ndata: y\n\n").empty() && joiner.is_out_of_order();
+	}
+}
+
+TEST_CASE("a run goes on with the next event when the ids rose by an even step", "[joiner]")
+{
+	REQUIRE(goes_on(after_break({"1", "2", "3"}), "4"));
+	for (auto const* const id : {"1", "2", "3", "5", "8", "18446744073709551615", "x", "-4", ""})
+	{
+		CAPTURE(id);
+		REQUIRE(is_refused(after_break({"1", "2", "3"}), id));
+	}
+	for (auto const* const id : {"31", "40"})
+	{
+		CAPTURE(id);
+		REQUIRE(goes_on(after_break({"10", "20", "30"}), id));
+	}
+	for (auto const* const id : {"10", "29", "41", "50"})
+	{
+		CAPTURE(id);
+		REQUIRE(is_refused(after_break({"10", "20", "30"}), id));
+	}
+}
+
+TEST_CASE("any later id may go on where no step is known, and none that is earlier", "[joiner]")
+{
+	for (auto const& ids : {std::vector<std::string>{"1"}, {"1", "2"}, {"1", "2", "4"}, {"3", "7", "20"}})
+	{
+		CAPTURE(ids);
+		REQUIRE(goes_on(after_break(ids), "100"));
+		REQUIRE(goes_on(after_break(ids), "x"));
+		REQUIRE(is_refused(after_break(ids), "0"));
+	}
+	REQUIRE(goes_on(after_break({"18", "19", "1a"}), "20"));
+	REQUIRE(goes_on(stream_joiner("12"), "14"));
+	REQUIRE(is_refused(stream_joiner("12"), "1"));
+	REQUIRE(goes_on(stream_joiner("a"), "b"));
+}
+
+TEST_CASE("the step is known from both runs of a stream", "[joiner]")
+{
+	auto joiner = after_break({"1", "2"});
+	REQUIRE_FALSE(joiner.feed("id: 3\ndata: x\n\nid: 4\ndata: x\n\n").empty());
+	joiner.restart();
+	REQUIRE(goes_on(joiner, "5"));
+	REQUIRE(is_refused(joiner, "6"));
+}
+
+TEST_CASE("the last event is dropped when a run repeats it, and other bytes under its id are refused", "[joiner]")
+{
+	auto joiner = after_break({"1", "2", "3"});
+	REQUIRE(is_refused(joiner, "3"));
+	REQUIRE(joiner.feed("id: 3\ndata: x\n\nid: 4\ndata: y\n\n") == "id: 4\ndata: y\n\n");
+	REQUIRE_FALSE(joiner.is_out_of_order());
+	joiner.restart();
+	REQUIRE(joiner.feed("id: 4\ndata: y\n\nid: 6\ndata: y\n\n").empty());
+	REQUIRE(joiner.is_out_of_order());
+}
+
+TEST_CASE("numbers that go back within a run are out of order, and the events before them are passed on", "[joiner]")
+{
+	stream_joiner joiner(std::nullopt);
+	REQUIRE(joiner.feed("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 1\ndata: y\n\nid: 3\ndata: y\n\n") ==
+			"id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+	REQUIRE(joiner.is_out_of_order());
+	REQUIRE(joiner.last_event() == "2");
+	REQUIRE(joiner.feed("id: 3\ndata: y\n\n").empty());
+	joiner.restart();
+	REQUIRE_FALSE(joiner.is_out_of_order());
+	REQUIRE(goes_on(joiner, "3"));
+}
+
+TEST_CASE("no run can go on after an event without an id", "[joiner]")
+{
+	stream_joiner joiner(std::nullopt);
+	REQUIRE(joiner.may_go_on());
+	std::ignore = joiner.feed(": note\n\n");
+	REQUIRE(joiner.may_go_on());
+	std::ignore = joiner.feed("data: x\n\n");
+	REQUIRE_FALSE(joiner.may_go_on());
+	std::ignore = joiner.feed("id: 1\ndata: x\n\n");
+	REQUIRE(joiner.may_go_on());
+	joiner.restart();
+	REQUIRE(joiner.feed("data: y\n\n").empty());
+	REQUIRE(joiner.is_out_of_order());
+	// Of a stream that began in another answer, it is not known whether its events have ids.
+	REQUIRE(stream_joiner("12").feed("data: y\n\n") == "data: y\n\n");
+}
+
+TEST_CASE("an answer that can't be the rest of another one may begin anew", "[joiner]")
+{
+	stream_joiner joiner("12");
+	joiner.accept_any_beginning();
+	REQUIRE(joiner.feed("id: 1\ndata: x\n\nid: 2\ndata: x\n\n") == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+	REQUIRE_FALSE(joiner.is_out_of_order());
+}
