--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -101,6 +101,10 @@
 			}
 			else
 			{
+				if (!state->matched_route->resumable)
+				{
+					state->joiner.accept_any_beginning();
+				}
 				state->service = routing::choose_service(*state->matched_route, this->draw());
 				state->deadline = std::min(state->deadline, state->started + state->matched_route->timeout);
 				if (!is_relayed)
--- a/tests/contract/stream_joins.test.cpp
+++ b/tests/contract/stream_joins.test.cpp
@@ -313,6 +313,19 @@
 	REQUIRE(is_complete_stream(answer));
 }
 
+TEST_CASE("an answer on a route whose streams may not be resumed is passed on whole", "[stream_joins]")
+{
+	engine_row row(false);
+	auto const whole = events({1, 2, 3}, "x");
+	auto& first = row.add(stream_answer(whole, true));
+	auto& second = row.add(stream_answer(whole, true));
+	auto const answer = row.take_up("2");
+	CAPTURE(answer);
+	REQUIRE(event_lines(answer) == event_lines(whole));
+	REQUIRE(is_complete_stream(answer));
+	REQUIRE(first.received().size() + second.received().size() == 1);
+}
+
 TEST_CASE("a stream that a caller takes up on a route that may not resume is not sent again", "[stream_joins]")
 {
 	engine_row row(false);
