--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -328,6 +328,11 @@
 			state.no_retry_reason = "must_not_be_repeated";
 			return false;
 		}
+		if (!state.joiner.may_go_on())
+		{
+			state.no_retry_reason = "no_event_id";
+			return false;
+		}
 		if (state.servers_left() == 0)
 		{
 			state.no_retry_reason = "most_servers_tried";
--- a/tests/contract/stream_joins.test.cpp
+++ b/tests/contract/stream_joins.test.cpp
@@ -270,6 +270,18 @@
 	REQUIRE(second.received().empty());
 }
 
+TEST_CASE("a stream whose last event has no id is broken off, since no run can go on after it", "[stream_joins]")
+{
+	auto const first = GENERATE(as<std::string>{}, "data: x\n\ndata: y\n\n", "id: 1\ndata: x\n\ndata: y\n\n");
+	engine_row row;
+	row.add(stream_answer(first, false));
+	auto& second = row.add(stream_answer("id: 1\ndata: x\n\ndata: y\n\ndata: z\n\n", true));
+	auto const answer = row.fixture.send_request();
+	REQUIRE(event_lines(answer) == event_lines(first));
+	REQUIRE_FALSE(is_complete_stream(answer));
+	REQUIRE(second.received().empty());
+}
+
 TEST_CASE("a run that goes on at the next event is joined, whatever the ids", "[stream_joins]")
 {
 	using pair = std::pair<std::string, std::string>;
