--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -101,6 +101,10 @@
 			}
 			else
 			{
+				if (!state->matched_route->resumable)
+				{
+					state->joiner.accept_any_beginning();
+				}
 				state->service = routing::choose_service(*state->matched_route, this->draw());
 				state->deadline = std::min(state->deadline, state->started + state->matched_route->timeout);
 				if (!is_relayed)
@@ -327,6 +331,11 @@
 			state.no_retry_reason = "must_not_be_repeated";
 			return false;
 		}
+		if (!state.joiner.may_go_on())
+		{
+			state.no_retry_reason = "no_event_id";
+			return false;
+		}
 		if (state.servers_left() == 0)
 		{
 			state.no_retry_reason = "most_servers_tried";
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -322,6 +322,14 @@
 		auto progress_at = monotonic_now();
 		while (true)
 		{
+			if (state->joiner.is_out_of_order())
+			{
+				this->log_event(*state, "stream_out_of_order",
+					{{"server", server->entry.id.str()}, {"last_event", state->joiner.last_event().value_or("")}});
+				connection->close();
+				state->joiner.restart();
+				co_return send_failure::broken;
+			}
 			auto const left = std::max(duration{}, max_silence - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
 			auto piece = co_await connection->read_piece(wait);
@@ -338,9 +346,9 @@
 			auto const events_before = state->joiner.events();
 			auto const passed_on = is_end ? state->joiner.finish() : state->joiner.feed(received);
 			// Of a stream that goes on, nothing may have been left.
-			auto const is_empty_without_length = is_end && !state->joiner.last_event() &&
-												 events_before == state->events_before_send &&
-												 connection->ends_with_connection();
+			auto const goes_on = state->matched_route->resumable && state->joiner.last_event();
+			auto const is_empty_without_length =
+				is_end && !goes_on && events_before == state->events_before_send && connection->ends_with_connection();
 			auto is_broken = !passed_on || is_empty_without_length || state->joiner.is_overlong();
 			if (is_end && !is_broken)
 			{
