--- a/packages/daemon/impl/telemetry.cpp
+++ b/packages/daemon/impl/telemetry.cpp
@@ -26,7 +26,7 @@
 				   name == "left" || name == "woke_up" || name == "answer_whole" || name.starts_with("request_") ||
 				   name.starts_with("registry_") || name.starts_with("settings_") || name.starts_with("servers_") ||
 				   name.starts_with("stream_") || name.starts_with("peer_") || name == "started" || name == "stopped" ||
-				   name == "draining" || name == "drained";
+				   name == "draining" || name == "requests_ended" || name == "drained";
 		}
 
 		log4cplus::Logger logger()
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -379,6 +379,10 @@
 			timer.expires_after(drain_poll);
 			std::ignore = co_await timer.async_wait(token);
 		}
+		auto const is_grace_over = monotonic_now() >= deadline;
+		this->log_event("requests_ended", {{"running", std::to_string(this->request_forwarder.running())},
+											  {"connections", std::to_string(this->callers->connections())},
+											  {"grace_over", is_grace_over ? "yes" : "no"}});
 		this->request_forwarder.end_requests();
 		auto const answered_by = monotonic_now() + last_answers_time;
 		do
@@ -386,7 +390,8 @@
 			timer.expires_after(drain_poll);
 			std::ignore = co_await timer.async_wait(token);
 		} while (monotonic_now() < answered_by && this->request_forwarder.running() > 0);
-		this->log_event("drained", {{"broken_off", std::to_string(this->request_forwarder.running())}});
+		this->log_event("drained", {{"broken_off", std::to_string(this->request_forwarder.running())},
+									   {"connections", std::to_string(this->callers->connections())}});
 		this->on_drained();
 	}
 
