A planned stop ends when no connection holds a request; what is whole after the end of the grace is refused

Cause: the instance ended as soon as no request ran, while requests were still being read from open connections; and requests were ended in one pass, so that one which became whole afterwards was passed on and cut.

The stop now follows from the open connections of the port for callers, which after the stop are those on which a request is read, runs or is answered. Connections that wait in the kernel, and idle ones on which bytes have arrived, are served first. After the requests were ended, a request is refused with 503, Retry-After and Connection: close and is not passed on.

--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -38,6 +38,8 @@
 		constexpr duration last_answers_time = milliseconds(400);
 		// A server that leaves a call unanswered for longer than this counts as not heard.
 		constexpr duration max_unanswered_time = milliseconds(400);
+		// Retry-After of a request that comes at the end of the grace: other instances take it at once.
+		constexpr duration retry_elsewhere_delay = milliseconds(20);
 		constexpr unsigned not_ready = 503;
 		constexpr unsigned not_found = 404;
 
@@ -132,7 +134,7 @@
 		auto const executor = this->thread->context().get_executor();
 		this->callers = std::make_unique<http::server>(executor, this->settings.caller_address,
 			to_server_limits(routing::caller_limits{}), [this](http::request message, http::exchange& http_exchange)
-			{ return this->request_forwarder.serve(std::move(message), http_exchange); });
+			{ return this->serve_caller(std::move(message), http_exchange); });
 		this->readiness = std::make_unique<http::server>(executor, this->settings.readiness_address,
 			http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
 			{ return this->answer_readiness(std::move(message), http_exchange); });
@@ -253,6 +255,20 @@
 		this->exchange.set_seeds(std::move(addresses));
 	}
 
+	asio::awaitable<void> serving_thread::serve_caller(http::request message, http::exchange& http_exchange)
+	{
+		if (!this->has_ended_requests)
+		{
+			co_await this->request_forwarder.serve(std::move(message), http_exchange);
+			co_return;
+		}
+		auto answer = http::make_error(
+			not_ready, "refused", "this instance stops", "send it again at once: other instances take it");
+		answer.headers.push_back(this->adapter.calls.retry_after(retry_elsewhere_delay));
+		++this->refused_at_end;
+		std::ignore = co_await http_exchange.reply(std::move(answer));
+	}
+
 	asio::awaitable<void> serving_thread::answer_readiness(http::request message, http::exchange& http_exchange)
 	{
 		http::response answer;
@@ -372,9 +388,10 @@
 		auto const deadline = *this->shared.shutdown_deadline;
 		asio::steady_timer timer(this->thread->context(), balancer_delay);
 		std::ignore = co_await timer.async_wait(token);
-		// No new requests are accepted from here on. Running requests may continue until the deadline.
+		// No new connections are accepted from here on. The requests on open ones, also those that still arrive, are
+		// served until the deadline.
 		this->callers->stop();
-		while (monotonic_now() < deadline && this->request_forwarder.running() > 0)
+		while (monotonic_now() < deadline && this->callers->connections() > 0)
 		{
 			timer.expires_after(drain_poll);
 			std::ignore = co_await timer.async_wait(token);
@@ -383,13 +400,14 @@
 		this->log_event("requests_ended", {{"running", std::to_string(this->request_forwarder.running())},
 											  {"connections", std::to_string(this->callers->connections())},
 											  {"grace_over", is_grace_over ? "yes" : "no"}});
+		this->has_ended_requests = true;
 		this->request_forwarder.end_requests();
 		auto const answered_by = monotonic_now() + last_answers_time;
-		do
+		while (monotonic_now() < answered_by && this->callers->connections() > 0)
 		{
 			timer.expires_after(drain_poll);
 			std::ignore = co_await timer.async_wait(token);
-		} while (monotonic_now() < answered_by && this->request_forwarder.running() > 0);
+		}
 		this->log_event("drained", {{"broken_off", std::to_string(this->request_forwarder.running())},
 									   {"connections", std::to_string(this->callers->connections())}});
 		this->on_drained();
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -74,6 +74,8 @@
 		void apply_update(published_configuration&& published);
 		void set_seeds(std::vector<http::endpoint> const& seeds);
 		void apply_server_entry(routing::registered_server const& entry);
+		// Forwards a request, or refuses it when the requests have been ended for a planned stop.
+		[[nodiscard]] asio::awaitable<void> serve_caller(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> answer_readiness(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> answer_metrics(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> run_maintenance();
@@ -107,5 +109,9 @@
 		std::unique_ptr<http::server> readiness;
 		std::unique_ptr<http::server> metrics;
 		bool is_draining = false;
+		// Whether the requests were ended. What could be passed on from then on would be cut.
+		bool has_ended_requests = false;
+		// Number of requests that were refused since.
+		std::size_t refused_at_end = 0;
 	};
 }
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -229,11 +229,16 @@
 		{
 			this->is_stopping = true;
 			this->is_draining = true;
+			this->take_waiting_connections();
 			error_code ignored;
 			std::ignore = this->acceptor.close(ignored);
 			for (auto* const idle : this->idle_streams)
 			{
-				idle->close();
+				// A request that has begun to arrive is served.
+				if (peek_state(idle->socket()) != connection_state::readable)
+				{
+					idle->close();
+				}
 			}
 		}
 
@@ -260,25 +265,51 @@
 					std::ignore = co_await pause.async_wait(token);
 					continue;
 				}
-				if (this->open_connections >= this->limits.connections)
+				this->take(std::move(socket));
+			}
+		}
+
+		// Takes the connections that the kernel has accepted and that accept() has not taken yet.
+		void take_waiting_connections()
+		{
+			error_code error;
+			std::ignore = this->acceptor.non_blocking(true, error);
+			while (!error)
+			{
+				tcp::socket socket(this->executor);
+				std::ignore = this->acceptor.accept(socket, error);
+				if (!error)
 				{
-					// Closes the connection at once, so that the caller's load balancer tries another instance.
-					continue;
+					this->take(std::move(socket));
 				}
-				asio::co_spawn(
-					this->executor, [self = this->shared_from_this(), accepted = std::move(socket)]() mutable
-					{ return self->serve(std::move(accepted)); }, asio::detached);
 			}
 		}
 
+		void take(tcp::socket socket)
+		{
+			if (this->open_connections >= this->limits.connections)
+			{
+				// Closes the connection at once, so that the caller's load balancer tries another instance.
+				return;
+			}
+			// Counted from here on, so that no connection is without a count until serve() begins.
+			++this->open_connections;
+			asio::co_spawn(
+				this->executor, [self = this->shared_from_this(), accepted = std::move(socket)]() mutable
+				{ return self->serve(std::move(accepted)); }, asio::detached);
+		}
+
 		asio::awaitable<void> serve(tcp::socket socket)
 		{
 			enable_dead_peer_detection(socket, this->limits.silence_timeout);
 			beast::tcp_stream stream(std::move(socket));
 			beast::flat_buffer buffer;
-			++this->open_connections;
-			while (!this->is_stopping && co_await this->serve_one(stream, buffer))
+			// A connection that was accepted just before the stop may already hold its first request.
+			auto is_open = !this->is_stopping || peek_state(stream.socket()) == connection_state::readable;
+			while (is_open)
 			{
+				auto const can_go_on = co_await this->serve_one(stream, buffer);
+				is_open = can_go_on && !this->is_stopping;
 			}
 			--this->open_connections;
 		}
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -91,12 +91,13 @@
 		// Continues to serve, but closes each connection after its next answer and states that in the answer.
 		void drain();
 
-		// Stops listening and closes the idle connections. The others are closed after their current request.
+		// Stops listening and closes the idle connections. A request that has begun to arrive by then, also on a
+		// connection that waits to be accepted, is still served; its connection is closed after the answer.
 		void stop();
 
 		// Returns the port that the server listens on; the one that the system chose when the endpoint had port 0.
 		[[nodiscard]] unsigned short port() const;
-		// Returns the number of open connections.
+		// Returns the number of open connections. After stop(): of those on which a request is being read or answered.
 		[[nodiscard]] std::size_t connections() const noexcept;
 
 	  private:
