--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -265,7 +265,9 @@
 		auto answer = http::make_error(
 			not_ready, "refused", "this instance stops", "send it again at once: other instances take it");
 		answer.headers.push_back(this->adapter.calls.retry_after(retry_elsewhere_delay));
-		++this->refused_at_end;
+		auto const call = this->adapter.calls.read_call(message);
+		this->log(make_event("request_refused",
+			{{"status", std::to_string(answer.status)}, {"reason", "this instance stops"}}, call.attempt));
 		std::ignore = co_await http_exchange.reply(std::move(answer));
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -111,7 +111,5 @@
 		bool is_draining = false;
 		// Whether the requests were ended. What could be passed on from then on would be cut.
 		bool has_ended_requests = false;
-		// Number of requests that were refused since.
-		std::size_t refused_at_end = 0;
 	};
 }
