An engine with another start than its entry's is left out for the stream that asked only, while the store can be read

Change: while its start isn't doubted for all streams (the store can't be read), both concern only the stream that has begun and asked. A new stream that begins there has its origin confirmed. Evidence: "[version_back]", "[version_restart]", "[server_ends]" and the other tests of versions and ends pass (483 assertions in 43 cases).

--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -314,12 +314,17 @@
 		auto const seen = co_await this->end_check.ask_start(engine, now);
 		if (!seen.has_answered)
 		{
-			engine->load.note_full_until(monotonic_now() + start_check_pause);
+			if (engine->start_doubted_at)
+			{
+				engine->load.note_full_until(monotonic_now() + start_check_pause);
+			}
 			co_return false;
 		}
 		if (routing::is_proved_replaced(engine->entry, seen))
 		{
-			engine->is_replaced = true;
+			// While the registry can be read, new streams may begin there: its entry will be written soon.
+			engine->is_replaced = engine->is_replaced || engine->start_doubted_at.has_value();
+			state->excluded.insert(engine->entry.id);
 			this->log(make_event("server_start_differs",
 				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
 					{"stated_start", std::to_string(seen.stated.count())},
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -164,7 +164,8 @@
 
 		// Asks an engine for its start, if it is doubted, or if the stream has begun and may go on at one of several
 		// versions only. Returns whether the engine may get the stream: its entry is that of the process that answers.
-		// An engine with another start counts as replaced until its entry is written again.
+		// An engine with another start is not used for this stream; while its entry can't be trusted it counts as
+		// replaced for all streams, until its entry is written again.
 		[[nodiscard]] asio::awaitable<bool> confirm_start(state_pointer state, routing::server_pointer engine);
 		// Returns whether the engine must be asked for its start before it gets the stream, since its process may have
 		// ended.
