--- a/tests/contract/stream_versions.test.cpp
+++ b/tests/contract/stream_versions.test.cpp
@@ -153,8 +153,8 @@
 	REQUIRE(2 * seen.complete >= seen.begun);
 }
 
-// Guards against streams that go on at another version, since a server is back under its id with that version before its
-// entry says so, while the registry can be read (ORDER).
+// Guards against streams that go on at another version, since a server is back under its id with that version before
+// its entry says so, while the registry can be read (ORDER).
 TEST_CASE("no stream goes on at another version while a server's entry is older than its process", "[version_back]")
 {
 	constexpr std::chrono::milliseconds until_break{120};
