--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -12,6 +12,11 @@
 		{
 			return {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 2, 5, 14};
 		}
+
+		prometheus::Histogram::BucketBoundaries delay_buckets()
+		{
+			return {0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5};
+		}
 	}
 
 	counters::counters()
@@ -19,6 +24,15 @@
 				  .Name("godwittrestle_requests_total")
 				  .Help("Requests of callers that ended, by kind and outcome")
 				  .Register(this->registry))
+		, unanswered_requests(&prometheus::BuildCounter()
+				  .Name("godwittrestle_unanswered_requests_total")
+				  .Help("Requests of callers that ended without a complete answer, by reason")
+				  .Register(this->registry))
+		, loop_delay(&prometheus::BuildHistogram()
+				  .Name("godwittrestle_loop_delay_seconds")
+				  .Help("How late the thread that serves callers ran its regular work")
+				  .Register(this->registry)
+				  .Add({}, delay_buckets()))
 		, first_byte(&prometheus::BuildHistogram()
 				  .Name("godwittrestle_first_byte_seconds")
 				  .Help("Time from a request to the first byte of its answer")
@@ -120,6 +134,16 @@
 		this->requests->Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}}).Increment();
 	}
 
+	void counters::count_unanswered_request(std::string_view reason)
+	{
+		this->unanswered_requests->Add({{"reason", std::string(reason)}}).Increment();
+	}
+
+	void counters::observe_loop_delay(duration delay)
+	{
+		this->loop_delay->Observe(std::chrono::duration<double>(delay).count());
+	}
+
 	void counters::observe_first_byte(std::string_view kind, duration taken)
 	{
 		auto const seconds_taken = std::chrono::duration<double>(taken).count();
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -122,6 +122,7 @@
 			}
 		}
 		http_exchange.on_close(nullptr);
+		this->record_end(*state);
 		state->http_exchange = nullptr;
 		this->requests.erase(state);
 	}
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -269,6 +269,25 @@
 		this->log_event(state, state.is_caller_gone ? "request_abandoned" : "request_served", std::move(fields));
 	}
 
+	void forwarder::record_end(request_state const& state)
+	{
+		if (state.http_exchange->is_answered())
+		{
+			return;
+		}
+		if (state.is_caller_gone)
+		{
+			this->totals->count_unanswered_request("caller_gone");
+			return;
+		}
+		this->totals->count_unanswered_request("cut");
+		this->log_event(state, "request_unanswered",
+			{{"answer_begun", state.is_head_sent ? "yes" : "no"},
+				{"route", state.matched_route == nullptr ? "" : state.matched_route->name},
+				{"servers", fmt::format("{}", fmt::join(state.attempted_servers, ","))},
+				{"took_ms", milliseconds_text(monotonic_now() - state.started)}});
+	}
+
 	asio::awaitable<void> forwarder::fail_request(state_pointer state)
 	{
 		if (state->is_caller_gone)
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -132,9 +132,11 @@
 	void serving_thread::start()
 	{
 		auto const executor = this->thread->context().get_executor();
-		this->callers = std::make_unique<http::server>(executor, this->settings.caller_address,
-			to_server_limits(routing::caller_limits{}), [this](http::request message, http::exchange& http_exchange)
-			{ return this->serve_caller(std::move(message), http_exchange); });
+		this->callers = std::make_unique<http::server>(
+			executor, this->settings.caller_address, to_server_limits(routing::caller_limits{}),
+			[this](http::request message, http::exchange& http_exchange)
+			{ return this->serve_caller(std::move(message), http_exchange); },
+			[this](http::unread_reason reason, http::request const& head) { this->record_unread(reason, head); });
 		this->readiness = std::make_unique<http::server>(executor, this->settings.readiness_address,
 			http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
 			{ return this->answer_readiness(std::move(message), http_exchange); });
@@ -214,16 +216,19 @@
 		{
 			return;
 		}
-		this->log_event("configuration_in_force",
-			{{"version", std::to_string(version.count())},
-				{"before", this->shared.routes ? std::to_string(this->shared.routes->version().count()) : "none"},
-				{"routes", std::to_string(published.value.routes.size())}});
+		auto const begun = monotonic_now();
+		auto const before = this->shared.routes ? std::to_string(this->shared.routes->version().count()) : "none";
+		auto const routes = published.value.routes.size();
 		this->shared.routes = std::make_shared<routing::route_table const>(std::move(published.value));
 		this->shared.longest_stream = this->shared.routes->longest_stream();
 		this->callers->set_limits(to_server_limits(this->shared.routes->limits()));
 		this->totals.set_configuration(version.count());
 		this->registry_state.version = version;
 		this->registry_state.configuration_text = std::move(published.text);
+		this->log_event("configuration_in_force",
+			{{"version", std::to_string(version.count())}, {"before", before}, {"routes", std::to_string(routes)},
+				{"bytes", std::to_string(this->registry_state.configuration_text.size())},
+				{"took_ms", fmt::format("{:.1f}", to_milliseconds(monotonic_now() - begun))}});
 	}
 
 	asio::awaitable<void> serving_thread::exchange_with_peers()
@@ -271,6 +276,14 @@
 		std::ignore = co_await http_exchange.reply(std::move(answer));
 	}
 
+	void serving_thread::record_unread(http::unread_reason reason, http::request const& head)
+	{
+		this->totals.count_unanswered_request(http::to_string(reason));
+		this->log(make_event("request_unread",
+			{{"reason", std::string(http::to_string(reason))}, {"path", std::string(head.path())}},
+			this->adapter.calls.read_call(head).attempt));
+	}
+
 	asio::awaitable<void> serving_thread::answer_readiness(http::request message, http::exchange& http_exchange)
 	{
 		http::response answer;
@@ -303,9 +316,11 @@
 		asio::steady_timer timer(this->thread->context());
 		while (true)
 		{
+			auto const due = monotonic_now() + maintenance_interval;
 			timer.expires_after(maintenance_interval);
 			std::ignore = co_await timer.async_wait(token);
 			auto const now = monotonic_now();
+			this->totals.observe_loop_delay(now - due);
 			auto const all_gone = this->shared.servers.expire(now);
 			for (auto const& gone : all_gone)
 			{
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -24,6 +24,13 @@
 		// failed or caller_gone.
 		void count_request(std::string_view kind, std::string_view outcome);
 
+		// Counts a caller's request that ended without a complete answer. reason: of http::unread_reason, caller_gone
+		// or cut (the answer was not written to its end although the caller was not known to be gone).
+		void count_unanswered_request(std::string_view reason);
+
+		// Records how late the thread that serves callers ran work that was due at a set time.
+		void observe_loop_delay(duration delay);
+
 		// Records the time from a request to the first byte of its answer.
 		void observe_first_byte(std::string_view kind, duration taken);
 
@@ -67,6 +74,8 @@
 	  private:
 		prometheus::Registry registry;
 		prometheus::Family<prometheus::Counter>* requests;
+		prometheus::Family<prometheus::Counter>* unanswered_requests;
+		prometheus::Histogram* loop_delay;
 		prometheus::Family<prometheus::Histogram>* first_byte;
 		prometheus::Family<prometheus::Counter>* sends;
 		prometheus::Counter* connections;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -269,6 +269,8 @@
 		// Returns whether this daemon stops before a new stream would be complete and another daemon is live that can
 		// serve it.
 		[[nodiscard]] bool must_refuse_before_stop(request_state const& state) const;
+		// Logs and counts a request whose answer was not sent to its end.
+		void record_end(request_state const& state);
 		// Ends a request that no server has served: passes a server's error response on, refuses the request or leaves
 		// the answer incomplete.
 		[[nodiscard]] asio::awaitable<void> fail_request(state_pointer state);
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -76,6 +76,8 @@
 		void apply_server_entry(routing::registered_server const& entry);
 		// Forwards a request, or refuses it when the requests have been ended for a planned stop.
 		[[nodiscard]] asio::awaitable<void> serve_caller(http::request message, http::exchange& http_exchange);
+		// Logs and counts a caller's request that was not read to its end.
+		void record_unread(http::unread_reason reason, http::request const& head);
 		[[nodiscard]] asio::awaitable<void> answer_readiness(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> answer_metrics(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> run_maintenance();
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -56,17 +56,35 @@
 			std::ignore = socket.set_option(tcp_user_timeout(static_cast<int>(milliseconds_allowed)), ignored);
 		}
 
-		request to_request(beast::http::request<beast::http::string_body>&& message)
+		request to_head(beast::http::request<beast::http::string_body> const& message)
 		{
 			request converted;
 			converted.method = std::string(message.method_string());
 			converted.target = std::string(message.target());
 			std::ranges::transform(message, std::back_inserter(converted.headers),
 				[](auto const& field) { return header{std::string(field.name_string()), std::string(field.value())}; });
+			return converted;
+		}
+
+		request to_request(beast::http::request<beast::http::string_body>&& message)
+		{
+			auto converted = to_head(message);
 			converted.body = std::move(message.body());
 			return converted;
 		}
 
+		unread_reason to_unread_reason(error_code const& error, bool is_header_done)
+		{
+			if (error == beast::error::timeout)
+			{
+				return is_header_done ? unread_reason::body_timeout : unread_reason::header_timeout;
+			}
+			auto const is_peer_gone = error.category() == asio::error::get_system_category() ||
+									  error == asio::error::eof || error == beast::http::error::end_of_stream ||
+									  error == beast::http::error::partial_message;
+			return is_peer_gone ? unread_reason::peer_closed : unread_reason::malformed;
+		}
+
 		template <typename Body>
 		void copy_head(response const& from, beast::http::response<Body>& to)
 		{
@@ -134,7 +152,7 @@
 				message.prepare_payload();
 				this->stream.expires_after(this->write_timeout);
 				auto const [error, size] = co_await beast::http::async_write(this->stream, message, token);
-				this->is_answered = !error;
+				this->has_answered = !error;
 				co_return !error;
 			}
 
@@ -164,10 +182,15 @@
 				this->stream.expires_after(this->write_timeout);
 				auto const [error, size] =
 					co_await asio::async_write(this->stream, beast::http::make_chunk_last(), token);
-				this->is_answered = !error;
+				this->has_answered = !error;
 				co_return !error;
 			}
 
+			[[nodiscard]] bool is_answered() const noexcept override
+			{
+				return this->has_answered;
+			}
+
 			void on_close(std::function<void()> callback) override
 			{
 				this->close_callback = std::move(callback);
@@ -184,7 +207,7 @@
 			// Returns whether the answer was sent completely and the connection may carry another request.
 			[[nodiscard]] bool can_reuse_connection() const noexcept
 			{
-				return this->is_answered && this->keep_alive;
+				return this->has_answered && this->keep_alive;
 			}
 
 		  private:
@@ -192,7 +215,7 @@
 			duration write_timeout;
 			bool keep_alive;
 			bool const& is_draining;
-			bool is_answered = false;
+			bool has_answered = false;
 			std::function<void()> close_callback;
 		};
 	}
@@ -200,12 +223,13 @@
 	class server::implementation : public std::enable_shared_from_this<implementation>
 	{
 	  public:
-		implementation(
-			asio::any_io_executor io_executor, endpoint const& where, server_limits const& allowed, handler respond)
+		implementation(asio::any_io_executor io_executor, endpoint const& where, server_limits const& allowed,
+			handler respond, unread_hook notify_unread)
 			: executor(std::move(io_executor))
 			, acceptor(this->executor, tcp::endpoint(asio::ip::make_address(where.address), where.port))
 			, limits(allowed)
 			, handle(std::move(respond))
+			, on_unread(std::move(notify_unread))
 		{
 		}
 
@@ -334,6 +358,10 @@
 			auto const [error] = co_await stream.socket().async_wait(tcp::socket::wait_read, token);
 			this->idle_streams.erase(position);
 			auto const is_in_time = timer.cancel() > 0;
+			if (!error && !is_in_time && peek_state(stream.socket()) == connection_state::readable)
+			{
+				this->report_unread(unread_reason::idle_timeout, {});
+			}
 			co_return !error && is_in_time;
 		}
 
@@ -350,6 +378,10 @@
 			auto const error = co_await this->read_request(stream, buffer, parser);
 			if (error)
 			{
+				if (parser.got_some())
+				{
+					this->report_unread(to_unread_reason(error, parser.is_header_done()), to_head(parser.get()));
+				}
 				if (error != beast::http::error::end_of_stream && parser.got_some())
 				{
 					connection_exchange refused(stream, this->limits, false, this->is_draining);
@@ -371,6 +403,14 @@
 			co_return current.can_reuse_connection();
 		}
 
+		void report_unread(unread_reason reason, request const& head)
+		{
+			if (this->on_unread)
+			{
+				this->on_unread(reason, head);
+			}
+		}
+
 		// Reads one request, and sends 100 Continue when the client expects it.
 		asio::awaitable<error_code> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
 			beast::http::request_parser<beast::http::string_body>& parser)
@@ -430,14 +470,35 @@
 		tcp::acceptor acceptor;
 		server_limits limits;
 		handler handle;
+		unread_hook on_unread;
 		std::list<beast::tcp_stream*> idle_streams;
 		std::size_t open_connections = 0;
 		bool is_draining = false;
 		bool is_stopping = false;
 	};
 
-	server::server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle)
-		: impl(std::make_shared<implementation>(std::move(executor), where, limits, std::move(handle)))
+	std::string_view to_string(unread_reason reason) noexcept
+	{
+		switch (reason)
+		{
+			case unread_reason::idle_timeout:
+				return "idle_timeout";
+			case unread_reason::header_timeout:
+				return "header_timeout";
+			case unread_reason::body_timeout:
+				return "body_timeout";
+			case unread_reason::peer_closed:
+				return "peer_closed";
+			case unread_reason::malformed:
+				return "malformed";
+		}
+		return "malformed";
+	}
+
+	server::server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle,
+		unread_hook on_unread)
+		: impl(std::make_shared<implementation>(
+			  std::move(executor), where, limits, std::move(handle), std::move(on_unread)))
 	{
 	}
 
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -57,6 +59,9 @@
 		[[nodiscard]] virtual asio::awaitable<bool> write(std::string piece) = 0;
 		[[nodiscard]] virtual asio::awaitable<bool> end_stream() = 0;
 
+		// Returns whether a complete answer has been sent.
+		[[nodiscard]] virtual bool is_answered() const noexcept = 0;
+
 		// Sets a function that is called at most once, on the server's executor, when the peer closes its side or the
 		// connection breaks (see silence_timeout) while the handler runs. It is not called for a peer that has sent
 		// bytes of a further request (pipelining).
@@ -65,6 +70,26 @@
 
 	using handler = std::function<asio::awaitable<void>(request, exchange&)>;
 
+	// Why a connection was closed on which a request had begun to arrive and was not read to its end.
+	enum class unread_reason : std::uint8_t
+	{
+		// The connection had been idle for too long when the first bytes were found.
+		idle_timeout,
+		// The rest of the header did not arrive in time.
+		header_timeout,
+		// The rest of the body did not arrive in time.
+		body_timeout,
+		// The peer closed its side, or the connection broke.
+		peer_closed,
+		// The bytes are too many or not HTTP.
+		malformed,
+	};
+
+	[[nodiscard]] std::string_view to_string(unread_reason reason) noexcept;
+
+	// Receives each request that was not read to its end, with as much of its head as was parsed. Must not block.
+	using unread_hook = std::function<void(unread_reason, request const&)>;
+
 	// An HTTP/1.1 server that runs a coroutine for each request. It answers requests that are too large or malformed
 	// with status 4xx and a JSON error, and closes connections on which a request takes too long to arrive.
 	//
@@ -74,7 +99,8 @@
 	{
 	  public:
 		// Binds to the address; throws boost::system::system_error when that fails.
-		server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle);
+		server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle,
+			unread_hook on_unread = {});
 		~server();
 
 		server(server const&) = delete;
