--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <list>
-#include <optional>
+#include <ranges>
+#include <set>
 #include <tuple>
 #include <utility>
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,7 +18,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include <godwittrestle/http/connection_state.hpp>
+#include "server_connection.hpp"
 
 namespace godwittrestle::http
 {
@@ -31,31 +29,9 @@
 		using boost::system::error_code;
 
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
-		constexpr int http_1_1 = 11;
 		constexpr duration accept_retry_pause = milliseconds(20);
 		constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
-		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-		using keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-		using keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-
-		// Makes the kernel detect a peer that has disappeared without closing the connection, such as a crashed
-		// machine: by keep-alive probes while the connection is idle, and by the TCP user timeout while sent bytes are
-		// not acknowledged.
-		void enable_dead_peer_detection(tcp::socket& socket, duration timeout)
-		{
-			error_code ignored;
-			auto const milliseconds_allowed = std::chrono::duration_cast<milliseconds>(timeout).count();
-			auto const seconds_allowed = std::max<int>(1, static_cast<int>(milliseconds_allowed / 1000));
-			std::ignore = socket.set_option(tcp::no_delay(true), ignored);
-			std::ignore = socket.set_option(asio::socket_base::keep_alive(true), ignored);
-			std::ignore = socket.set_option(keep_idle(std::max(1, seconds_allowed - 1)), ignored);
-			std::ignore = socket.set_option(keep_interval(1), ignored);
-			std::ignore = socket.set_option(keep_count(1), ignored);
-			std::ignore = socket.set_option(tcp_user_timeout(static_cast<int>(milliseconds_allowed)), ignored);
-		}
-
 		request to_head(beast::http::request<beast::http::string_body> const& message)
 		{
 			request converted;
@@ -85,14 +61,6 @@
 			return is_peer_gone ? unread_reason::peer_closed : unread_reason::malformed;
 		}
 
-		template <typename Body>
-		void copy_head(response const& from, beast::http::response<Body>& to)
-		{
-			to.version(http_1_1);
-			to.result(from.status);
-			std::ranges::for_each(from.headers, [&](header const& each) { to.insert(each.name, each.value); });
-		}
-
 		response make_parse_error(error_code const& error)
 		{
 			if (error == beast::http::error::body_limit)
@@ -127,97 +95,6 @@
 		{
 			return beast::iequals(message[beast::http::field::expect], "100-continue");
 		}
-
-		// The exchange of one request on a connection. Used by the request's handler and by watch_for_close().
-		class connection_exchange final : public exchange
-		{
-		  public:
-			// is_server_draining: read when the answer begins. If it is true, the connection closes after the answer.
-			connection_exchange(beast::tcp_stream& connection, server_limits const& allowed, bool peer_keeps_alive,
-				bool const& is_server_draining)
-				: stream(connection)
-				, write_timeout(allowed.write_timeout)
-				, keep_alive(peer_keeps_alive)
-				, is_draining(is_server_draining)
-			{
-			}
-
-			asio::awaitable<bool> reply(response answer) override
-			{
-				beast::http::response<beast::http::string_body> message;
-				copy_head(answer, message);
-				message.body() = std::move(answer.body);
-				this->keep_alive = this->keep_alive && !this->is_draining;
-				message.keep_alive(this->keep_alive);
-				message.prepare_payload();
-				this->stream.expires_after(this->write_timeout);
-				auto const [error, size] = co_await beast::http::async_write(this->stream, message, token);
-				this->has_answered = !error;
-				co_return !error;
-			}
-
-			asio::awaitable<bool> begin_stream(response head) override
-			{
-				beast::http::response<beast::http::empty_body> message;
-				copy_head(head, message);
-				message.chunked(true);
-				this->keep_alive = this->keep_alive && !this->is_draining;
-				message.keep_alive(this->keep_alive);
-				beast::http::response_serializer<beast::http::empty_body> serializer(message);
-				this->stream.expires_after(this->write_timeout);
-				auto const [error, size] = co_await beast::http::async_write_header(this->stream, serializer, token);
-				co_return !error;
-			}
-
-			asio::awaitable<bool> write(std::string piece) override
-			{
-				this->stream.expires_after(this->write_timeout);
-				auto const [error, size] =
-					co_await asio::async_write(this->stream, beast::http::make_chunk(asio::buffer(piece)), token);
-				co_return !error;
-			}
-
-			asio::awaitable<bool> end_stream() override
-			{
-				this->stream.expires_after(this->write_timeout);
-				auto const [error, size] =
-					co_await asio::async_write(this->stream, beast::http::make_chunk_last(), token);
-				this->has_answered = !error;
-				co_return !error;
-			}
-
-			[[nodiscard]] bool is_answered() const noexcept override
-			{
-				return this->has_answered;
-			}
-
-			void on_close(std::function<void()> callback) override
-			{
-				this->close_callback = std::move(callback);
-			}
-
-			void notify_close()
-			{
-				if (auto const callback = std::exchange(this->close_callback, nullptr))
-				{
-					callback();
-				}
-			}
-
-			// Returns whether the answer was sent completely and the connection may carry another request.
-			[[nodiscard]] bool can_reuse_connection() const noexcept
-			{
-				return this->has_answered && this->keep_alive;
-			}
-
-		  private:
-			beast::tcp_stream& stream;
-			duration write_timeout;
-			bool keep_alive;
-			bool const& is_draining;
-			bool has_answered = false;
-			std::function<void()> close_callback;
-		};
 	}
 
 	class server::implementation : public std::enable_shared_from_this<implementation>
@@ -256,14 +133,8 @@
 			this->take_waiting_connections();
 			error_code ignored;
 			std::ignore = this->acceptor.close(ignored);
-			for (auto* const idle : this->idle_streams)
-			{
-				// A request that has begun to arrive is served.
-				if (peek_state(idle->socket()) != connection_state::readable)
-				{
-					idle->close();
-				}
-			}
+			// A request that has begun to arrive is served.
+			std::ranges::for_each(this->open, [](connection_pointer const& each) { each->close_if_idle(); });
 		}
 
 		[[nodiscard]] unsigned short port() const
@@ -273,10 +144,12 @@
 
 		[[nodiscard]] std::size_t connections() const noexcept
 		{
-			return this->open_connections;
+			return this->open.size();
 		}
 
 	  private:
+		using connection_pointer = std::shared_ptr<server_connection>;
+
 		asio::awaitable<void> accept()
 		{
 			while (!this->is_stopping)
@@ -311,96 +184,85 @@
 
 		void take(tcp::socket socket)
 		{
-			if (this->open_connections >= this->limits.connections)
+			if (this->open.size() >= this->limits.connections)
 			{
 				// Closes the connection at once, so that the caller's load balancer tries another instance.
 				return;
 			}
-			// Counted from here on, so that no connection is without a count until serve() begins.
-			++this->open_connections;
+			auto const connection =
+				std::make_shared<server_connection>(std::move(socket), this->limits.silence_timeout);
+			this->open.insert(connection);
 			asio::co_spawn(
-				this->executor, [self = this->shared_from_this(), accepted = std::move(socket)]() mutable
-				{ return self->serve(std::move(accepted)); }, asio::detached);
+				this->executor, [self = this->shared_from_this(), connection] { return self->serve(connection); },
+				asio::detached);
 		}
 
-		asio::awaitable<void> serve(tcp::socket socket)
+		asio::awaitable<void> serve(connection_pointer connection)
 		{
-			enable_dead_peer_detection(socket, this->limits.silence_timeout);
-			beast::tcp_stream stream(std::move(socket));
-			beast::flat_buffer buffer;
 			// A connection that was accepted just before the stop may already hold its first request.
-			auto is_open = !this->is_stopping || peek_state(stream.socket()) == connection_state::readable;
+			auto is_open = !this->is_stopping || connection->has_arrived_bytes();
 			while (is_open)
 			{
-				auto const can_go_on = co_await this->serve_one(stream, buffer);
+				auto const can_go_on = co_await this->serve_one(connection);
 				is_open = can_go_on && !this->is_stopping;
 			}
-			--this->open_connections;
+			connection->close();
+			this->open.erase(connection);
 		}
 
-		// Waits for the first byte of a request. Returns false when the connection fails or is idle for too long.
-		asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer const& buffer)
+		// Serves one request. Returns false when the connection must be closed.
+		asio::awaitable<bool> serve_one(connection_pointer connection)
 		{
-			if (buffer.size() > 0)
+			if (connection->unparsed().size() == 0)
 			{
-				co_return true;
-			}
-			auto const position = this->idle_streams.insert(this->idle_streams.end(), &stream);
-			asio::steady_timer timer(this->executor, this->limits.idle_timeout);
-			timer.async_wait(
-				[&stream](error_code const& error)
+				auto const has_bytes = co_await connection->wait_for_bytes(this->limits.idle_timeout);
+				if (!has_bytes)
 				{
-					if (!error)
-					{
-						stream.close();
-					}
-				});
-			auto const [error] = co_await stream.socket().async_wait(tcp::socket::wait_read, token);
-			this->idle_streams.erase(position);
-			auto const is_in_time = timer.cancel() > 0;
-			if (!error && !is_in_time && peek_state(stream.socket()) == connection_state::readable)
+					co_return false;
+				}
+			}
+			beast::http::request_parser<beast::http::string_body> parser;
+			parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
+			parser.body_limit(this->limits.body_bytes);
+			auto const error = co_await this->read_request(*connection, parser);
+			if (error)
 			{
-				this->report_unread(unread_reason::idle_timeout, {});
+				co_await this->refuse_unread(connection, parser, error);
+				co_return false;
 			}
-			co_return !error && is_in_time;
+			auto const current = this->make_exchange(connection, parser.get().keep_alive());
+			connection->stream().expires_never();
+			if (connection->unparsed().size() == 0)
+			{
+				asio::co_spawn(this->executor, server_exchange::watch_for_close(current), asio::detached);
+			}
+			auto message = to_request(parser.release());
+			co_await this->handle(std::move(message), *current);
+			current->end();
+			co_return current->can_reuse_connection();
 		}
 
-		// Serves one request. Returns false when the connection must be closed.
-		asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+		[[nodiscard]] std::shared_ptr<server_exchange> make_exchange(connection_pointer connection, bool keep_alive)
+		{
+			return std::make_shared<server_exchange>(std::move(connection), this->limits.write_timeout, keep_alive,
+				[self = this->shared_from_this()] { return self->is_draining; });
+		}
+
+		// Reports a request that was not read to its end, and answers one that is not valid.
+		asio::awaitable<void> refuse_unread(connection_pointer connection,
+			beast::http::request_parser<beast::http::string_body>& parser, error_code error)
 		{
-			if (!co_await this->wait_for_request(stream, buffer))
+			if (!parser.got_some())
 			{
-				co_return false;
+				co_return;
 			}
-			beast::http::request_parser<beast::http::string_body> parser;
-			parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
-			parser.body_limit(this->limits.body_bytes);
-			auto const error = co_await this->read_request(stream, buffer, parser);
-			if (error)
+			this->report_unread(to_unread_reason(error, parser.is_header_done()), to_head(parser.get()));
+			if (error != beast::http::error::end_of_stream)
 			{
-				if (parser.got_some())
-				{
-					this->report_unread(to_unread_reason(error, parser.is_header_done()), to_head(parser.get()));
-				}
-				if (error != beast::http::error::end_of_stream && parser.got_some())
-				{
-					connection_exchange refused(stream, this->limits, false, this->is_draining);
-					co_await refused.reply(make_parse_error(error));
-				}
-				co_return false;
+				auto const refused = this->make_exchange(std::move(connection), false);
+				auto answer = make_parse_error(error);
+				std::ignore = co_await refused->reply(std::move(answer));
 			}
-			connection_exchange current(stream, this->limits, parser.get().keep_alive(), this->is_draining);
-			stream.expires_never();
-			auto const is_done = std::make_shared<bool>(false);
-			asio::co_spawn(
-				this->executor, this->watch_for_close(stream, current, is_done, buffer.size() > 0), asio::detached);
-			co_await this->handle(to_request(parser.release()), current);
-			*is_done = true;
-			error_code ignored;
-			std::ignore = stream.socket().cancel(ignored);
-			// Lets the cancelled watch_for_close() end before the exchange that it refers to is destroyed.
-			co_await asio::post(this->executor, token);
-			co_return current.can_reuse_connection();
 		}
 
 		void report_unread(unread_reason reason, request const& head)
@@ -412,9 +274,11 @@
 		}
 
 		// Reads one request, and sends 100 Continue when the client expects it.
-		asio::awaitable<error_code> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-			beast::http::request_parser<beast::http::string_body>& parser)
+		asio::awaitable<error_code> read_request(
+			server_connection& connection, beast::http::request_parser<beast::http::string_body>& parser)
 		{
+			auto& stream = connection.stream();
+			auto& buffer = connection.unparsed();
 			stream.expires_after(this->limits.header_timeout);
 			auto const [head_error, head_size] = co_await beast::http::async_read_header(stream, buffer, parser, token);
 			if (head_error)
@@ -439,40 +303,12 @@
 			co_return body_error;
 		}
 
-		// Calls the on_close callback when the peer closes its side while the handler runs. Ends without it when the
-		// peer sends further bytes. is_pipelining: whether such bytes were already read.
-		asio::awaitable<void> watch_for_close(
-			beast::tcp_stream& stream, connection_exchange& current, std::shared_ptr<bool> is_done, bool is_pipelining)
-		{
-			if (is_pipelining)
-			{
-				co_return;
-			}
-			auto& socket = stream.socket();
-			auto state = connection_state::no_data;
-			// The wait can also end because of bytes that have been read in the meantime.
-			while (state == connection_state::no_data)
-			{
-				auto const [error] = co_await socket.async_wait(tcp::socket::wait_read, token);
-				if (*is_done || error == asio::error::operation_aborted)
-				{
-					co_return;
-				}
-				state = peek_state(socket);
-			}
-			if (state == connection_state::closed)
-			{
-				current.notify_close();
-			}
-		}
-
 		asio::any_io_executor executor;
 		tcp::acceptor acceptor;
 		server_limits limits;
 		handler handle;
 		unread_hook on_unread;
-		std::list<beast::tcp_stream*> idle_streams;
-		std::size_t open_connections = 0;
+		std::set<connection_pointer> open;
 		bool is_draining = false;
 		bool is_stopping = false;
 	};
@@ -481,8 +317,6 @@
 	{
 		switch (reason)
 		{
-			case unread_reason::idle_timeout:
-				return "idle_timeout";
 			case unread_reason::header_timeout:
 				return "header_timeout";
 			case unread_reason::body_timeout:
--- /dev/null
+++ b/packages/http/impl/server_connection.cpp
@@ -0,0 +1,208 @@
+#include "server_connection.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+#include <utility>
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <godwittrestle/http/connection_state.hpp>
+
+namespace godwittrestle::http
+{
+	namespace
+	{
+		namespace beast = boost::beast;
+		using asio::ip::tcp;
+		using boost::system::error_code;
+
+		constexpr auto token = asio::as_tuple(asio::use_awaitable);
+		constexpr int http_1_1 = 11;
+
+		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+		using keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+		using keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+		// Makes the kernel detect a peer that has disappeared without closing the connection, such as a crashed
+		// machine: by keep-alive probes while the connection is idle, and by the TCP user timeout while sent bytes are
+		// not acknowledged.
+		void enable_dead_peer_detection(tcp::socket& socket, duration timeout)
+		{
+			error_code ignored;
+			auto const milliseconds_allowed = std::chrono::duration_cast<milliseconds>(timeout).count();
+			auto const seconds_allowed = std::max<int>(1, static_cast<int>(milliseconds_allowed / 1000));
+			std::ignore = socket.set_option(tcp::no_delay(true), ignored);
+			std::ignore = socket.set_option(asio::socket_base::keep_alive(true), ignored);
+			std::ignore = socket.set_option(keep_idle(std::max(1, seconds_allowed - 1)), ignored);
+			std::ignore = socket.set_option(keep_interval(1), ignored);
+			std::ignore = socket.set_option(keep_count(1), ignored);
+			std::ignore = socket.set_option(tcp_user_timeout(static_cast<int>(milliseconds_allowed)), ignored);
+		}
+
+		template <typename Body>
+		void copy_head(response const& from, beast::http::response<Body>& to)
+		{
+			to.version(http_1_1);
+			to.result(from.status);
+			std::ranges::for_each(from.headers, [&](header const& each) { to.insert(each.name, each.value); });
+		}
+	}
+
+	server_connection::server_connection(tcp::socket socket, duration silence_timeout)
+		: tcp(std::move(socket))
+		, idle_timer(this->tcp.get_executor())
+	{
+		enable_dead_peer_detection(this->tcp.socket(), silence_timeout);
+	}
+
+	asio::awaitable<bool> server_connection::wait_for_bytes(duration idle_timeout)
+	{
+		this->is_idle = true;
+		this->idle_timer.expires_after(idle_timeout);
+		this->idle_timer.async_wait(
+			[weak = this->weak_from_this()](error_code const& error)
+			{
+				auto const self = weak.lock();
+				// A timer that expired just before it was set again belongs to an earlier wait.
+				if (!error && self && self->idle_timer.expiry() <= asio::steady_timer::clock_type::now())
+				{
+					self->close_if_idle();
+				}
+			});
+		auto const [error] = co_await this->tcp.socket().async_wait(tcp::socket::wait_read, token);
+		this->is_idle = false;
+		this->idle_timer.cancel();
+		co_return !error;
+	}
+
+	void server_connection::close_if_idle()
+	{
+		if (this->is_idle && !this->has_arrived_bytes())
+		{
+			this->close();
+		}
+	}
+
+	bool server_connection::has_arrived_bytes()
+	{
+		return peek_state(this->tcp.socket()) == connection_state::readable;
+	}
+
+	void server_connection::close()
+	{
+		this->tcp.close();
+	}
+
+	server_exchange::server_exchange(std::shared_ptr<server_connection> opened, duration max_write_time,
+		bool peer_keeps_alive, std::function<bool()> is_server_draining)
+		: connection(std::move(opened))
+		, write_timeout(max_write_time)
+		, keep_alive(peer_keeps_alive)
+		, is_draining(std::move(is_server_draining))
+	{
+	}
+
+	asio::awaitable<bool> server_exchange::reply(response answer)
+	{
+		beast::http::response<beast::http::string_body> message;
+		copy_head(answer, message);
+		message.body() = std::move(answer.body);
+		this->keep_alive = this->keep_alive && !this->is_draining();
+		message.keep_alive(this->keep_alive);
+		message.prepare_payload();
+		this->connection->stream().expires_after(this->write_timeout);
+		auto const [error, size] = co_await beast::http::async_write(this->connection->stream(), message, token);
+		this->has_answered = !error;
+		co_return !error;
+	}
+
+	asio::awaitable<bool> server_exchange::begin_stream(response head)
+	{
+		beast::http::response<beast::http::empty_body> message;
+		copy_head(head, message);
+		message.chunked(true);
+		this->keep_alive = this->keep_alive && !this->is_draining();
+		message.keep_alive(this->keep_alive);
+		beast::http::response_serializer<beast::http::empty_body> serializer(message);
+		this->connection->stream().expires_after(this->write_timeout);
+		auto const [error, size] =
+			co_await beast::http::async_write_header(this->connection->stream(), serializer, token);
+		co_return !error;
+	}
+
+	asio::awaitable<bool> server_exchange::write(std::string piece)
+	{
+		this->connection->stream().expires_after(this->write_timeout);
+		auto const [error, size] =
+			co_await asio::async_write(this->connection->stream(), beast::http::make_chunk(asio::buffer(piece)), token);
+		co_return !error;
+	}
+
+	asio::awaitable<bool> server_exchange::end_stream()
+	{
+		this->connection->stream().expires_after(this->write_timeout);
+		auto const [error, size] =
+			co_await asio::async_write(this->connection->stream(), beast::http::make_chunk_last(), token);
+		this->has_answered = !error;
+		co_return !error;
+	}
+
+	bool server_exchange::is_answered() const noexcept
+	{
+		return this->has_answered;
+	}
+
+	void server_exchange::on_close(std::function<void()> callback)
+	{
+		this->close_callback = std::move(callback);
+	}
+
+	asio::awaitable<void> server_exchange::watch_for_close(std::shared_ptr<server_exchange> self)
+	{
+		auto& socket = self->connection->stream().socket();
+		auto state = connection_state::no_data;
+		// The wait can also end because of bytes that have been read in the meantime.
+		while (!self->has_ended && state == connection_state::no_data)
+		{
+			auto const [error] = co_await socket.async_wait(tcp::socket::wait_read, token);
+			if (self->has_ended || error == asio::error::operation_aborted)
+			{
+				co_return;
+			}
+			state = peek_state(socket);
+		}
+		if (state == connection_state::closed)
+		{
+			self->notify_close();
+		}
+	}
+
+	void server_exchange::end()
+	{
+		this->has_ended = true;
+		this->close_callback = nullptr;
+		error_code ignored;
+		// Ends watch_for_close().
+		std::ignore = this->connection->stream().socket().cancel(ignored);
+	}
+
+	bool server_exchange::can_reuse_connection() const noexcept
+	{
+		return this->has_answered && this->keep_alive;
+	}
+
+	void server_exchange::notify_close()
+	{
+		if (auto const callback = std::exchange(this->close_callback, nullptr))
+		{
+			callback();
+		}
+	}
+}
--- /dev/null
+++ b/packages/http/impl/server_connection.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <godwittrestle/http/server.hpp>
+
+namespace godwittrestle::http
+{
+	// One accepted connection of a server. Coroutines hold it by shared pointers and callbacks by weak ones, so that
+	// none of them outlives it. Must be used on the server's executor.
+	class server_connection : public std::enable_shared_from_this<server_connection>
+	{
+	  public:
+		// silence_timeout: see server_limits.
+		server_connection(asio::ip::tcp::socket socket, duration silence_timeout);
+
+		[[nodiscard]] boost::beast::tcp_stream& stream() noexcept
+		{
+			return this->tcp;
+		}
+
+		// Bytes that were received and not parsed yet.
+		[[nodiscard]] boost::beast::flat_buffer& unparsed() noexcept
+		{
+			return this->buffer;
+		}
+
+		// Waits until bytes of a request can be read. Returns false when the connection failed or was closed by
+		// close_if_idle(), also after idle_timeout.
+		[[nodiscard]] asio::awaitable<bool> wait_for_bytes(duration idle_timeout);
+
+		// Closes the connection if it waits for a request of which no byte has arrived.
+		void close_if_idle();
+
+		[[nodiscard]] bool has_arrived_bytes();
+
+		void close();
+
+	  private:
+		boost::beast::tcp_stream tcp;
+		boost::beast::flat_buffer buffer;
+		asio::steady_timer idle_timer;
+		bool is_idle = false;
+	};
+
+	// The exchange of one request on a connection. Shared by the request's handler and watch_for_close().
+	class server_exchange final : public exchange
+	{
+	  public:
+		// is_draining: called when the answer begins. If it returns true, the connection closes after the answer.
+		server_exchange(std::shared_ptr<server_connection> connection, duration write_timeout, bool keep_alive,
+			std::function<bool()> is_draining);
+
+		[[nodiscard]] asio::awaitable<bool> reply(response answer) override;
+		[[nodiscard]] asio::awaitable<bool> begin_stream(response head) override;
+		[[nodiscard]] asio::awaitable<bool> write(std::string piece) override;
+		[[nodiscard]] asio::awaitable<bool> end_stream() override;
+		[[nodiscard]] bool is_answered() const noexcept override;
+		void on_close(std::function<void()> callback) override;
+
+		// Calls the on_close callback when the peer closes its side before end() is called. Ends without it when the
+		// peer sends further bytes.
+		[[nodiscard]] static asio::awaitable<void> watch_for_close(std::shared_ptr<server_exchange> self);
+
+		// Ends the exchange: the handler has returned.
+		void end();
+
+		// Returns whether the answer was sent completely and the connection may carry another request.
+		[[nodiscard]] bool can_reuse_connection() const noexcept;
+
+	  private:
+		void notify_close();
+
+		std::shared_ptr<server_connection> connection;
+		duration write_timeout;
+		bool keep_alive;
+		std::function<bool()> is_draining;
+		bool has_answered = false;
+		bool has_ended = false;
+		std::function<void()> close_callback;
+	};
+}
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -73,8 +73,6 @@
 	// Why a connection was closed on which a request had begun to arrive and was not read to its end.
 	enum class unread_reason : std::uint8_t
 	{
-		// The connection had been idle for too long when the first bytes were found.
-		idle_timeout,
 		// The rest of the header did not arrive in time.
 		header_timeout,
 		// The rest of the body did not arrive in time.
