--- a/packages/daemon/include/godwittrestle/daemon/io_thread.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/io_thread.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include <godwittrestle/base/bounded_ring.hpp>
+#include <godwittrestle/base/exception.hpp>
 
 namespace godwittrestle::daemon
 {
@@ -17,8 +19,11 @@
 	class io_thread
 	{
 	  public:
-		io_thread()
+		// on_exception: called on the thread with the message of each exception that ends a handler; the loop goes on
+		// after it. When it is empty, such an exception ends the process.
+		explicit io_thread(std::function<void(std::string)> on_exception = {})
 			: work(boost::asio::make_work_guard(this->loop))
+			, report(std::move(on_exception))
 		{
 		}
 
@@ -34,7 +39,7 @@
 
 		void start()
 		{
-			this->thread = std::thread([this] { this->loop.run(); });
+			this->thread = std::thread([this] { this->run(); });
 		}
 
 		// Stops the event loop without running the handlers that are still queued, and joins the thread.
@@ -53,8 +58,29 @@
 		}
 
 	  private:
+		void run()
+		{
+			if (!this->report)
+			{
+				this->loop.run();
+				return;
+			}
+			while (!this->loop.stopped())
+			{
+				try
+				{
+					this->loop.run();
+				}
+				catch (...)
+				{
+					this->report(describe_current_exception());
+				}
+			}
+		}
+
 		boost::asio::io_context loop{1};
 		boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+		std::function<void(std::string)> report;
 		std::thread thread;
 	};
 
@@ -116,7 +142,21 @@
 			this->is_scheduled = false;
 			while (auto item = this->ring.try_pop())
 			{
-				this->handle(std::move(*item));
+				this->consume(std::move(*item));
+			}
+		}
+
+		void consume(T&& item)
+		{
+			try
+			{
+				this->handle(std::move(item));
+			}
+			catch (...)
+			{
+				// The remaining items are consumed in a later turn.
+				this->wake();
+				throw;
 			}
 		}
 
--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -28,6 +28,10 @@
 				  .Name("godwittrestle_unanswered_requests_total")
 				  .Help("Requests of callers that ended without a complete answer, by reason")
 				  .Register(this->registry))
+		, internal_errors(&prometheus::BuildCounter()
+				  .Name("godwittrestle_internal_errors_total")
+				  .Help("Exceptions that ended a request or a step of a loop, by the part that threw")
+				  .Register(this->registry))
 		, loop_delay(&prometheus::BuildHistogram()
 				  .Name("godwittrestle_loop_delay_seconds")
 				  .Help("How late the thread that serves callers ran its regular work")
@@ -139,6 +143,11 @@
 		this->unanswered_requests->Add({{"reason", std::string(reason)}}).Increment();
 	}
 
+	void counters::count_internal_error(std::string_view part)
+	{
+		this->internal_errors->Add({{"part", std::string(part)}}).Increment();
+	}
+
 	void counters::observe_loop_delay(duration delay)
 	{
 		this->loop_delay->Observe(std::chrono::duration<double>(delay).count());
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -1,10 +1,10 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
+#include <exception>
 #include <tuple>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <godwittrestle/base/exception.hpp>
 
 #include "forwarder_state.hpp"
 
@@ -68,12 +68,38 @@
 		state->started = monotonic_now();
 		state->message = std::move(message);
 		state->http_exchange = &http_exchange;
+		std::exception_ptr thrown;
+		try
+		{
+			co_await this->serve_request(state);
+		}
+		catch (...)
+		{
+			thrown = std::current_exception();
+			this->record_exception(*state, describe_current_exception());
+		}
+		http_exchange.on_close(nullptr);
+		if (!thrown)
+		{
+			this->record_end(*state);
+		}
+		state->http_exchange = nullptr;
+		this->requests.erase(state);
+		if (thrown)
+		{
+			// http::server answers with 500, or breaks an answer off that has begun.
+			std::rethrow_exception(thrown);
+		}
+	}
+
+	asio::awaitable<void> forwarder::serve_request(state_pointer state)
+	{
 		state->call = this->protocol.read_call(state->message);
 		state->identity = identify(state->message, state->call);
 		state->joiner = stream_joiner(state->call.last_event);
 		state->routes = this->shared->routes;
 		state->deadline = state->started + state->call.time_left.value_or(default_timeout);
-		http_exchange.on_close([state] { state->handle_caller_gone(); });
+		state->http_exchange->on_close([state] { state->handle_caller_gone(); });
 		auto const is_relayed = state->call.relayed_servers_left.has_value();
 		if (is_relayed)
 		{
@@ -121,10 +147,6 @@
 				}
 			}
 		}
-		http_exchange.on_close(nullptr);
-		this->record_end(*state);
-		state->http_exchange = nullptr;
-		this->requests.erase(state);
 	}
 
 	void forwarder::end_requests()
@@ -416,7 +438,7 @@
 
 	void forwarder::release_in_background(routing::server_pointer const& server, http::request message)
 	{
-		asio::co_spawn(this->executor, this->send_release(server, std::move(message)), asio::detached);
+		this->run_in_background("release", this->send_release(server, std::move(message)));
 	}
 
 	void forwarder::close_connections()
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -1,13 +1,17 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <iterator>
 #include <ranges>
 #include <tuple>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/base/exception.hpp>
+
 #include "forwarder_state.hpp"
 #include "limit_events.hpp"
 
@@ -269,6 +273,30 @@
 		this->log_event(state, state.is_caller_gone ? "request_abandoned" : "request_served", std::move(fields));
 	}
 
+	void forwarder::record_exception(request_state const& state, std::string error)
+	{
+		this->totals->count_internal_error("request");
+		this->log_event(state, "request_failed_internally",
+			{{"error", std::move(error)}, {"answer_begun", state.is_head_sent ? "yes" : "no"},
+				{"route", state.matched_route == nullptr ? "" : state.matched_route->name},
+				{"servers", fmt::format("{}", fmt::join(state.attempted_servers, ","))},
+				{"took_ms", milliseconds_text(monotonic_now() - state.started)}});
+	}
+
+	void forwarder::run_in_background(std::string_view part, asio::awaitable<void> work)
+	{
+		asio::co_spawn(this->executor, std::move(work),
+			[this, part](std::exception_ptr const& thrown)
+			{
+				if (thrown)
+				{
+					this->totals->count_internal_error(part);
+					this->log(make_event(
+						"internal_error", {{"part", std::string(part)}, {"error", describe_exception(thrown)}}));
+				}
+			});
+	}
+
 	void forwarder::record_end(request_state const& state)
 	{
 		if (state.http_exchange->is_answered())
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -5,9 +5,6 @@
 #include <ranges>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <godwittrestle/base/algorithm.hpp>
 
 #include "forwarder_state.hpp"
@@ -186,7 +183,7 @@
 		};
 		for (auto const& server : random_sample(std::move(ready), servers_probed, draw_number))
 		{
-			asio::co_spawn(this->executor, this->probe_server(server), asio::detached);
+			this->run_in_background("probe", this->probe_server(server));
 		}
 	}
 
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -93,7 +93,8 @@
 			return this->draw();
 		};
 		auto& stream_queue = this->shared->stream_queue;
-		auto const ticket = stream_queue.enter(waiting);
+		queue_place const place(stream_queue, waiting);
+		auto const ticket = place.ticket();
 		std::optional<reserved_engine> granted;
 		auto has_waited = false;
 		asio::steady_timer pause(this->executor);
@@ -130,11 +131,6 @@
 			pause.expires_after(queue_poll_interval);
 			std::ignore = co_await pause.async_wait(wait_token);
 		}
-		stream_queue.leave(ticket);
-		if (stream_queue.size() == 0)
-		{
-			stream_queue.note_idle();
-		}
 		co_return granted;
 	}
 
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -70,6 +70,40 @@
 		call_id call;
 	};
 
+	// Keeps a stream in a queue from construction to destruction.
+	class queue_place
+	{
+	  public:
+		queue_place(routing::admission_queue& owner, routing::waiting_stream const& stream)
+			: queue(&owner)
+			, number(owner.enter(stream))
+		{
+		}
+
+		~queue_place()
+		{
+			this->queue->leave(this->number);
+			if (this->queue->size() == 0)
+			{
+				this->queue->note_idle();
+			}
+		}
+
+		queue_place(queue_place const&) = delete;
+		queue_place& operator=(queue_place const&) = delete;
+		queue_place(queue_place&&) = delete;
+		queue_place& operator=(queue_place&&) = delete;
+
+		[[nodiscard]] routing::queue_ticket ticket() const noexcept
+		{
+			return this->number;
+		}
+
+	  private:
+		routing::admission_queue* queue;
+		routing::queue_ticket number;
+	};
+
 	// Owns a connection taken from a pool. The destructor returns it to the pool, which closes it when it can't be
 	// reused.
 	class pooled_connection
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -5,8 +5,6 @@
 #include <tuple>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
@@ -90,7 +88,7 @@
 		}
 		for (auto const& service : services)
 		{
-			asio::co_spawn(this->executor, this->search_origins(service), asio::detached);
+			this->run_in_background("origin_search", this->search_origins(service));
 		}
 	}
 
@@ -106,7 +104,7 @@
 		search->unanswered = engines.size();
 		for (auto const& engine : engines)
 		{
-			asio::co_spawn(this->executor, this->read_contents(engine, search), asio::detached);
+			this->run_in_background("origin_search", this->read_contents(engine, search));
 		}
 		asio::steady_timer timer(this->executor);
 		while (search->unanswered > 0 && monotonic_now() < begun_at + 2 * contents_timeout)
@@ -243,7 +241,7 @@
 			return;
 		}
 		state->unconfirmed_origin = server;
-		asio::co_spawn(this->executor, this->confirm_origin(state, server), asio::detached);
+		this->run_in_background("origin_check", this->confirm_origin(state, server));
 	}
 
 	asio::awaitable<void> forwarder::confirm_origin(state_pointer state, routing::server_pointer server)
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <godwittrestle/base/exception.hpp>
 #include <godwittrestle/daemon/core_loop.hpp>
 
 namespace godwittrestle::gateway
@@ -54,6 +55,8 @@
 		, timing(given)
 		, protocol(std::move(calls))
 		, hooks(std::move(callbacks))
+		, thread([this](std::string error)
+			  { this->hooks.log(make_event("internal_error", {{"part", "registry"}, {"error", std::move(error)}})); })
 		, client(this->thread.context().get_executor())
 	{
 	}
@@ -73,13 +76,31 @@
 	{
 		while (true)
 		{
-			// One awaited call a statement: as compiled by GCC 12, `is_listed && co_await watch()` also made the second
-			// call after a list that had failed.
-			auto is_followed = co_await this->list();
-			while (is_followed)
+			auto has_failed = false;
+			try
 			{
-				is_followed = co_await this->watch();
+				co_await this->list_and_watch();
 			}
+			catch (...)
+			{
+				has_failed = true;
+				this->note_failure("failed_internally", describe_current_exception());
+			}
+			if (has_failed)
+			{
+				co_await this->back_off();
+			}
+		}
+	}
+
+	asio::awaitable<void> registry_follower::list_and_watch()
+	{
+		// One awaited call a statement: as compiled by GCC 12, `is_listed && co_await watch()` also made the second
+		// call after a list that had failed.
+		auto is_followed = co_await this->list();
+		while (is_followed)
+		{
+			is_followed = co_await this->watch();
 		}
 	}
 
--- a/packages/gateway/impl/server_end_check.cpp
+++ b/packages/gateway/impl/server_end_check.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/base/exception.hpp>
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/http/port_probe.hpp>
 
@@ -92,16 +93,14 @@
 		auto const kind = asked ? question_kind::start : question_kind::port;
 		auto const asked_at = daemon::monotonic_now();
 		process_evidence seen;
-		if (asked)
+		try
 		{
-			seen = co_await this->question(asked);
+			seen = co_await this->collect(server, asked);
 		}
-		auto const where = http::parse_endpoint(server.address, server.id.str());
-		if (!seen.has_answered && where)
+		catch (...)
 		{
-			auto const port = co_await http::probe_port(this->executor, *where, probe_timeout);
-			seen.is_refused = port == http::port_state::refused;
-			seen.is_accepted = port == http::port_state::open;
+			// Those that wait get an answer that says nothing.
+			this->log_exception(server);
 		}
 		seen.asked_at = asked_at;
 		auto waiters = this->waiting.extract({server.id, server.address, server.started, kind});
@@ -109,10 +108,40 @@
 		this->log_check(server, seen, callbacks.size());
 		for (auto const& each : callbacks)
 		{
-			each(seen);
+			try
+			{
+				each(seen);
+			}
+			catch (...)
+			{
+				this->log_exception(server);
+			}
 		}
 	}
 
+	asio::awaitable<process_evidence> server_end_check::collect(registered_server server, routing::server_pointer asked)
+	{
+		process_evidence seen;
+		if (asked)
+		{
+			seen = co_await this->question(asked);
+		}
+		auto const where = http::parse_endpoint(server.address, server.id.str());
+		if (!seen.has_answered && where)
+		{
+			auto const port = co_await http::probe_port(this->executor, *where, probe_timeout);
+			seen.is_refused = port == http::port_state::refused;
+			seen.is_accepted = port == http::port_state::open;
+		}
+		co_return seen;
+	}
+
+	void server_end_check::log_exception(registered_server const& server) const
+	{
+		this->log(make_event("internal_error",
+			{{"part", "server_end_check"}, {"server", server.id.str()}, {"error", describe_current_exception()}}));
+	}
+
 	void server_end_check::log_check(
 		registered_server const& server, process_evidence const& seen, std::size_t waiting_calls) const
 	{
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <new>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/base/exception.hpp>
 #include <godwittrestle/daemon/core_loop.hpp>
 #include <godwittrestle/daemon/wall_clock.hpp>
 #include <godwittrestle/decide/rendezvous.hpp>
@@ -79,7 +81,8 @@
 		, dropped_lines(std::move(dropped))
 		, on_drained(std::move(drained))
 		, started(daemon::wall_clock_us())
-		, thread(std::make_unique<daemon::io_thread>())
+		, thread(std::make_unique<daemon::io_thread>(
+			  [this](std::string error) { this->record_exception("handler", std::move(error)); }))
 		, updates(update_ring_capacity, this->thread->context(),
 			  [this](registry_update&& update) { this->apply_update(std::move(update)); })
 		, shared(make_shared_state(given_settings))
@@ -136,7 +139,12 @@
 			executor, this->settings.caller_address, to_server_limits(routing::caller_limits{}),
 			[this](http::request message, http::exchange& http_exchange)
 			{ return this->serve_caller(std::move(message), http_exchange); },
-			[this](http::unread_reason reason, http::request const& head) { this->record_unread(reason, head); });
+			http::server_hooks{[this](http::unread_reason reason, http::request const& head)
+				{ this->record_unread(reason, head); },
+				[this](std::string_view error)
+				{
+					this->record_exception("connection", std::string(error));
+				}});
 		this->readiness = std::make_unique<http::server>(executor, this->settings.readiness_address,
 			http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
 			{ return this->answer_readiness(std::move(message), http_exchange); });
@@ -236,7 +244,10 @@
 		asio::steady_timer timer(this->thread->context());
 		while (true)
 		{
-			timer.expires_after(this->exchange.send_due(this->registry_state, monotonic_now()));
+			auto next_due = maintenance_interval;
+			this->run_step(
+				"peer_exchange", [&] { next_due = this->exchange.send_due(this->registry_state, monotonic_now()); });
+			timer.expires_after(next_due);
 			std::ignore = co_await timer.async_wait(token);
 		}
 	}
@@ -248,7 +259,14 @@
 		{
 			timer.expires_after(role_review_interval);
 			std::ignore = co_await timer.async_wait(token);
-			co_await this->orders.review();
+			try
+			{
+				co_await this->orders.review();
+			}
+			catch (...)
+			{
+				this->record_exception("role_review", describe_current_exception());
+			}
 		}
 	}
 
@@ -321,29 +339,59 @@
 			std::ignore = co_await timer.async_wait(token);
 			auto const now = monotonic_now();
 			this->totals.observe_loop_delay(now - due);
-			auto const all_gone = this->shared.servers.expire(now);
-			for (auto const& gone : all_gone)
-			{
-				this->shared.permits.forget(gone->entry.id);
-				this->request_forwarder.forget_server(gone->entry.id);
-				this->log_event("server_forgotten", {{"server", gone->entry.id.str()}});
-			}
-			if (!all_gone.empty())
-			{
-				this->note_versions(now);
-			}
-			this->origins.expire(now);
-			this->origins.tell_due(now);
-			this->totals.set_known_streams(this->shared.origins.size());
-			this->drop_silent_calls(now);
-			this->review_reach(now);
-			auto const limited = std::ranges::count_if(this->shared.servers.all() | std::views::values,
-				[](routing::server_pointer const& each) { return each->limit.rate().has_value(); });
-			this->totals.set_limited_servers(static_cast<std::size_t>(limited));
-			this->shared.crashes.expire(now);
-			log_block_changes(this->shared.crashes, this->log, now);
-			this->totals.set_request_blocks(this->shared.crashes.blocks().size());
-			this->request_forwarder.close_expired_connections(now);
+			this->run_step("maintenance", [&] { this->maintain(now); });
+		}
+	}
+
+	void serving_thread::maintain(time_point now)
+	{
+		auto const all_gone = this->shared.servers.expire(now);
+		for (auto const& gone : all_gone)
+		{
+			this->shared.permits.forget(gone->entry.id);
+			this->request_forwarder.forget_server(gone->entry.id);
+			this->log_event("server_forgotten", {{"server", gone->entry.id.str()}});
+		}
+		if (!all_gone.empty())
+		{
+			this->note_versions(now);
+		}
+		this->origins.expire(now);
+		this->origins.tell_due(now);
+		this->totals.set_known_streams(this->shared.origins.size());
+		this->drop_silent_calls(now);
+		this->review_reach(now);
+		auto const limited = std::ranges::count_if(this->shared.servers.all() | std::views::values,
+			[](routing::server_pointer const& each) { return each->limit.rate().has_value(); });
+		this->totals.set_limited_servers(static_cast<std::size_t>(limited));
+		this->shared.crashes.expire(now);
+		log_block_changes(this->shared.crashes, this->log, now);
+		this->totals.set_request_blocks(this->shared.crashes.blocks().size());
+		this->request_forwarder.close_expired_connections(now);
+	}
+
+	void serving_thread::run_step(std::string_view part, std::function<void()> const& step)
+	{
+		try
+		{
+			step();
+		}
+		catch (...)
+		{
+			this->record_exception(part, describe_current_exception());
+		}
+	}
+
+	void serving_thread::record_exception(std::string_view part, std::string error)
+	{
+		try
+		{
+			this->totals.count_internal_error(part);
+			this->log_event("internal_error", {{"part", std::string(part)}, {"error", std::move(error)}});
+		}
+		catch (std::bad_alloc const&)
+		{
+			// There is no memory for the line either; the loops go on all the same.
 		}
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -28,6 +28,10 @@
 		// or cut (the answer was not written to its end although the caller was not known to be gone).
 		void count_unanswered_request(std::string_view reason);
 
+		// Counts an exception that ended a request or a step of a loop. part: what threw. May be called from any
+		// thread.
+		void count_internal_error(std::string_view part);
+
 		// Records how late the thread that serves callers ran work that was due at a set time.
 		void observe_loop_delay(duration delay);
 
@@ -75,6 +79,7 @@
 		prometheus::Registry registry;
 		prometheus::Family<prometheus::Counter>* requests;
 		prometheus::Family<prometheus::Counter>* unanswered_requests;
+		prometheus::Family<prometheus::Counter>* internal_errors;
 		prometheus::Histogram* loop_delay;
 		prometheus::Family<prometheus::Histogram>* first_byte;
 		prometheus::Family<prometheus::Counter>* sends;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -39,7 +39,7 @@
 			stream_origin_exchange& origins, call_protocol protocol, counters& totals, event_log log);
 
 		// Serves one request. When the coroutine ends, the caller has its answer, or the answer is missing or
-		// incomplete and http::server closes the connection.
+		// incomplete and http::server closes the connection. Passes exceptions on after it has recorded them.
 		[[nodiscard]] asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
 
 		// Sends a request of this daemon's own (report, role order, reservation or release of a KV cache) to a server.
@@ -95,6 +95,11 @@
 		// The head of a server's answer, or the reason for which there is none.
 		using send_outcome = std::variant<unread_answer, routing::send_failure>;
 
+		[[nodiscard]] asio::awaitable<void> serve_request(state_pointer state);
+		// Runs work that no request waits for. An exception is logged and counted. part: the work's name.
+		void run_in_background(std::string_view part, asio::awaitable<void> work);
+		// Logs and counts an exception that ended a request.
+		void record_exception(request_state const& state, std::string error);
 		[[nodiscard]] asio::awaitable<void> forward_plain(state_pointer state);
 		[[nodiscard]] asio::awaitable<void> forward_stream(state_pointer state);
 
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -49,7 +49,8 @@
 		registry_sink sink;
 		event_log log;
 		// Counts a call to the registry. outcome: "applied", "no_answer", "refused", "malformed", "history_lost",
-		// "restored" (everything is listed again after a return from a copy) or "outdated" (of an older era, ignored).
+		// "restored" (everything is listed again after a return from a copy), "outdated" (of an older era, ignored) or
+		// "failed_internally" (an exception ended its handling).
 		std::function<void(std::string_view outcome)> count_call;
 	};
 
@@ -67,6 +68,8 @@
 
 	  private:
 		[[nodiscard]] asio::awaitable<void> follow();
+		// Lists all entries once and watches them, until they have to be listed again.
+		[[nodiscard]] asio::awaitable<void> list_and_watch();
 		// One page of a list, and what to do with it. A page that was not answered is ignored.
 		struct listed_page
 		{
--- a/packages/gateway/include/godwittrestle/gateway/server_end_check.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/server_end_check.hpp
@@ -61,6 +61,11 @@
 		// Runs one check. asked: the server that is asked for its start; null when only the port is checked.
 		[[nodiscard]] boost::asio::awaitable<void> run(
 			routing::registered_server server, routing::server_pointer asked);
+		// Asks the server, and looks at its port when it gives no answer.
+		[[nodiscard]] boost::asio::awaitable<routing::process_evidence> collect(
+			routing::registered_server server, routing::server_pointer asked);
+		// Logs the exception that is being handled.
+		void log_exception(routing::registered_server const& server) const;
 		void log_check(routing::registered_server const& server, routing::process_evidence const& seen,
 			std::size_t waiting_calls) const;
 
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -81,6 +81,11 @@
 		[[nodiscard]] asio::awaitable<void> answer_readiness(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> answer_metrics(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] asio::awaitable<void> run_maintenance();
+		void maintain(time_point now);
+		// Runs a step of a loop. An exception is logged and counted, so that the loop goes on.
+		void run_step(std::string_view part, std::function<void()> const& step);
+		// Logs and counts an exception. part: what threw.
+		void record_exception(std::string_view part, std::string error);
 		// Removes the tokens of calls that have been silent beyond their limit from the load of their servers, and
 		// records the silence in the servers' health.
 		void drop_silent_calls(time_point now);
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -18,6 +18,8 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/base/exception.hpp>
+
 #include "server_connection.hpp"
 
 namespace godwittrestle::http
@@ -101,12 +103,12 @@
 	{
 	  public:
 		implementation(asio::any_io_executor io_executor, endpoint const& where, server_limits const& allowed,
-			handler respond, unread_hook notify_unread)
+			handler respond, server_hooks callbacks)
 			: executor(std::move(io_executor))
 			, acceptor(this->executor, tcp::endpoint(asio::ip::make_address(where.address), where.port))
 			, limits(allowed)
 			, handle(std::move(respond))
-			, on_unread(std::move(notify_unread))
+			, hooks(std::move(callbacks))
 		{
 		}
 
@@ -183,6 +185,18 @@
 		}
 
 		void take(tcp::socket socket)
+		{
+			try
+			{
+				this->open_connection(std::move(socket));
+			}
+			catch (...)
+			{
+				this->report_exception();
+			}
+		}
+
+		void open_connection(tcp::socket socket)
 		{
 			if (this->open.size() >= this->limits.connections)
 			{
@@ -203,7 +217,15 @@
 			auto is_open = !this->is_stopping || connection->has_arrived_bytes();
 			while (is_open)
 			{
-				auto const can_go_on = co_await this->serve_one(connection);
+				auto can_go_on = false;
+				try
+				{
+					can_go_on = co_await this->serve_one(connection);
+				}
+				catch (...)
+				{
+					this->report_exception();
+				}
 				is_open = can_go_on && !this->is_stopping;
 			}
 			connection->close();
@@ -237,7 +259,22 @@
 				asio::co_spawn(this->executor, server_exchange::watch_for_close(current), asio::detached);
 			}
 			auto message = to_request(parser.release());
-			co_await this->handle(std::move(message), *current);
+			auto has_failed = false;
+			try
+			{
+				co_await this->handle(std::move(message), *current);
+			}
+			catch (...)
+			{
+				has_failed = true;
+				this->report_exception();
+			}
+			if (has_failed && !current->has_begun())
+			{
+				auto answer = make_error(500, "internal", "the request failed because of an internal error",
+					"it may have run: check before repeating it");
+				std::ignore = co_await current->reply(std::move(answer));
+			}
 			current->end();
 			co_return current->can_reuse_connection();
 		}
@@ -267,9 +304,18 @@
 
 		void report_unread(unread_reason reason, request const& head)
 		{
-			if (this->on_unread)
+			if (this->hooks.on_unread)
+			{
+				this->hooks.on_unread(reason, head);
+			}
+		}
+
+		// Reports the exception that is being handled.
+		void report_exception()
+		{
+			if (this->hooks.on_exception)
 			{
-				this->on_unread(reason, head);
+				this->hooks.on_exception(describe_current_exception());
 			}
 		}
 
@@ -307,7 +353,7 @@
 		tcp::acceptor acceptor;
 		server_limits limits;
 		handler handle;
-		unread_hook on_unread;
+		server_hooks hooks;
 		std::set<connection_pointer> open;
 		bool is_draining = false;
 		bool is_stopping = false;
@@ -330,9 +376,9 @@
 	}
 
 	server::server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle,
-		unread_hook on_unread)
-		: impl(std::make_shared<implementation>(
-			  std::move(executor), where, limits, std::move(handle), std::move(on_unread)))
+		server_hooks hooks)
+		: impl(
+			  std::make_shared<implementation>(std::move(executor), where, limits, std::move(handle), std::move(hooks)))
 	{
 	}
 
--- a/packages/http/impl/server_connection.cpp
+++ b/packages/http/impl/server_connection.cpp
@@ -117,6 +117,7 @@
 		this->keep_alive = this->keep_alive && !this->is_draining();
 		message.keep_alive(this->keep_alive);
 		message.prepare_payload();
+		this->has_begun_answer = true;
 		this->connection->stream().expires_after(this->write_timeout);
 		auto const [error, size] = co_await beast::http::async_write(this->connection->stream(), message, token);
 		this->has_answered = !error;
@@ -131,6 +132,7 @@
 		this->keep_alive = this->keep_alive && !this->is_draining();
 		message.keep_alive(this->keep_alive);
 		beast::http::response_serializer<beast::http::empty_body> serializer(message);
+		this->has_begun_answer = true;
 		this->connection->stream().expires_after(this->write_timeout);
 		auto const [error, size] =
 			co_await beast::http::async_write_header(this->connection->stream(), serializer, token);
@@ -193,6 +195,11 @@
 		std::ignore = this->connection->stream().socket().cancel(ignored);
 	}
 
+	bool server_exchange::has_begun() const noexcept
+	{
+		return this->has_begun_answer;
+	}
+
 	bool server_exchange::can_reuse_connection() const noexcept
 	{
 		return this->has_answered && this->keep_alive;
--- a/packages/http/impl/server_connection.hpp
+++ b/packages/http/impl/server_connection.hpp
@@ -75,6 +75,9 @@
 		// Ends the exchange: the handler has returned.
 		void end();
 
+		// Returns whether the handler has begun to answer.
+		[[nodiscard]] bool has_begun() const noexcept;
+
 		// Returns whether the answer was sent completely and the connection may carry another request.
 		[[nodiscard]] bool can_reuse_connection() const noexcept;
 
@@ -85,6 +88,7 @@
 		duration write_timeout;
 		bool keep_alive;
 		std::function<bool()> is_draining;
+		bool has_begun_answer = false;
 		bool has_answered = false;
 		bool has_ended = false;
 		std::function<void()> close_callback;
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -85,11 +85,18 @@
 
 	[[nodiscard]] std::string_view to_string(unread_reason reason) noexcept;
 
-	// Receives each request that was not read to its end, with as much of its head as was parsed. Must not block.
-	using unread_hook = std::function<void(unread_reason, request const&)>;
+	// What a server reports. The hooks must neither block nor throw; each may be empty.
+	struct server_hooks
+	{
+		// Receives each request that was not read to its end, with as much of its head as was parsed.
+		std::function<void(unread_reason, request const&)> on_unread;
+		// Receives the message of each exception that ended a handler or the reading of a request.
+		std::function<void(std::string_view)> on_exception;
+	};
 
 	// An HTTP/1.1 server that runs a coroutine for each request. It answers requests that are too large or malformed
-	// with status 4xx and a JSON error, and closes connections on which a request takes too long to arrive.
+	// with status 4xx and a JSON error, and closes connections on which a request takes too long to arrive. When a
+	// handler throws, its request is answered with 500, or its answer is broken off if it has begun.
 	//
 	//     http::server server(context.get_executor(), {"127.0.0.1", 7000}, {}, handle);
 	//     server.start();
@@ -98,7 +105,7 @@
 	  public:
 		// Binds to the address; throws boost::system::system_error when that fails.
 		server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle,
-			unread_hook on_unread = {});
+			server_hooks hooks = {});
 		~server();
 
 		server(server const&) = delete;
--- a/tests/contract/gateway_fixture.hpp
+++ b/tests/contract/gateway_fixture.hpp
@@ -25,12 +25,13 @@
 	class gateway_fixture
 	{
 	  public:
-		explicit gateway_fixture(routing::route route, routing::service service = {})
+		explicit gateway_fixture(routing::route route, routing::service service = {},
+			gateway::call_protocol protocol = make_test_protocol())
 			: permits(this->shared, {instance_id("d1"), incarnation(1), "d1:1", [](decide::send_peer const&) {}},
 				  [](decide::record_event const&) {})
 			, origins(this->shared, {instance_id("d1"), incarnation(1), "d1:1", [](decide::send_peer const&) {}},
 				  [](decide::record_event const&) {})
-			, request_forwarder(this->loop.get_executor(), this->shared, this->permits, this->origins, make_test_protocol(),
+			, request_forwarder(this->loop.get_executor(), this->shared, this->permits, this->origins, std::move(protocol),
 				  this->totals, [this](decide::record_event event) { this->events.push_back(std::move(event)); })
 			, caller_listener(this->loop.get_executor(), {"127.0.0.1", 0}, {},
 				  [this](http::request message, http::exchange& http_exchange)
--- a/tests/contract/serving_thread.test.cpp
+++ b/tests/contract/serving_thread.test.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <ranges>
 #include <set>
+#include <stdexcept>
 #include <thread>
 
 #include <boost/asio/as_tuple.hpp>
@@ -77,12 +78,11 @@
 	class fixture
 	{
 	  public:
-		explicit fixture(duration termination_grace = seconds(8))
+		explicit fixture(
+			duration termination_grace = seconds(8), gateway::event_log log = [](decide::record_event const&) {})
 			: settings(make_settings(termination_grace))
 			, adapter(make_adapter())
-			, serving(
-				  settings, adapter, [](decide::record_event const&) {}, [] { return 0U; },
-				  [this] { this->has_drained = true; })
+			, serving(settings, adapter, std::move(log), [] { return 0U; }, [this] { this->has_drained = true; })
 		{
 			this->serving.start();
 		}
@@ -131,6 +131,25 @@
 	REQUIRE(send_request(fixture.settings.metrics_address, "/metrics").find("godwittrestle") != std::string::npos);
 }
 
+// An exception in the handling of a message to the serving thread ended the process.
+TEST_CASE("a daemon applies later configurations after an exception while it applied one", "[serving_thread]")
+{
+	fixture fixture(seconds(8),
+		[](decide::record_event const& line)
+		{
+			auto const is_fifth = std::ranges::any_of(line.fields,
+				[](decide::event_field const& each) { return each.name == "version" && each.value == "5"; });
+			if (line.name == "configuration_in_force" && is_fifth)
+			{
+				throw std::runtime_error("no memory");
+			}
+		});
+	fixture.publish(5, "/x/");
+	fixture.publish(6, "/z/");
+	REQUIRE(send_request(fixture.settings.caller_address, "/z/y").starts_with("HTTP/1.1 503"));
+	REQUIRE(send_request(fixture.settings.caller_address, "/x/y").starts_with("HTTP/1.1 404"));
+}
+
 TEST_CASE("an older configuration never replaces a newer one", "[serving_thread]")
 {
 	fixture fixture;
