--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -63,8 +63,13 @@
 			return is_peer_gone ? unread_reason::peer_closed : unread_reason::malformed;
 		}
 
-		response make_parse_error(error_code const& error)
+		response make_read_error(error_code const& error)
 		{
+			if (error == beast::error::timeout)
+			{
+				return make_error(
+					408, "timeout", "the request did not arrive in time", "send it again, without pauses within it");
+			}
 			if (error == beast::http::error::body_limit)
 			{
 				return make_error(413, "too_large", "the body is too large", "send a smaller body");
@@ -276,6 +281,10 @@
 				std::ignore = co_await current->reply(std::move(answer));
 			}
 			current->end();
+			if (current->is_answered() && !current->can_reuse_connection() && connection->has_unread_bytes())
+			{
+				co_await connection->close_after_answer();
+			}
 			co_return current->can_reuse_connection();
 		}
 
@@ -293,12 +302,14 @@
 			{
 				co_return;
 			}
-			this->report_unread(to_unread_reason(error, parser.is_header_done()), to_head(parser.get()));
-			if (error != beast::http::error::end_of_stream)
+			auto const reason = to_unread_reason(error, parser.is_header_done());
+			this->report_unread(reason, to_head(parser.get()));
+			if (reason != unread_reason::peer_closed || error == beast::http::error::partial_message)
 			{
-				auto const refused = this->make_exchange(std::move(connection), false);
-				auto answer = make_parse_error(error);
+				auto const refused = this->make_exchange(connection, false);
+				auto answer = make_read_error(error);
 				std::ignore = co_await refused->reply(std::move(answer));
+				co_await connection->close_after_answer();
 			}
 		}
 
@@ -325,8 +336,13 @@
 		{
 			auto& stream = connection.stream();
 			auto& buffer = connection.unparsed();
-			stream.expires_after(this->limits.header_timeout);
+			stream.expires_never();
+			connection.set_read_timeout(this->limits.header_timeout);
 			auto const [head_error, head_size] = co_await beast::http::async_read_header(stream, buffer, parser, token);
+			if (connection.end_read_timeout() && head_error)
+			{
+				co_return beast::error::timeout;
+			}
 			if (head_error)
 			{
 				co_return head_error;
@@ -335,9 +351,9 @@
 			{
 				co_return make_error_code(beast::http::error::bad_field);
 			}
-			stream.expires_after(this->limits.read_timeout);
 			if (expects_continue(parser.get()))
 			{
+				stream.expires_after(this->limits.write_timeout);
 				auto const interim = asio::buffer(continue_response);
 				auto const [error, size] = co_await asio::async_write(stream, interim, token);
 				if (error)
@@ -345,7 +361,17 @@
 					co_return error;
 				}
 			}
+			if (parser.is_done())
+			{
+				co_return error_code();
+			}
+			stream.expires_never();
+			connection.set_read_timeout(this->limits.read_timeout);
 			auto const [body_error, body_size] = co_await beast::http::async_read(stream, buffer, parser, token);
+			if (connection.end_read_timeout() && body_error)
+			{
+				co_return beast::error::timeout;
+			}
 			co_return body_error;
 		}
 
--- a/packages/http/impl/server_connection.cpp
+++ b/packages/http/impl/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "server_connection.hpp"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <tuple>
 #include <utility>
@@ -24,6 +25,10 @@
 
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
 		constexpr int http_1_1 = 11;
+		// Bounds of what is read behind an answer after which the connection is closed.
+		constexpr duration max_drop_time = seconds(2);
+		constexpr std::size_t max_dropped_bytes = 16'777'216;
+		constexpr std::size_t dropped_piece_bytes = 4'096;
 
 		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -57,7 +62,7 @@
 
 	server_connection::server_connection(tcp::socket socket, duration silence_timeout)
 		: tcp(std::move(socket))
-		, idle_timer(this->tcp.get_executor())
+		, timer(this->tcp.get_executor())
 	{
 		enable_dead_peer_detection(this->tcp.socket(), silence_timeout);
 	}
@@ -65,20 +70,10 @@
 	asio::awaitable<bool> server_connection::wait_for_bytes(duration idle_timeout)
 	{
 		this->is_idle = true;
-		this->idle_timer.expires_after(idle_timeout);
-		this->idle_timer.async_wait(
-			[weak = this->weak_from_this()](error_code const& error)
-			{
-				auto const self = weak.lock();
-				// A timer that expired just before it was set again belongs to an earlier wait.
-				if (!error && self && self->idle_timer.expiry() <= asio::steady_timer::clock_type::now())
-				{
-					self->close_if_idle();
-				}
-			});
+		this->set_timer(idle_timeout, &server_connection::close_if_idle);
 		auto const [error] = co_await this->tcp.socket().async_wait(tcp::socket::wait_read, token);
 		this->is_idle = false;
-		this->idle_timer.cancel();
+		this->timer.cancel();
 		co_return !error;
 	}
 
@@ -95,6 +90,58 @@
 		return peek_state(this->tcp.socket()) == connection_state::readable;
 	}
 
+	void server_connection::set_read_timeout(duration timeout)
+	{
+		this->is_read_timed_out = false;
+		this->set_timer(timeout, &server_connection::cancel_read);
+	}
+
+	bool server_connection::end_read_timeout()
+	{
+		this->timer.cancel();
+		return std::exchange(this->is_read_timed_out, false);
+	}
+
+	void server_connection::cancel_read()
+	{
+		this->is_read_timed_out = true;
+		error_code ignored;
+		std::ignore = this->tcp.socket().cancel(ignored);
+	}
+
+	void server_connection::set_timer(duration time, void (server_connection::*handle_end)())
+	{
+		this->timer.expires_after(time);
+		this->timer.async_wait(
+			[weak = this->weak_from_this(), handle_end](error_code const& error)
+			{
+				auto const self = weak.lock();
+				// A timer that expired just before it was set again belongs to an earlier wait.
+				if (!error && self && self->timer.expiry() <= asio::steady_timer::clock_type::now())
+				{
+					(self.get()->*handle_end)();
+				}
+			});
+	}
+
+	asio::awaitable<void> server_connection::close_after_answer()
+	{
+		error_code error;
+		std::ignore = this->tcp.socket().shutdown(tcp::socket::shutdown_send, error);
+		std::array<char, dropped_piece_bytes> dropped{};
+		std::size_t total = 0;
+		this->set_read_timeout(max_drop_time);
+		while (!error && total < max_dropped_bytes)
+		{
+			auto const into = asio::buffer(dropped);
+			auto const [read_error, size] = co_await this->tcp.socket().async_read_some(into, token);
+			error = read_error;
+			total += size;
+		}
+		std::ignore = this->end_read_timeout();
+		this->close();
+	}
+
 	void server_connection::close()
 	{
 		this->tcp.close();
--- a/packages/http/impl/server_connection.hpp
+++ b/packages/http/impl/server_connection.hpp
@@ -44,13 +44,34 @@
 
 		[[nodiscard]] bool has_arrived_bytes();
 
+		// Returns whether the peer has sent bytes behind the request that was read last.
+		[[nodiscard]] bool has_unread_bytes()
+		{
+			return this->buffer.size() > 0 || this->has_arrived_bytes();
+		}
+
+		// Ends the read in progress after this time without closing the connection, so that it can still be answered.
+		// A later call replaces an earlier one.
+		void set_read_timeout(duration timeout);
+		// Ends the time limit. Returns whether it ended a read.
+		bool end_read_timeout();
+
+		// Closes the connection behind an answer. When the peer still sends, its bytes are read and dropped for a
+		// bounded time first: otherwise the kernel would reset the connection, and the answer could be lost.
+		[[nodiscard]] asio::awaitable<void> close_after_answer();
+
 		void close();
 
 	  private:
+		// Calls a function of this connection at the end of the time, unless the timer was set again or cancelled.
+		void set_timer(duration time, void (server_connection::*handle_end)());
+		void cancel_read();
+
 		boost::beast::tcp_stream tcp;
 		boost::beast::flat_buffer buffer;
-		asio::steady_timer idle_timer;
+		asio::steady_timer timer;
 		bool is_idle = false;
+		bool is_read_timed_out = false;
 	};
 
 	// The exchange of one request on a connection. Shared by the request's handler and watch_for_close().
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -95,7 +95,7 @@
 	};
 
 	// An HTTP/1.1 server that runs a coroutine for each request. It answers requests that are too large or malformed
-	// with status 4xx and a JSON error, and closes connections on which a request takes too long to arrive. When a
+	// with status 4xx and a JSON error, and one that takes too long to arrive with 408. When a
 	// handler throws, its request is answered with 500, or its answer is broken off if it has begun.
 	//
 	//     http::server server(context.get_executor(), {"127.0.0.1", 7000}, {}, handle);
