--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -125,7 +125,7 @@
 			co_return send_failure::server_error;
 		}
 		this->totals->observe_first_byte(routing::to_string(state->matched_route->kind), head_at - state->started);
-		if (!state->is_caller_gone)
+		if (state->wants_answer())
 		{
 			std::ignore = co_await state->http_exchange->reply(std::move(whole));
 		}
@@ -135,7 +135,7 @@
 	asio::awaitable<bool> forwarder::is_whole(
 		state_pointer state, unread_answer& answer, routing::server_pointer server)
 	{
-		if (state->is_relayed_on || state->is_caller_gone || !answer.connection->ends_with_connection())
+		if (state->is_relayed_on || !state->wants_answer() || !answer.connection->ends_with_connection())
 		{
 			co_return true;
 		}
@@ -191,7 +191,7 @@
 		{
 			state.sent_to.erase(server.entry.id);
 		}
-		if (state.is_caller_gone)
+		if (!state.wants_answer())
 		{
 			return;
 		}
@@ -318,7 +318,7 @@
 
 	asio::awaitable<void> forwarder::fail_request(state_pointer state)
 	{
-		if (state->is_caller_gone)
+		if (!state->wants_answer())
 		{
 			this->totals->count_request(routing::to_string(state->matched_route->kind), "caller_gone");
 			this->log_event(*state, "request_abandoned",
@@ -410,7 +410,7 @@
 		{
 			answer.headers.push_back(this->protocol.retry_after(*retry_delay));
 		}
-		if (!state->is_caller_gone)
+		if (state->wants_answer())
 		{
 			std::ignore = co_await state->http_exchange->reply(std::move(answer));
 		}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -295,13 +295,23 @@
 			}
 		}
 
+		[[nodiscard]] bool is_repeatable() const noexcept
+		{
+			return this->matched_route == nullptr || this->matched_route->kind != routing::call_kind::non_idempotent;
+		}
+
+		// Returns whether an answer is written to the caller. A caller that has closed only its sending side can't be
+		// told from one that is gone; a call that can't be repeated is answered all the same.
+		[[nodiscard]] bool wants_answer() const noexcept
+		{
+			return !this->is_caller_gone || !this->is_repeatable();
+		}
+
 		// Closes the connection to the server after the caller has disconnected. A non-idempotent call runs to its end.
 		void handle_caller_gone()
 		{
 			this->is_caller_gone = true;
-			auto const must_complete =
-				this->matched_route != nullptr && this->matched_route->kind == routing::call_kind::non_idempotent;
-			if (this->connection && !must_complete)
+			if (this->connection && this->is_repeatable())
 			{
 				this->connection->close();
 			}
