--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,8 @@
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <tuple>
 
 #include <godwittrestle/daemon/application.hpp>
 #include <godwittrestle/daemon/settings.hpp>
@@ -13,6 +15,17 @@
 	constexpr int exit_failure = 1;
 	constexpr int exit_invalid_setting = 2;
 
+	// SIGHUP asks a running process to read its settings again. Before the signal is handled it would end the process,
+	// which reads its settings anyway.
+	void ignore_hangup(int /*count*/, char** /*arguments*/, char** /*environment*/)
+	{
+		std::ignore = std::signal(SIGHUP, SIG_IGN);
+	}
+
+	// Runs before the initialisers of the libraries, which take most of the time until main().
+	[[gnu::section(".preinit_array"), gnu::used]] void (*const ignore_early_hangup)(
+		int, char**, char**) = ignore_hangup;
+
 	// Runs as a gateway on the users' platform. settings_path: the settings file that the platform provides.
 	result<int> run_gateway(std::string const& settings_path)
 	{
@@ -39,6 +52,7 @@
 		{
 			return EXIT_SUCCESS;
 		}
+		std::ignore = std::signal(SIGHUP, SIG_DFL);
 		daemon::application application(std::move(line.settings));
 		return application.run();
 	}
--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -21,6 +21,11 @@
 		child_process(child_process&&) = delete;
 		child_process& operator=(child_process&&) = delete;
 
+		[[nodiscard]] int id() const noexcept
+		{
+			return this->process_id;
+		}
+
 		// Sends a signal, unless exit_code has already returned the end of the process.
 		void signal(int number) const;
 
