--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -354,6 +354,11 @@
 			state.no_retry_reason = "must_not_be_repeated";
 			return false;
 		}
+		if (state.is_plain_answer_begun)
+		{
+			state.no_retry_reason = "answer_begun";
+			return false;
+		}
 		if (!state.joiner.may_go_on())
 		{
 			state.no_retry_reason = "no_event_id";
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -92,6 +92,7 @@
 				auto is_accepted = true;
 				if (!std::exchange(state->is_head_sent, true))
 				{
+					state->is_plain_answer_begun = true;
 					http::response head;
 					head.status = answer.head.status;
 					head.headers = http::end_to_end_headers(answer.head.headers);
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -235,6 +235,8 @@
 		bool was_limited = false;
 		bool is_caller_gone = false;
 		bool is_head_sent = false;
+		// Whether a part of an answer that is no event stream was passed on. No other answer can continue it.
+		bool is_plain_answer_begun = false;
 		// Whether the decode engine has to prefill the prompt itself, because a separate prefill or the fetch of its KV
 		// cache has failed.
 		bool is_separate_prefill_disabled = false;
