--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -281,10 +281,6 @@
 				std::ignore = co_await current->reply(std::move(answer));
 			}
 			current->end();
-			if (current->is_answered() && !current->can_reuse_connection() && connection->has_unread_bytes())
-			{
-				co_await connection->close_after_answer();
-			}
 			co_return current->can_reuse_connection();
 		}
 
--- a/packages/http/impl/server_connection.cpp
+++ b/packages/http/impl/server_connection.cpp
@@ -29,6 +29,7 @@
 		constexpr duration max_drop_time = seconds(2);
 		constexpr std::size_t max_dropped_bytes = 16'777'216;
 		constexpr std::size_t dropped_piece_bytes = 4'096;
+		constexpr duration cancel_interval = milliseconds(10);
 
 		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -73,7 +74,7 @@
 		this->set_timer(idle_timeout, &server_connection::close_if_idle);
 		auto const [error] = co_await this->tcp.socket().async_wait(tcp::socket::wait_read, token);
 		this->is_idle = false;
-		this->timer.cancel();
+		this->cancel_timer();
 		co_return !error;
 	}
 
@@ -98,7 +99,7 @@
 
 	bool server_connection::end_read_timeout()
 	{
-		this->timer.cancel();
+		this->cancel_timer();
 		return std::exchange(this->is_read_timed_out, false);
 	}
 
@@ -107,23 +108,30 @@
 		this->is_read_timed_out = true;
 		error_code ignored;
 		std::ignore = this->tcp.socket().cancel(ignored);
+		// A read that has just ended is followed by another one, which the cancellation has missed.
+		this->set_timer(cancel_interval, &server_connection::cancel_read);
 	}
 
 	void server_connection::set_timer(duration time, void (server_connection::*handle_end)())
 	{
 		this->timer.expires_after(time);
 		this->timer.async_wait(
-			[weak = this->weak_from_this(), handle_end](error_code const& error)
+			[weak = this->weak_from_this(), number = ++this->timer_number, handle_end](error_code const& error)
 			{
 				auto const self = weak.lock();
-				// A timer that expired just before it was set again belongs to an earlier wait.
-				if (!error && self && self->timer.expiry() <= asio::steady_timer::clock_type::now())
+				if (!error && self && self->timer_number == number)
 				{
 					(self.get()->*handle_end)();
 				}
 			});
 	}
 
+	void server_connection::cancel_timer()
+	{
+		++this->timer_number;
+		this->timer.cancel();
+	}
+
 	asio::awaitable<void> server_connection::close_after_answer()
 	{
 		error_code error;
@@ -131,7 +139,7 @@
 		std::array<char, dropped_piece_bytes> dropped{};
 		std::size_t total = 0;
 		this->set_read_timeout(max_drop_time);
-		while (!error && total < max_dropped_bytes)
+		while (!error && !this->is_read_timed_out && total < max_dropped_bytes)
 		{
 			auto const into = asio::buffer(dropped);
 			auto const [read_error, size] = co_await this->tcp.socket().async_read_some(into, token);
--- a/packages/http/impl/server_connection.hpp
+++ b/packages/http/impl/server_connection.hpp
@@ -44,14 +44,8 @@
 
 		[[nodiscard]] bool has_arrived_bytes();
 
-		// Returns whether the peer has sent bytes behind the request that was read last.
-		[[nodiscard]] bool has_unread_bytes()
-		{
-			return this->buffer.size() > 0 || this->has_arrived_bytes();
-		}
-
-		// Ends the read in progress after this time without closing the connection, so that it can still be answered.
-		// A later call replaces an earlier one.
+		// Ends reading after this time without closing the connection, so that it can still be answered: the read in
+		// progress and those that follow it, until end_read_timeout(). A later call replaces an earlier one.
 		void set_read_timeout(duration timeout);
 		// Ends the time limit. Returns whether it ended a read.
 		bool end_read_timeout();
@@ -65,11 +59,14 @@
 	  private:
 		// Calls a function of this connection at the end of the time, unless the timer was set again or cancelled.
 		void set_timer(duration time, void (server_connection::*handle_end)());
+		void cancel_timer();
 		void cancel_read();
 
 		boost::beast::tcp_stream tcp;
 		boost::beast::flat_buffer buffer;
 		asio::steady_timer timer;
+		// Raised when the timer is set or cancelled, so that a handler that is queued already can be recognised.
+		std::uint64_t timer_number = 0;
 		bool is_idle = false;
 		bool is_read_timed_out = false;
 	};
