--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -152,10 +152,7 @@
 		for (auto const& state : this->requests)
 		{
 			state->deadline = std::min(state->deadline, now);
-			if (state->connection)
-			{
-				state->connection->close();
-			}
+			state->connection->close();
 		}
 	}
 
@@ -224,6 +221,7 @@
 	asio::awaitable<forwarder::send_outcome> forwarder::send(state_pointer state, routing::server_pointer server,
 		send_options options, duration max_silence, bool has_permit)
 	{
+		state->connection->clear();
 		auto const& entry = server->entry;
 		auto const max_idle_for_call = state->matched_route->is_repeatable() || options.part == call_part::prefill
 										   ? max_idle
@@ -276,7 +274,7 @@
 		options.time_left = state->time_left();
 		options.server = entry.id;
 		auto const outgoing = this->protocol.write_call(state->message, options);
-		state->connection = connection;
+		pooled.lend_to(state->connection);
 		state->sent_to.insert(entry.id);
 		auto const sent_at = monotonic_now();
 		state->sent_at = sent_at;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -176,10 +176,10 @@
 
 	void forwarder::record_failure(request_state& state, routing::server_record& server, send_failure failure)
 	{
-		auto const connection = std::exchange(state.connection, nullptr);
-		auto const was_closed = connection && (connection->was_closed_by_peer() || connection->ends_with_connection());
+		auto const was_closed_by_peer = state.connection->was_closed_by_peer();
+		auto const was_closed = was_closed_by_peer || state.connection->ends_with_connection();
 		state.failure = failure;
-		if (connection && (connection->was_closed_by_peer() || (was_closed && failure == send_failure::broken)))
+		if (was_closed_by_peer || (was_closed && failure == send_failure::broken))
 		{
 			this->shared->servers.note_end_sign(server.entry.id, monotonic_now());
 		}
@@ -241,7 +241,6 @@
 
 	void forwarder::record_success(request_state& state, routing::server_record& server, unread_answer& answer)
 	{
-		state.connection = nullptr;
 		auto const now = monotonic_now();
 		server.health.note(routing::call_outcome::served, now);
 		auto const outcome = state.is_caller_gone ? "caller_gone" : "served";
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -69,7 +69,6 @@
 			}
 			tried.insert(peer->id);
 			auto const failure = co_await this->relay_to(state, std::move(*peer));
-			state->connection = nullptr;
 			if (!failure)
 			{
 				co_return;
@@ -120,7 +119,7 @@
 				{"left_ms", milliseconds_text(state->time_left())}});
 		auto const outgoing = this->protocol.write_call(state->message, options);
 		state->is_relayed_on = true;
-		state->connection = connection;
+		pooled.lend_to(state->connection);
 		state->sent_at = monotonic_now();
 		state->events_before_send = state->joiner.events();
 		connection->send(outgoing);
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -104,6 +104,57 @@
 		routing::queue_ticket number;
 	};
 
+	// The connection that a request's call is sent on. It can be closed here only while a pooled_connection owns it:
+	// after that it may carry another request. How it stood when it was returned stays known until the next call.
+	class connection_in_use
+	{
+	  public:
+		// Forgets the connection of the call before.
+		void clear()
+		{
+			this->connection = nullptr;
+			this->has_peer_closed = false;
+			this->is_end_of_answer = false;
+		}
+
+		void begin(http::upstream_pointer used)
+		{
+			this->clear();
+			this->connection = std::move(used);
+		}
+
+		// Must be called before the connection is returned to its pool.
+		void end()
+		{
+			this->has_peer_closed = this->was_closed_by_peer();
+			this->is_end_of_answer = this->ends_with_connection();
+			this->connection = nullptr;
+		}
+
+		void close()
+		{
+			if (this->connection)
+			{
+				this->connection->close();
+			}
+		}
+
+		[[nodiscard]] bool was_closed_by_peer() const
+		{
+			return this->connection ? this->connection->was_closed_by_peer() : this->has_peer_closed;
+		}
+
+		[[nodiscard]] bool ends_with_connection() const
+		{
+			return this->connection ? this->connection->ends_with_connection() : this->is_end_of_answer;
+		}
+
+	  private:
+		http::upstream_pointer connection;
+		bool has_peer_closed = false;
+		bool is_end_of_answer = false;
+	};
+
 	// Owns a connection taken from a pool. The destructor returns it to the pool, which closes it when it can't be
 	// reused.
 	class pooled_connection
@@ -116,6 +167,13 @@
 		{
 		}
 
+		// From now on until the connection is returned, the request may close it.
+		void lend_to(std::shared_ptr<connection_in_use> request)
+		{
+			request->begin(this->connection);
+			this->borrower = std::move(request);
+		}
+
 		~pooled_connection()
 		{
 			this->release();
@@ -131,6 +189,10 @@
 		{
 			if (auto const returned = std::exchange(this->connection, nullptr))
 			{
+				if (auto const request = std::exchange(this->borrower, nullptr))
+				{
+					request->end();
+				}
 				this->pool->release(this->server, returned);
 			}
 		}
@@ -154,6 +216,7 @@
 		connection_pool* pool;
 		routing::registered_server server;
 		http::upstream_pointer connection;
+		std::shared_ptr<connection_in_use> borrower;
 	};
 
 	// Converts the failure of a connection to the failure of the call that was sent on it.
@@ -200,7 +263,7 @@
 		// The last error response of a server. It is passed on when no server serves the request.
 		std::optional<http::response> server_failure;
 		stream_joiner joiner{std::nullopt};
-		http::upstream_pointer connection;
+		std::shared_ptr<connection_in_use> const connection = std::make_shared<connection_in_use>();
 		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
 		std::optional<time_point> sent_at;
 		std::uint64_t events_before_send = 0;
@@ -313,7 +376,7 @@
 		void handle_caller_gone()
 		{
 			this->is_caller_gone = true;
-			if (this->connection && this->is_repeatable())
+			if (this->is_repeatable())
 			{
 				this->connection->close();
 			}
--- a/tests/contract/gateway_fixture.hpp
+++ b/tests/contract/gateway_fixture.hpp
@@ -63,14 +63,21 @@
 			return run_to_end(this->loop, this->exchange(request_text(method, time_left)));
 		}
 
-		// Sends one request with a long time limit and closes the connection when the condition holds.
-		template <typename Condition>
-		void send_request_and_disconnect(Condition condition)
+		// Sends one request with a long time limit and returns the caller's connection.
+		[[nodiscard]] boost::asio::ip::tcp::socket begin_request()
 		{
 			boost::asio::ip::tcp::socket socket(this->loop);
 			socket.connect(boost::asio::ip::tcp::endpoint(
 				boost::asio::ip::make_address("127.0.0.1"), this->caller_listener.port()));
 			boost::asio::write(socket, boost::asio::buffer(request_text("POST", seconds(1000))));
+			return socket;
+		}
+
+		// Sends one request with a long time limit and closes the connection when the condition holds.
+		template <typename Condition>
+		void send_request_and_disconnect(Condition condition)
+		{
+			auto socket = this->begin_request();
 			this->run_until(condition);
 			socket.close();
 		}
