--- a/packages/routing/impl/fleet.cpp
+++ b/packages/routing/impl/fleet.cpp
@@ -45,16 +45,16 @@
 			return false;
 		}
 		auto& known = this->members[sender.id];
-		if (sender.started < known.started)
+		if (this->is_outdated(known, sender))
 		{
 			return false;
 		}
-		auto const was_gone = sender.heard_at - known.heard_at > this->member_timeout();
-		if (sender.started > known.started || was_gone)
+		auto const was_gone = sender.heard_at - known.latest.heard_at > this->member_timeout();
+		if (sender.started != known.latest.started || was_gone)
 		{
 			this->arrived_at = sender.heard_at;
 		}
-		known = sender;
+		replace(known, sender);
 		return true;
 	}
 
@@ -64,21 +64,52 @@
 		{
 			return;
 		}
-		auto const known = this->members.find(reported.id);
-		if (known == this->members.end() || known->second.started < reported.started)
+		auto const [position, is_unknown] = this->members.try_emplace(reported.id);
+		auto& known = position->second;
+		if (!is_unknown && this->is_outdated(known, reported))
 		{
-			this->members.insert_or_assign(reported.id, reported);
+			return;
+		}
+		if (is_unknown || reported.started != known.latest.started)
+		{
+			replace(known, reported);
 			this->arrived_at = now;
 			return;
 		}
-		if (known->second.started == reported.started)
+		if (now - known.latest.heard_at > this->member_timeout())
+		{
+			this->arrived_at = now;
+		}
+		known.latest.heard_at = std::max(known.latest.heard_at, reported.heard_at);
+	}
+
+	bool fleet::is_outdated(known_member& known, fleet_member const& heard) const
+	{
+		auto const& latest = known.latest;
+		auto const is_later = heard.started > latest.started && heard.started != known.replaced;
+		if (heard.started == latest.started || is_later)
+		{
+			return false;
+		}
+		auto& doubtful = known.doubtful;
+		if (!doubtful || doubtful->started != heard.started || doubtful->first_heard_at <= latest.heard_at)
+		{
+			doubtful = doubtful_start{heard.started, heard.heard_at};
+		}
+		return heard.heard_at - doubtful->first_heard_at <= this->member_timeout();
+	}
+
+	void fleet::replace(known_member& known, fleet_member const& heard)
+	{
+		if (heard.started < known.latest.started)
+		{
+			known.replaced = known.latest.started;
+		}
+		else if (known.replaced && heard.started >= *known.replaced)
 		{
-			if (now - known->second.heard_at > this->member_timeout())
-			{
-				this->arrived_at = now;
-			}
-			known->second.heard_at = std::max(known->second.heard_at, reported.heard_at);
+			known.replaced.reset();
 		}
+		known.latest = heard;
 	}
 
 	void fleet::remove(instance_id const& daemon)
@@ -89,7 +120,8 @@
 	std::vector<fleet_member> fleet::live(time_point now) const
 	{
 		std::vector<fleet_member> found;
-		std::ranges::copy_if(this->members | std::views::values, std::back_inserter(found),
+		auto const latest = this->members | std::views::values | std::views::transform(&known_member::latest);
+		std::ranges::copy_if(latest, std::back_inserter(found),
 			[&](fleet_member const& each) { return now - each.heard_at <= this->member_timeout(); });
 		return found;
 	}
--- a/packages/routing/include/godwittrestle/routing/fleet.hpp
+++ b/packages/routing/include/godwittrestle/routing/fleet.hpp
@@ -32,10 +32,13 @@
 		void set_seeds(std::vector<std::string> addresses);
 
 		// Records a message from a daemon. Returns false, and the message must be ignored, when it is from an older
-		// incarnation of the sender or from this daemon itself.
+		// incarnation of the sender or from this daemon itself. An incarnation is a time of day, which may step back
+		// before a daemon restarts: the lower one is taken for the newer when it is heard for longer than the time
+		// after which a member counts as gone, and the higher one is not heard meanwhile.
 		[[nodiscard]] bool note_message(fleet_member const& sender);
 
-		// Records a daemon that another daemon reported. Ignores a report that is older than the stored data.
+		// Records a daemon that another daemon reported. Ignores a report that is older than the stored data; what
+		// note_message() says of a lower incarnation holds here as well.
 		void note_member_report(fleet_member const& reported, time_point now);
 
 		// Returns the time at which a daemon last started, or returned after it had counted as gone; nothing when none
@@ -67,13 +70,35 @@
 		[[nodiscard]] duration notice_interval(time_point now) const;
 
 	  private:
+		// An incarnation that seems older than the recorded one, and when it was first heard since the recorded one
+		// was.
+		struct doubtful_start
+		{
+			incarnation started;
+			time_point first_heard_at;
+		};
+
+		struct known_member
+		{
+			fleet_member latest;
+			std::optional<doubtful_start> doubtful;
+			// The incarnation that the latest one has replaced although it is higher.
+			std::optional<incarnation> replaced;
+		};
+
+		// Returns whether a message or report is of an older incarnation than the recorded one.
+		[[nodiscard]] bool is_outdated(known_member& known, fleet_member const& heard) const;
+
+		// Replaces the recorded data.
+		static void replace(known_member& known, fleet_member const& heard);
+
 		// Returns the time after which a member that no message has mentioned counts as gone.
 		[[nodiscard]] duration member_timeout() const noexcept;
 
 		instance_id own_id;
 		std::string own_address;
 		std::vector<std::string> seeds;
-		std::map<instance_id, fleet_member> members;
+		std::map<instance_id, known_member> members;
 		std::optional<time_point> arrived_at;
 		time_point seeds_contacted_at;
 	};
--- a/tests/unit/fleet.test.cpp
+++ b/tests/unit/fleet.test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <random>
 
 #include "routing_support.hpp"
@@ -33,6 +34,81 @@
 	REQUIRE_FALSE(fleet.note_message(member("own", 9, at_ms(5))));
 }
 
+TEST_CASE("a daemon that restarts after its clock stepped back is heard again", "[fleet]")
+{
+	routing::fleet fleet(instance_id("own"), "own:1");
+	REQUIRE(fleet.note_message(member("a", 900, at_ms(0))));
+	// The daemon restarts at 100 ms, by its clock earlier than before, and sends a notice each 100 ms.
+	constexpr int last_notice_ms = 8'000;
+	std::optional<int> accepted_at;
+	for (int now = 100; now <= last_notice_ms; now += 100)
+	{
+		auto const is_accepted = fleet.note_message(member("a", 40, at_ms(now)));
+		REQUIRE((is_accepted || !accepted_at));
+		if (is_accepted && !accepted_at)
+		{
+			accepted_at = now;
+		}
+		// Another daemon still names the earlier start, of which it heard last at 50 ms.
+		fleet.note_member_report(member("a", 900, at_ms(50)), at_ms(now));
+	}
+	// The earlier start counts as lost after 3.5 s.
+	REQUIRE(accepted_at);
+	REQUIRE(*accepted_at > 3500);
+	REQUIRE(*accepted_at <= 4000);
+	REQUIRE(fleet.last_arrival() == at_ms(*accepted_at));
+	REQUIRE(fleet.live(at_ms(last_notice_ms)).front().started == incarnation(40));
+}
+
+TEST_CASE("a daemon whose clock stepped back is also learnt from the reports of others", "[fleet]")
+{
+	routing::fleet fleet(instance_id("own"), "own:1");
+	REQUIRE(fleet.note_message(member("a", 900, at_ms(0))));
+	for (int now = 100; now <= 8'000; now += 100)
+	{
+		fleet.note_member_report(member("a", 40, at_ms(now - 50)), at_ms(now));
+	}
+	REQUIRE(fleet.live(at_ms(8'000)).size() == 1);
+	REQUIRE(fleet.note_message(member("a", 40, at_ms(8'050))));
+}
+
+TEST_CASE("late messages of an earlier start don't replace a later one", "[fleet]")
+{
+	routing::fleet fleet(instance_id("own"), "own:1");
+	auto const is_later_alive = GENERATE(true, false);
+	REQUIRE(fleet.note_message(member("a", 5, at_ms(0))));
+	REQUIRE_FALSE(fleet.note_message(member("a", 4, at_ms(5))));
+	for (int now = 1'000; is_later_alive && now <= 20'000; now += 1'000)
+	{
+		// The later start is known to live by its own messages, or by the reports of others.
+		if (now % 2'000 == 0)
+		{
+			REQUIRE(fleet.note_message(member("a", 5, at_ms(now))));
+		}
+		else
+		{
+			fleet.note_member_report(member("a", 5, at_ms(now - 50)), at_ms(now));
+		}
+		REQUIRE_FALSE(fleet.note_message(member("a", 4, at_ms(now + 5))));
+		fleet.note_member_report(member("a", 4, at_ms(now + 5)), at_ms(now + 10));
+	}
+	// Others name the earlier start for a while, with the time at which they heard it last.
+	auto const last_heard = is_later_alive ? 20'006 : 6;
+	for (int now = last_heard + 100; now <= last_heard + 10'000; now += 100)
+	{
+		fleet.note_member_report(member("a", 4, at_ms(last_heard)), at_ms(now));
+	}
+	// One message that was held up is no sign of a restart, although the later start is silent by now.
+	if (!is_later_alive)
+	{
+		REQUIRE(fleet.live(at_ms(10'000)).empty());
+		return;
+	}
+	REQUIRE(fleet.note_message(member("a", 5, at_ms(30'000))));
+	REQUIRE_FALSE(fleet.note_message(member("a", 4, at_ms(30'100))));
+	REQUIRE(fleet.live(at_ms(30'100)).front().started == incarnation(5));
+}
+
 TEST_CASE("a daemon without members contacts its seeds more often", "[fleet]")
 {
 	routing::fleet fleet(instance_id("own"), "own:1");
