--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -132,7 +132,8 @@
 				state->deadline = std::min(state->deadline, state->started + state->matched_route->timeout);
 				if (!is_relayed)
 				{
-					this->shared->retry_budgets[state->service].note_request(state->started);
+					auto& budget = this->shared->retry_budgets[state->service];
+					budget.note_request(this->shared->retries.window, state->started);
 				}
 				if (state->matched_route->kind == routing::call_kind::streaming)
 				{
--- a/packages/routing/impl/retry_budget.cpp
+++ b/packages/routing/impl/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/routing/retry_budget.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace godwittrestle::routing
 {
@@ -10,24 +11,26 @@
 		// the same time.
 		constexpr double usable_budget_part = 0.8;
 
-		void drop_before(std::deque<time_point>& times, time_point oldest)
-		{
-			while (!times.empty() && times.front() < oldest)
-			{
-				times.pop_front();
-			}
-		}
+		// Requests of a period expire together, with the first of them: up to this part of the window early.
+		constexpr int periods_per_window = 100;
 	}
 
-	void retry_budget::note_request(time_point now)
+	void retry_budget::note_request(duration window, time_point now)
 	{
-		this->requests.push_back(now);
+		this->drop_expired(window, now);
+		if (this->periods.empty() || now - this->periods.back().begin >= window / periods_per_window)
+		{
+			this->periods.push_back({now, 0});
+		}
+		++this->periods.back().requests;
 	}
 
 	bool retry_budget::has_left(retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
 	{
 		this->drop_expired(terms.window, now);
-		auto const from_requests = terms.ratio * static_cast<double>(this->requests.size());
+		auto const requests = std::accumulate(this->periods.begin(), this->periods.end(), std::uint64_t{0},
+			[](std::uint64_t sum, request_period const& each) { return sum + each.requests; });
+		auto const from_requests = terms.ratio * static_cast<double>(requests);
 		auto const slack_share = terms.slack / std::max(1U, daemons);
 		return static_cast<double>(this->retries.size()) + 1 <= usable_budget_part * (from_requests + slack_share);
 	}
@@ -49,7 +52,14 @@
 
 	void retry_budget::drop_expired(duration window, time_point now)
 	{
-		drop_before(this->requests, now - window);
-		drop_before(this->retries, now - window);
+		auto const oldest = now - window;
+		while (!this->periods.empty() && this->periods.front().begin < oldest)
+		{
+			this->periods.pop_front();
+		}
+		while (!this->retries.empty() && this->retries.front() < oldest)
+		{
+			this->retries.pop_front();
+		}
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/retry_budget.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_budget.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -26,7 +27,8 @@
 	class retry_budget
 	{
 	  public:
-		void note_request(time_point now);
+		// window: that of the settings in force.
+		void note_request(duration window, time_point now);
 
 		// Spends one retry. Returns false when none is left. daemons: number of daemons that share the slack.
 		[[nodiscard]] bool try_spend(retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
@@ -37,10 +39,23 @@
 		// Records a retry that has been sent already, also when none was left.
 		void charge(time_point now);
 
+		// Returns for how many periods requests are counted at present.
+		[[nodiscard]] std::size_t stored_periods() const noexcept
+		{
+			return this->periods.size();
+		}
+
 	  private:
+		// Requests counted together, from the first of them on, so that the memory doesn't grow with their rate.
+		struct request_period
+		{
+			time_point begin;
+			std::uint64_t requests = 0;
+		};
+
 		void drop_expired(duration window, time_point now);
 
-		std::deque<time_point> requests;
+		std::deque<request_period> periods;
 		std::deque<time_point> retries;
 	};
 }
