--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -146,7 +146,7 @@
 	asio::awaitable<std::optional<forwarder::reserved_engine>> forwarder::try_reserve(
 		state_pointer state, std::vector<routing::server_pointer> engines, bool is_late)
 	{
-		auto const longest = this->longest_reservation(state->service);
+		auto const longest = this->longest_reservation(*state);
 		if (!longest)
 		{
 			for (auto const& engine : engines)
@@ -357,9 +357,10 @@
 		co_return reservation;
 	}
 
-	std::optional<duration> forwarder::longest_reservation(service_id const& service) const
+	std::optional<duration> forwarder::longest_reservation(request_state const& state) const
 	{
-		auto const* const terms = this->shared->routes->find_service(service);
+		auto const* const in_force = this->shared->routes->find_service(state.service);
+		auto const* const terms = in_force != nullptr ? in_force : state.routes->find_service(state.service);
 		return terms == nullptr || !terms->engine ? std::nullopt : terms->engine->longest_reservation;
 	}
 }
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -295,7 +295,9 @@
 		// Returns whether this daemon started so recently that it may not know the load that other daemons put on the
 		// servers.
 		[[nodiscard]] bool is_recently_started() const;
-		[[nodiscard]] std::optional<duration> longest_reservation(service_id const& service) const;
+		// Returns the value in force or, when the service has been taken out of the configuration since the request
+		// arrived, the value of then. Without it a stream would go to an engine without room.
+		[[nodiscard]] std::optional<duration> longest_reservation(request_state const& state) const;
 
 		void log_event(request_state const& state, std::string name, std::vector<decide::event_field> fields);
 		[[nodiscard]] std::size_t connection_limit(routing::registered_server const& server) const;
