--- a/packages/base/include/godwittrestle/base/exception.hpp
+++ b/packages/base/include/godwittrestle/base/exception.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdio>
 #include <exception>
 #include <string>
+#include <tuple>
 
 namespace godwittrestle
 {
@@ -22,6 +24,12 @@
 		}
 	}
 
+	// Says on standard error that an exception could not be logged for lack of memory. Needs no memory itself.
+	inline void report_lost_log_line() noexcept
+	{
+		std::ignore = std::fputs("godwittrestle: no memory to log an exception\n", stderr);
+	}
+
 	// Returns the message of the exception that is being handled. Must be called from a catch block.
 	[[nodiscard]] inline std::string describe_current_exception()
 	{
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -287,7 +287,7 @@
 		}
 		catch (std::bad_alloc const&)
 		{
-			// There is no memory for the line either.
+			report_lost_log_line();
 		}
 	}
 
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -391,7 +391,7 @@
 		}
 		catch (std::bad_alloc const&)
 		{
-			// There is no memory for the line either; the loops go on all the same.
+			report_lost_log_line();
 		}
 	}
 
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -350,7 +350,7 @@
 			}
 			catch (std::bad_alloc const&)
 			{
-				// There is no memory for the line either.
+				report_lost_log_line();
 			}
 		}
 
