--- a/tests/contract/changed_configuration.test.cpp
+++ b/tests/contract/changed_configuration.test.cpp
@@ -596,7 +596,8 @@
 			held.emplace_back(daemon.address(), request_text(path, fmt::format("h{}{}", path, number)));
 		}
 	}
-	wait_until([&] { return plain.attempts().size() == 2 * held_of_each && engine.first_events == 2 * held_of_each; });
+	auto const held_of_kind = static_cast<std::size_t>(held_of_each) * 2;
+	wait_until([&] { return plain.attempts().size() == held_of_kind && engine.first_events == held_of_kind; });
 	config.services.begin()->second.max_connections = lowered_to;
 	daemon.publish(config);
 	std::list<std::pair<std::string, caller>> fresh;
--- a/tests/contract/idle_limit.test.cpp
+++ b/tests/contract/idle_limit.test.cpp
@@ -134,6 +134,7 @@
 	std::vector<tcp::socket> connect_all(stalled_server& server, int count)
 	{
 		std::vector<tcp::socket> sockets;
+		sockets.reserve(static_cast<std::size_t>(count));
 		for (int number = 0; number < count; ++number)
 		{
 			sockets.push_back(server.connect());
