--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -134,6 +134,7 @@
 		auto const all = placement.decode->load.total(now);
 		this->log_event(state, "request_placed",
 			{{"decode", placement.decode->entry.id.str()}, {"decode_version", placement.decode->entry.version.str()},
+				{"decode_start", std::to_string(placement.decode->entry.started.count())},
 				{"last_event", state.joiner.last_event().value_or("")}, {"resumes", state.call.resumes.str()},
 				{"prefill", placement.prefill ? placement.prefill->entry.id.str() : ""},
 				{"reserved", is_reserved ? "yes" : "no"},
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -301,6 +301,12 @@
 			return;
 		}
 		this->shared->origins.note(fingerprint_of(named), {*state.origin, now, this->shared->own_id});
+		auto const present = this->shared->servers.find(server.entry.id);
+		this->log_event(state, "stream_origin_recorded",
+			{{"attempt", to_text(fingerprint_of(named))}, {"server", server.entry.id.str()},
+				{"entry_start", std::to_string(server.entry.started.count())},
+				{"present_entry_start", present ? std::to_string(present->entry.started.count()) : "none"},
+				{"version", state.origin->version.str()}, {"taken_up", state.call.last_event ? "yes" : "no"}});
 		this->origins->tell_due(now);
 	}
 
--- a/packages/gateway/impl/serving_thread_registry.cpp
+++ b/packages/gateway/impl/serving_thread_registry.cpp
@@ -136,9 +136,9 @@
 		{
 			return;
 		}
-		this->log_event(
-			"server_entry_changed", {{"server", entry.id.str()}, {"service", entry.service.str()},
-										{"role", std::string(routing::to_string(entry.role))},
-										{"version", entry.version.str()}, {"leaving", entry.leaving ? "yes" : "no"}});
+		this->log_event("server_entry_changed",
+			{{"server", entry.id.str()}, {"service", entry.service.str()},
+				{"role", std::string(routing::to_string(entry.role))}, {"version", entry.version.str()},
+				{"started", std::to_string(entry.started.count())}, {"leaving", entry.leaving ? "yes" : "no"}});
 	}
 }
