--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -223,6 +223,8 @@
 		send_options options, duration max_silence, bool has_permit)
 	{
 		state->connection->clear();
+		// The server's entry may have been read anew since it was chosen.
+		server = this->present_record(server);
 		auto const& entry = server->entry;
 		auto const max_idle_for_call = state->matched_route->is_repeatable() || options.part == call_part::prefill
 										   ? max_idle
@@ -259,11 +261,12 @@
 				co_return send_failure::not_permitted;
 			}
 		}
-		// A sign that the engine has ended may have come while the connection was opened.
+		// A sign that the engine has ended, or a new entry, may have come while the connection was opened.
+		auto const present = this->present_record(server);
 		auto const is_doubtful = state->matched_route->kind == routing::call_kind::streaming &&
-								 options.part == call_part::whole && is_start_doubtful(*state, *server);
+								 options.part == call_part::whole && this->is_start_doubtful(*state, *server);
 		if (state->is_caller_gone || state->is_out_of_time() || is_doubtful || server->is_leaving() ||
-			server->load.paused_for(monotonic_now()) > duration{})
+			present->is_leaving() || server->load.paused_for(monotonic_now()) > duration{})
 		{
 			connection->close();
 			co_return send_failure::not_sent;
@@ -280,6 +283,11 @@
 		auto const sent_at = monotonic_now();
 		state->sent_at = sent_at;
 		state->events_before_send = state->joiner.events();
+		if (options.part == call_part::whole)
+		{
+			++state->sends;
+			state->sent_to_process = present->newest_process();
+		}
 		if (server->limit.rate())
 		{
 			this->totals->count_limited_send();
@@ -464,6 +472,15 @@
 		return this->pool.idle_connections() + this->peer_pool.idle_connections();
 	}
 
+	routing::server_pointer forwarder::present_record(routing::server_pointer const& server) const
+	{
+		auto const present = this->shared->servers.find(server->entry.id);
+		auto const is_same = present && present->entry.address == server->entry.address &&
+							 present->entry.service == server->entry.service &&
+							 present->entry.role == server->entry.role;
+		return is_same ? present : server;
+	}
+
 	double forwarder::draw()
 	{
 		return std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -144,8 +144,11 @@
 		auto const ended_at = monotonic_now();
 		// The connection has ended, so it takes no place of the one that asks.
 		answer.connection.release();
-		auto const seen = co_await this->end_check.ask_start(server, ended_at);
-		auto const process = routing::judge_process(server->entry, seen);
+		auto const seen = co_await this->end_check.ask_start(this->present_record(server), ended_at);
+		auto called = server->entry;
+		auto const is_writer_known = state->writer && state->writer_send == state->sends;
+		called.started = is_writer_known ? state->writer->started : state->sent_to_process.started;
+		auto const process = routing::judge_process(called, seen);
 		if (process == routing::process_state::ended && !this->shared->reach.is_doubtful())
 		{
 			this->shared->servers.note_end_sign(server->entry.id, ended_at);
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -236,7 +236,7 @@
 		this->totals->count_send("report", answer ? "served" : "failed");
 		if (answer)
 		{
-			co_return this->read_start(*called, *answer);
+			co_return this->read_start(called, *answer);
 		}
 		if (monotonic_now() - begun_at < reservation_timeout / 2)
 		{
@@ -271,7 +271,7 @@
 			if (auto* const text = std::get_if<std::string>(&body))
 			{
 				answer->body = std::move(*text);
-				seen = this->read_start(*called, *answer);
+				seen = this->read_start(called, *answer);
 			}
 		}
 		this->totals->count_send("report", seen.has_answered ? "served" : "failed");
@@ -280,22 +280,30 @@
 	}
 
 	routing::process_evidence forwarder::read_start(
-		routing::server_record const& called, http::response const& answer) const
+		routing::server_pointer const& called, http::response const& answer) const
 	{
 		routing::process_evidence seen;
 		seen.is_accepted = true;
 		seen.has_answered = true;
 		auto const metadata = this->protocol.read_answer(answer);
-		seen.is_replaced = metadata.is_misdirected && !metadata.server.empty() && metadata.server != called.entry.id;
+		seen.is_replaced = metadata.is_misdirected && !metadata.server.empty() && metadata.server != called->entry.id;
 		auto const report = answer.status == status_ok ? this->protocol.read_report(answer.body) : std::nullopt;
-		seen.stated = report ? report->started : incarnation();
+		if (!report || seen.is_replaced)
+		{
+			return seen;
+		}
+		seen.stated = report->started;
+		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
+		seen.running = std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end());
+		this->present_record(called)->note_stated_start(seen.stated);
 		return seen;
 	}
 
-	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine)
+	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine) const
 	{
 		auto const has_begun = state.joiner.last_event().has_value();
-		return engine.start_doubted_at || (has_begun && engine.end_sign_at);
+		auto const is_present = this->shared->servers.find(engine.entry.id).get() == &engine;
+		return engine.start_doubted_at || (has_begun && (engine.end_sign_at || !is_present));
 	}
 
 	asio::awaitable<bool> forwarder::confirm_start(state_pointer state, routing::server_pointer engine)
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -270,11 +270,21 @@
 		// Whether the request was last sent to another daemon instead of a server, and that daemon's last refusal.
 		bool is_relayed_on = false;
 		std::optional<http::response> relayed_refusal;
+		// Number of times that the call was sent to a server, and the newest process that was known of the server when
+		// it was last sent.
+		std::uint32_t sends = 0;
+		routing::server_process sent_to_process;
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
-		// The server that made the stream's first event, until the origin is recorded.
-		routing::server_pointer unconfirmed_origin;
+		// The process that made the stream's first event, the send that brought it, and whether the process was taken
+		// to be the newest one that was known.
+		std::optional<routing::server_process> writer;
+		std::uint32_t writer_send = 0;
+		bool is_writer_assumed = false;
+		bool is_writer_reviewed = false;
+		// The server that made the stream's first event, until its process is known.
+		routing::server_pointer unconfirmed_writer;
 		// Software versions of the servers whose events were passed on, in order and without repetitions.
 		std::vector<software_version> event_versions;
 		// Whether the call is sent although it is blocked, to find out whether it still ends servers.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -154,17 +154,29 @@
 		// and the prefill would be wasted.
 		auto const own_tokens = placement.prefill ? token_count{} : state->call.prompt;
 		auto const silence = 2 * placement.first_event + routing::event_timeout(*state->matched_route);
-		load_guard const guard(placement.decode, own_tokens, this->needed_tokens(*state), silence);
+		std::optional<load_guard> guard(
+			std::in_place, placement.decode, own_tokens, this->needed_tokens(*state), silence);
 		state->has_separate_prefill = placement.prefill != nullptr;
 		state->predicted_first_event = placement.first_event;
 		auto const source = co_await this->prefill_separately(state, placement);
 		options.source = source;
+		if (!state->joiner.last_event())
+		{
+			// The engine's entry may have been read anew during the prefill. A stream that has begun needs the process
+			// that was asked for its start.
+			auto const present = this->present_record(placement.decode);
+			if (present != placement.decode)
+			{
+				placement.decode = present;
+				guard.emplace(present, own_tokens, this->needed_tokens(*state), silence);
+			}
+		}
 		if (!source)
 		{
 			options.fetch_from = state->prompt_cache_address;
 		}
 		// A sign that the engine has ended may have come since its start was confirmed.
-		if (state->is_caller_gone || state->is_out_of_time() || is_start_doubtful(*state, *placement.decode))
+		if (state->is_caller_gone || state->is_out_of_time() || this->is_start_doubtful(*state, *placement.decode))
 		{
 			this->release_unused(placement, source, reservation);
 			co_return send_failure::not_sent;
@@ -192,7 +204,7 @@
 			// Two statements, because GCC 12 runs the wrong branch of a conditional expression that contains co_await.
 			if (answer->head.status == status_ok)
 			{
-				failure = co_await this->forward_events(state, *answer, placement.decode, guard.id());
+				failure = co_await this->forward_events(state, *answer, placement.decode, guard->id());
 			}
 			else
 			{
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -25,6 +25,11 @@
 		// Engines of one service whose memory is searched at most.
 		constexpr std::size_t max_engines_searched = 32;
 		constexpr duration contents_timeout = milliseconds(300);
+		// Longest wait for the entry of a process that began a stream.
+		constexpr duration max_entry_wait = milliseconds(1500);
+		// A run appears in its engine's report within about this time.
+		constexpr duration report_delay = milliseconds(250);
+		constexpr int max_origin_questions = 8;
 
 		bool serves(routing::route const& matched, service_id const& service)
 		{
@@ -43,6 +48,15 @@
 		{
 			co_await this->ask_for_origin(state);
 		}
+		auto const* const known = this->shared->origins.find(fingerprint_of(state->call.resumes));
+		if (!state->origin && known != nullptr && !known->is_version_known)
+		{
+			std::function<bool()> is_known = [this, state]
+			{
+				return this->apply_known_origin(*state, monotonic_now());
+			};
+			std::ignore = co_await this->wait_for_entry(state, is_known);
+		}
 		if (!state->origin && !this->apply_known_origin(*state, monotonic_now()))
 		{
 			this->totals->count_taken_up_stream("unknown");
@@ -69,7 +83,7 @@
 	{
 		std::size_t unanswered = 0;
 		std::size_t engines = 0;
-		std::map<fingerprint, std::set<software_version>> runs;
+		std::map<fingerprint, std::set<routing::server_process>> runs;
 		std::size_t parts = 0;
 	};
 
@@ -113,12 +127,18 @@
 			std::ignore = co_await timer.async_wait(wait_token);
 		}
 		std::size_t found = 0;
-		for (auto const& [attempt, versions] : search->runs)
+		for (auto const& [attempt, processes] : search->runs)
 		{
-			if (versions.size() == 1)
+			if (processes.size() == 1)
 			{
 				++found;
-				this->shared->origins.note(attempt, {{service, *versions.begin()}, begun_at, this->shared->own_id});
+				auto const& process = *processes.begin();
+				auto const version = this->shared->servers.version_of(process);
+				routing::known_stream stream{
+					{service, version.value_or(software_version())}, begun_at, this->shared->own_id};
+				stream.process = process;
+				stream.is_version_known = version.has_value();
+				this->shared->origins.note(attempt, stream);
 			}
 		}
 		this->log(make_event("stream_origins_searched",
@@ -138,11 +158,12 @@
 		this->totals->count_send("report", report ? "served" : "failed");
 		// The streams of a process with another start are not of the entry's version.
 		auto const is_of_entry = report && (report->started == incarnation() || report->started == entry.started);
-		if (is_of_entry)
+		if (report)
 		{
+			auto const stated = report->started == incarnation() ? entry.started : report->started;
 			for (auto const& each : report->running | std::views::filter(&running_stream::has_events))
 			{
-				search->runs[fingerprint_of(each.attempt)].insert(entry.version);
+				search->runs[fingerprint_of(each.attempt)].insert({entry.id, stated});
 			}
 		}
 		// An engine that has changed its role may hold prompts that it prefilled for engines of other versions.
@@ -166,6 +187,10 @@
 	{
 		auto const attempt = fingerprint_of(state.call.resumes);
 		auto const* const known = state.call.resumes.empty() ? nullptr : this->shared->origins.find(attempt);
+		if (known != nullptr && !known->is_version_known)
+		{
+			return false;
+		}
 		if (known != nullptr)
 		{
 			state.origin = known->origin;
@@ -230,84 +255,224 @@
 
 	void forwarder::note_event_server(state_pointer state, routing::server_pointer server, time_point now)
 	{
-		state->note_event_version(server->entry.version);
-		if (state->joiner.events() == 0 || state->is_origin_recorded || state->unconfirmed_origin)
+		if (state->is_origin_recorded && state->writer_send != state->sends)
+		{
+			auto const version = this->shared->servers.version_of(state->sent_to_process);
+			state->note_event_version(version.value_or(server->entry.version));
+		}
+		if (state->joiner.events() == 0 || state->is_origin_recorded || state->unconfirmed_writer)
+		{
+			return;
+		}
+		state->writer_send = state->sends;
+		if (state->origin || !routing::states_start(server->entry))
 		{
+			routing::stream_origin const of_entry{state->service, server->entry.version};
+			this->record_origin(*state, {state->origin.value_or(of_entry), now, this->shared->own_id});
 			return;
 		}
-		if (state->origin || !(server->end_sign_at || server->start_doubted_at))
+		auto const sent_to = state->sent_to_process;
+		if (!this->is_writer_doubtful(*state, server, now))
 		{
-			this->record_origin(*state, *server, now);
+			state->is_writer_assumed = true;
+			this->record_writer(*state, sent_to, now);
 			return;
 		}
-		state->unconfirmed_origin = server;
-		this->run_in_background("origin_check", this->confirm_origin(state, server));
+		state->unconfirmed_writer = server;
+		this->run_in_background("origin_check", this->confirm_origin(state, server, sent_to));
+	}
+
+	bool forwarder::is_writer_doubtful(
+		request_state const& state, routing::server_pointer const& server, time_point now) const
+	{
+		auto const is_present = this->shared->servers.find(server->entry.id) == server;
+		auto const since = now - longest_stream_life(*this->shared);
+		return server->end_sign_at || server->start_doubted_at || !is_present ||
+			   this->shared->servers.has_unlisted_process(state.service) ||
+			   this->shared->versions.served_since(state.service, since, now).size() > 1;
 	}
 
-	asio::awaitable<void> forwarder::confirm_origin(state_pointer state, routing::server_pointer server)
+	asio::awaitable<bool> forwarder::find_writer(
+		state_pointer state, routing::server_pointer server, routing::server_process sent_to)
 	{
 		auto const begun_at = monotonic_now();
-		auto const seen = co_await this->end_check.ask_start(server, begun_at);
-		auto const process = routing::judge_process(server->entry, seen);
-		if (state->is_origin_recorded)
+		auto const asked = this->present_record(server);
+		auto const seen = co_await this->end_check.ask_start(asked, begun_at);
+		if (state->writer && !state->is_writer_assumed)
+		{
+			co_return true;
+		}
+		if (seen.stated == asked->entry.started)
 		{
-			co_return;
+			routing::directory::note_start_confirmed(*asked, seen.asked_at);
 		}
-		if (process == routing::process_state::same)
+		if (auto const stated = routing::find_writer(sent_to.started, seen, state->call.attempt))
 		{
-			routing::directory::note_start_confirmed(*server, seen.asked_at);
+			state->is_writer_assumed = false;
+			this->record_writer(*state, {sent_to.server, *stated}, monotonic_now());
+			co_return true;
 		}
 		// While one version is known, only another start shows that there may be a second one.
 		auto const is_only_version = !this->has_several_versions(state->service, begun_at);
-		auto const is_replaced = routing::is_proved_replaced(server->entry, seen);
-		if (process == routing::process_state::same || (is_only_version && !is_replaced))
+		if (is_only_version && !state->writer && !routing::is_proved_replaced(asked->entry, seen))
+		{
+			state->is_writer_assumed = true;
+			this->record_writer(*state, sent_to, monotonic_now());
+		}
+		co_return state->writer.has_value();
+	}
+
+	asio::awaitable<void> forwarder::confirm_origin(
+		state_pointer state, routing::server_pointer server, routing::server_process sent_to)
+	{
+		asio::steady_timer pause(this->executor);
+		auto const send = state->sends;
+		for (int question = 0; question < max_origin_questions; ++question)
+		{
+			auto const is_known = co_await this->find_writer(state, server, sent_to);
+			auto const is_over = state->sends != send || state->http_exchange == nullptr || state->is_caller_gone;
+			if ((is_known && !state->is_writer_assumed) || is_over)
+			{
+				break;
+			}
+			// What a report says of the runs may be some hundred milliseconds old.
+			pause.expires_after(report_delay);
+			std::ignore = co_await pause.async_wait(wait_token);
+		}
+		if (!state->writer)
 		{
-			this->record_origin(*state, *server, begun_at);
-			co_return;
+			this->log_event(*state, "stream_origin_unconfirmed",
+				{{"server", sent_to.server.str()}, {"sent_to_start", std::to_string(sent_to.started.count())},
+					{"newest_start", std::to_string(server->newest_process().started.count())}});
 		}
-		this->log_event(*state, "stream_origin_unconfirmed",
-			{{"server", server->entry.id.str()}, {"process", std::string(routing::to_string(process))},
-				{"entry_version", server->entry.version.str()}});
+	}
+
+	void forwarder::review_origins()
+	{
+		for (auto const& state : this->requests)
+		{
+			auto const is_under_send = state->is_writer_assumed && state->writer_send == state->sends;
+			auto const server = is_under_send ? this->shared->servers.find(state->writer->server) : nullptr;
+			if (server && server->newest_process() != *state->writer && !state->is_writer_reviewed)
+			{
+				state->is_writer_reviewed = true;
+				this->run_in_background("origin_check", this->confirm_origin(state, server, *state->writer));
+			}
+		}
+	}
+
+	asio::awaitable<bool> forwarder::wait_for_entry(state_pointer state, std::function<bool()> is_known)
+	{
+		auto const longest = std::min(max_entry_wait, state->matched_route->caller_patience / 2);
+		auto const ends_at = monotonic_now() + longest;
+		asio::steady_timer pause(this->executor);
+		auto has_entry = is_known();
+		while (!has_entry && !state->is_caller_gone && !state->is_out_of_time() && monotonic_now() < ends_at)
+		{
+			pause.expires_after(contact_poll_interval);
+			std::ignore = co_await pause.async_wait(wait_token);
+			has_entry = is_known();
+		}
+		co_return has_entry;
 	}
 
 	asio::awaitable<bool> forwarder::settle_origin(state_pointer state)
 	{
-		if (auto const server = state->unconfirmed_origin; server && !state->is_origin_recorded)
+		if (!state->writer && !state->unconfirmed_writer)
+		{
+			co_return true;
+		}
+		if (auto const server = state->unconfirmed_writer; server && !state->writer)
+		{
+			std::ignore = co_await this->find_writer(state, server, state->sent_to_process);
+		}
+		else if (state->is_writer_assumed && state->writer_send == state->sends)
 		{
-			co_await this->confirm_origin(state, server);
-			if (!state->is_origin_recorded)
+			auto const present = this->shared->servers.find(state->writer->server);
+			if (present && present->newest_process() != *state->writer)
 			{
-				state->no_retry_reason = "origin_unknown";
-				co_return false;
+				std::ignore = co_await this->find_writer(state, present, *state->writer);
 			}
 		}
-		co_return true;
+		if (state->writer && !state->origin)
+		{
+			std::function<bool()> is_known = [this, state]
+			{
+				auto const version = this->shared->servers.version_of(*state->writer);
+				if (version)
+				{
+					state->origin = routing::stream_origin{state->service, *version};
+				}
+				return version.has_value();
+			};
+			std::ignore = co_await this->wait_for_entry(state, is_known);
+		}
+		if (!state->origin)
+		{
+			state->no_retry_reason = "origin_unknown";
+		}
+		co_return state->origin.has_value();
 	}
 
 	bool forwarder::has_several_versions(service_id const& service, time_point now) const
 	{
 		auto const since = now - longest_stream_life(*this->shared);
-		return !this->shared->versions.only_version_since(service, since, now);
+		return !this->shared->versions.only_version_since(service, since, now) ||
+			   this->shared->servers.has_unlisted_process(service);
+	}
+
+	void forwarder::record_writer(request_state& state, routing::server_process const& writer, time_point now)
+	{
+		auto const is_correction = state.writer && *state.writer != writer;
+		auto const version = this->shared->servers.version_of(writer);
+		routing::known_stream stream{{state.service, version.value_or(software_version())},
+			state.first_event_at.value_or(now), this->shared->own_id};
+		stream.process = writer;
+		stream.is_version_known = version.has_value();
+		state.writer = writer;
+		state.unconfirmed_writer = nullptr;
+		state.origin = version ? std::optional(stream.origin) : std::nullopt;
+		if (is_correction && !state.call.attempt.empty())
+		{
+			state.is_origin_recorded = true;
+			state.event_versions = {stream.origin.version};
+			this->shared->origins.correct(fingerprint_of(state.call.attempt), std::move(stream));
+			this->log_origin(state, "corrected");
+			this->origins->tell_due(now);
+			return;
+		}
+		this->record_origin(state, std::move(stream));
 	}
 
-	void forwarder::record_origin(request_state& state, routing::server_record const& server, time_point now)
+	void forwarder::record_origin(request_state& state, routing::known_stream stream)
 	{
 		state.is_origin_recorded = true;
-		state.origin = state.origin.value_or(routing::stream_origin{state.service, server.entry.version});
+		if (stream.is_version_known)
+		{
+			state.origin = stream.origin;
+			state.note_event_version(stream.origin.version);
+		}
 		// A stream that was taken up is known by the attempt that began it, also at a third try.
 		auto const& named = state.call.last_event ? state.call.resumes : state.call.attempt;
 		if (named.empty())
 		{
 			return;
 		}
-		this->shared->origins.note(fingerprint_of(named), {*state.origin, now, this->shared->own_id});
-		auto const present = this->shared->servers.find(server.entry.id);
+		this->shared->origins.note(fingerprint_of(named), stream);
+		this->log_origin(state, state.is_writer_assumed ? "assumed" : "confirmed");
+		this->origins->tell_due(monotonic_now());
+	}
+
+	void forwarder::log_origin(request_state const& state, std::string_view how)
+	{
+		auto const& named = state.call.last_event ? state.call.resumes : state.call.attempt;
 		this->log_event(state, "stream_origin_recorded",
-			{{"attempt", to_text(fingerprint_of(named))}, {"server", server.entry.id.str()},
-				{"entry_start", std::to_string(server.entry.started.count())},
-				{"present_entry_start", present ? std::to_string(present->entry.started.count()) : "none"},
-				{"version", state.origin->version.str()}, {"taken_up", state.call.last_event ? "yes" : "no"}});
-		this->origins->tell_due(now);
+			{{"attempt", to_text(fingerprint_of(named))}, {"how", std::string(how)},
+				{"server", state.sent_to_process.server.str()},
+				{"sent_to_start", std::to_string(state.sent_to_process.started.count())},
+				{"writer_start", state.writer ? std::to_string(state.writer->started.count()) : "none"},
+				{"version", state.origin ? state.origin->version.str() : "unknown"},
+				{"taken_up", state.call.last_event ? "yes" : "no"}});
 	}
 
 	std::optional<routing::stream_origin> forwarder::bound_origin(request_state const& state, time_point now) const
--- a/packages/gateway/impl/stream_origin_exchange.cpp
+++ b/packages/gateway/impl/stream_origin_exchange.cpp
@@ -33,6 +33,13 @@
 			message.set_version(stream.origin.version.str());
 			message.set_age(age_of(stream.begun_at, now));
 			message.set_learnt_from(stream.learnt_from.str());
+			if (stream.process)
+			{
+				message.set_server(stream.process->server.str());
+				message.set_started(stream.process->started.count());
+			}
+			message.set_is_version_unknown(!stream.is_version_known);
+			message.set_revision(stream.revision);
 			return message;
 		}
 	}
@@ -159,16 +166,38 @@
 	void stream_origin_exchange::apply(wire::StreamOrigin const& received, time_point now)
 	{
 		service_id service(received.service());
-		auto const is_valid = received.version().size() <= max_accepted_name &&
-							  received.learnt_from() != this->outgoing.own_id().str() &&
-							  this->is_known_service(service);
+		auto const is_valid =
+			received.version().size() <= max_accepted_name && received.server().size() <= max_accepted_name &&
+			received.learnt_from() != this->outgoing.own_id().str() && this->is_known_service(service);
 		if (!is_valid)
 		{
 			return;
 		}
-		this->shared->origins.note(fingerprint(received.attempt()),
-			{{std::move(service), software_version(received.version())},
-				now - bounded_time(received.age(), max_accepted_age), instance_id(received.learnt_from())});
+		routing::known_stream stream{{std::move(service), software_version(received.version())},
+			now - bounded_time(received.age(), max_accepted_age), instance_id(received.learnt_from())};
+		if (received.started() > 0)
+		{
+			stream.process = {server_id(received.server()), incarnation(received.started())};
+		}
+		stream.is_version_known = !received.is_version_unknown();
+		stream.revision = received.revision();
+		this->shared->origins.note(fingerprint(received.attempt()), stream);
+		this->learn_versions();
+	}
+
+	void stream_origin_exchange::learn_versions()
+	{
+		for (auto const& process : this->shared->origins.unversioned_processes())
+		{
+			auto const version = this->shared->servers.version_of(process);
+			if (version)
+			{
+				auto const count = this->shared->origins.set_version(process, *version);
+				this->log(make_event("stream_versions_learnt",
+					{{"server", process.server.str()}, {"started", std::to_string(process.started.count())},
+						{"version", version->str()}, {"streams", std::to_string(count)}}));
+			}
+		}
 	}
 
 	void stream_origin_exchange::handle_query(wire::StreamOriginQuery const& query, time_point now)
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -52,6 +54,10 @@
 		// service.
 		void learn_origins();
 
+		// Looks again at the streams in progress whose origin was taken from an entry that another process's has
+		// followed. Must be called after entries have changed.
+		void review_origins();
+
 		// Ends the requests that still run, just before this daemon stops: those that are not answered yet get their
 		// final answer.
 		void end_requests();
@@ -116,14 +122,29 @@
 			routing::server_pointer engine, std::shared_ptr<origin_search> search);
 		// Asks the engines of a service.
 		[[nodiscard]] asio::awaitable<void> search_origins(service_id service);
-		// Records that a server has made an event of the stream that was passed on. The stream's origin is recorded
-		// when it is sure that the server's entry is that of its process.
+		// Records that a server has made an event of the stream that was passed on. The stream's origin is recorded at
+		// once when nothing speaks against it that the process is the newest one that is known of the server. Otherwise
+		// the server is asked, without holding the stream up.
 		void note_event_server(state_pointer state, routing::server_pointer server, time_point now);
-		// Records that the stream began at the server's version.
-		void record_origin(request_state& state, routing::server_record const& server, time_point now);
-		// Asks the server that made the stream's first event for its start, and records the origin when its entry is
-		// that of its process. The origin stays unknown otherwise.
-		[[nodiscard]] asio::awaitable<void> confirm_origin(state_pointer state, routing::server_pointer server);
+		// Returns whether the process that made the stream's first event may be another one than was known when the
+		// stream was sent, with another version.
+		[[nodiscard]] bool is_writer_doubtful(
+			request_state const& state, routing::server_pointer const& server, time_point now) const;
+		// Records which process made the stream's first event, and the origin if the process's version is known.
+		void record_writer(request_state& state, routing::server_process const& writer, time_point now);
+		// Records the origin of a stream that a caller has taken up, or whose server states no start.
+		void record_origin(request_state& state, routing::known_stream stream);
+		void log_origin(request_state const& state, std::string_view how);
+		// Asks the server that made the stream's first event which process did so, and records it. Returns whether it
+		// is known now.
+		[[nodiscard]] asio::awaitable<bool> find_writer(
+			state_pointer state, routing::server_pointer server, routing::server_process sent_to);
+		// Asks as find_writer() does until the process is known or the send has ended.
+		[[nodiscard]] asio::awaitable<void> confirm_origin(
+			state_pointer state, routing::server_pointer server, routing::server_process sent_to);
+		// Waits for the entry of the process that made the stream's first event. is_known: whether the stream's origin
+		// is known. Returns its last value.
+		[[nodiscard]] asio::awaitable<bool> wait_for_entry(state_pointer state, std::function<bool()> is_known);
 		// Returns whether the stream may go on at another server: it has no event yet, or its origin is known.
 		[[nodiscard]] asio::awaitable<bool> settle_origin(state_pointer state);
 		// Returns whether several software versions of a service were in service during a stream's longest life, or may
@@ -174,7 +195,7 @@
 		[[nodiscard]] asio::awaitable<bool> confirm_start(state_pointer state, routing::server_pointer engine);
 		// Returns whether the engine must be asked for its start before it gets the stream, since its process may have
 		// ended.
-		[[nodiscard]] static bool is_start_doubtful(request_state const& state, routing::server_record const& engine);
+		[[nodiscard]] bool is_start_doubtful(request_state const& state, routing::server_record const& engine) const;
 
 		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
@@ -229,8 +250,9 @@
 		// its place at the server.
 		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start_directly(routing::server_pointer called);
 		// Returns what the answer to the question for a server's start shows.
+		// Records a start whose entry has not been read yet.
 		[[nodiscard]] routing::process_evidence read_start(
-			routing::server_record const& called, http::response const& answer) const;
+			routing::server_pointer const& called, http::response const& answer) const;
 
 		// Returns whether the call may be sent once more. Spends one retry of the budget unless the failed call was
 		// never sent.
@@ -301,6 +323,9 @@
 
 		void log_event(request_state const& state, std::string name, std::vector<decide::event_field> fields);
 		[[nodiscard]] std::size_t connection_limit(routing::registered_server const& server) const;
+		// Returns the present record of a server that was chosen a while ago; the one given when the server is not
+		// listed any more, or has another address, service or role.
+		[[nodiscard]] routing::server_pointer present_record(routing::server_pointer const& server) const;
 
 		asio::any_io_executor executor;
 		shared_state* shared;
--- a/packages/gateway/include/godwittrestle/gateway/stream_origin_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_origin_exchange.hpp
@@ -33,6 +33,9 @@
 
 		stream_origin_exchange(shared_state& shared, peer_sender sender, event_log log);
 
+		// Sets the versions of the streams whose server's entry has been read meanwhile.
+		void learn_versions();
+
 		// Tells the records that other daemons have not been told yet.
 		void tell_due(time_point now);
 
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -30,6 +30,11 @@
 		{
 			auto const added = std::make_shared<server_record>();
 			added->entry = entry;
+			if (known)
+			{
+				added->note_stated_start(std::max(known->stated_start.value_or(incarnation()), entry.started));
+			}
+			this->remember_version(entry.id);
 			this->servers[entry.id] = added;
 			this->departed.erase(entry.id);
 			return true;
@@ -39,6 +44,16 @@
 		return is_changed;
 	}
 
+	void directory::remember_version(server_id const& id)
+	{
+		auto const gone = this->departed.find(id);
+		auto const before = gone == this->departed.end() ? this->find(id) : gone->second.server;
+		if (before)
+		{
+			this->past_processes[{id, before->entry.started}] = {before->entry.version, std::nullopt};
+		}
+	}
+
 	void directory::remove(server_id const& id, time_point now)
 	{
 		auto const found = this->find(id);
@@ -182,6 +197,7 @@
 		{
 			known.end_sign_at.reset();
 		}
+		known.stated_start.reset();
 	}
 
 	void directory::doubt_start(server_record& known, time_point now) noexcept
@@ -219,6 +235,11 @@
 	std::vector<server_pointer> directory::expire(time_point now)
 	{
 		std::erase_if(this->departed, [&](auto const& item) { return item.second.forgotten_from <= now; });
+		for (auto& past : this->past_processes | std::views::values)
+		{
+			past.forgotten_from = past.forgotten_from.value_or(now + this->terms.memory_time);
+		}
+		std::erase_if(this->past_processes, [&](auto const& item) { return item.second.forgotten_from <= now; });
 		std::vector<server_pointer> gone;
 		std::erase_if(this->servers,
 			[&](auto const& item)
@@ -320,4 +341,25 @@
 		auto const found = this->servers.find(id);
 		return found == this->servers.end() ? nullptr : found->second;
 	}
+
+	std::optional<software_version> directory::version_of(server_process const& process) const
+	{
+		if (auto const known = this->find(process.server); known && known->entry.started == process.started)
+		{
+			return known->entry.version;
+		}
+		if (auto const past = this->past_processes.find(process); past != this->past_processes.end())
+		{
+			return past->second.version;
+		}
+		auto const gone = this->departed.find(process.server);
+		auto const has_departed = gone != this->departed.end() && gone->second.server->entry.started == process.started;
+		return has_departed ? std::optional(gone->second.server->entry.version) : std::nullopt;
+	}
+
+	bool directory::has_unlisted_process(service_id const& service) const
+	{
+		return std::ranges::any_of(this->servers | std::views::values,
+			[&](server_pointer const& each) { return each->entry.service == service && each->stated_start; });
+	}
 }
--- a/packages/routing/impl/process_evidence.cpp
+++ b/packages/routing/impl/process_evidence.cpp
@@ -37,4 +37,14 @@
 		auto const can_be_asked = states_start(called) && !seen.wants_pause;
 		return is_confirmed || (seen.is_accepted && !can_be_asked) ? process_state::same : process_state::unknown;
 	}
+
+	std::optional<incarnation> find_writer(incarnation sent_to, process_evidence const& seen, request_id const& attempt)
+	{
+		if (seen.stated == incarnation())
+		{
+			return std::nullopt;
+		}
+		auto const is_running = seen.running && seen.running->contains(attempt);
+		return seen.stated == sent_to || is_running ? std::optional(seen.stated) : std::nullopt;
+	}
 }
--- a/packages/routing/impl/stream_origins.cpp
+++ b/packages/routing/impl/stream_origins.cpp
@@ -7,6 +7,26 @@
 
 namespace godwittrestle::routing
 {
+	namespace
+	{
+		bool says_the_same(known_stream const& left, known_stream const& right)
+		{
+			return left.origin == right.origin && left.is_version_known == right.is_version_known;
+		}
+
+		// Returns whether what is told of a stream takes the place of what is known.
+		bool supersedes(known_stream const& told, known_stream const& known, instance_id const& own_id)
+		{
+			if (told.learnt_from == known.learnt_from && told.revision != known.revision)
+			{
+				return told.revision > known.revision;
+			}
+			// This daemon takes up only streams whose version it has learnt.
+			auto const tells_version = told.is_version_known && !known.is_version_known && told.learnt_from == own_id;
+			return !says_the_same(told, known) && (tells_version || told.begun_at < known.begun_at);
+		}
+	}
+
 	stream_origins::stream_origins(instance_id own, rank_function ranking)
 		: own_id(std::move(own))
 		, rank(std::move(ranking))
@@ -15,19 +35,19 @@
 
 	void stream_origins::note(fingerprint attempt, known_stream const& stream)
 	{
-		auto const [found, is_new] = this->records.try_emplace(attempt, record{stream, 0, {}});
-		auto& known = found->second;
-		if (!is_new && stream.origin == known.stream.origin)
+		auto const found = this->records.find(attempt);
+		if (found == this->records.end() || supersedes(stream, found->second.stream, this->own_id))
 		{
+			this->replace(attempt, stream);
+		}
+		else if (says_the_same(stream, found->second.stream))
+		{
+			auto& known = found->second.stream;
 			if (stream.learnt_from == this->own_id)
 			{
-				known.stream.learnt_from = this->own_id;
+				known.learnt_from = this->own_id;
 			}
-			known.stream.begun_at = std::min(known.stream.begun_at, stream.begun_at);
-		}
-		else if (!is_new && stream.begun_at < known.stream.begun_at)
-		{
-			known = record{stream, 0, {}};
+			known.begun_at = std::min(known.begun_at, stream.begun_at);
 		}
 		if (this->records.size() > max_records)
 		{
@@ -35,6 +55,60 @@
 		}
 	}
 
+	void stream_origins::replace(fingerprint attempt, known_stream stream)
+	{
+		if (stream.is_version_known)
+		{
+			this->unversioned.erase(attempt);
+		}
+		else
+		{
+			this->unversioned.insert(attempt);
+		}
+		this->records[attempt] = record{std::move(stream), 0, {}};
+	}
+
+	void stream_origins::correct(fingerprint attempt, known_stream stream)
+	{
+		auto const found = this->records.find(attempt);
+		stream.revision = found == this->records.end() ? 0 : found->second.stream.revision + 1;
+		this->replace(attempt, std::move(stream));
+	}
+
+	std::set<server_process> stream_origins::unversioned_processes() const
+	{
+		std::set<server_process> processes;
+		for (auto const attempt : this->unversioned)
+		{
+			if (auto const found = this->records.find(attempt);
+				found != this->records.end() && found->second.stream.process)
+			{
+				processes.insert(*found->second.stream.process);
+			}
+		}
+		return processes;
+	}
+
+	std::size_t stream_origins::set_version(server_process const& process, software_version const& version)
+	{
+		std::size_t count = 0;
+		for (auto const attempt : std::set<fingerprint>(this->unversioned))
+		{
+			auto const found = this->records.find(attempt);
+			if (found == this->records.end() || found->second.stream.process != process)
+			{
+				continue;
+			}
+			auto learnt = found->second.stream;
+			learnt.origin.version = version;
+			learnt.is_version_known = true;
+			learnt.revision += learnt.learnt_from == this->own_id ? 1 : 0;
+			this->replace(attempt, std::move(learnt));
+			++count;
+		}
+		return count;
+	}
+
 	known_stream const* stream_origins::find(fingerprint attempt) const
 	{
 		auto const found = this->records.find(attempt);
@@ -65,6 +139,7 @@
 	void stream_origins::expire(time_point before)
 	{
 		std::erase_if(this->records, [&](auto const& item) { return item.second.stream.begun_at < before; });
+		std::erase_if(this->unversioned, [&](fingerprint attempt) { return !this->records.contains(attempt); });
 		std::erase_if(this->held_parts, [&](auto const& item) { return item.second.noted_at < before; });
 	}
 
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -61,6 +61,10 @@
 		// entry's start. Unlike start_doubted_at it concerns only streams that have begun, so it is kept at all times.
 		std::optional<time_point> end_sign_at;
 
+		// The start that the server has stated, when it is not that of the entry: the entry of this process has not
+		// been read yet.
+		std::optional<incarnation> stated_start;
+
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
 
@@ -70,6 +74,21 @@
 		// The role change that was ordered last.
 		std::optional<role_change_order> pending_role_change;
 
+		// Returns the server's newest process that is known.
+		[[nodiscard]] server_process newest_process() const
+		{
+			return {this->entry.id, this->stated_start.value_or(this->entry.started)};
+		}
+
+		// Records the start that the server has stated; 0 when it stated none.
+		void note_stated_start(incarnation stated) noexcept
+		{
+			if (stated != incarnation())
+			{
+				this->stated_start = stated == this->entry.started ? std::nullopt : std::optional(stated);
+			}
+		}
+
 		// Returns whether an ordered role change is not visible in the registry yet. The server takes no work during
 		// the change.
 		[[nodiscard]] bool is_changing_role(time_point now) const noexcept
@@ -201,6 +220,13 @@
 
 		[[nodiscard]] server_pointer find(server_id const& id) const;
 
+		// Returns the software version of a server's process, also of one that has ended a while ago; nothing while the
+		// entry of the process has not been read.
+		[[nodiscard]] std::optional<software_version> version_of(server_process const& process) const;
+
+		// Returns whether a server of the service has stated a start whose entry has not been read yet.
+		[[nodiscard]] bool has_unlisted_process(service_id const& service) const;
+
 		[[nodiscard]] std::map<server_id, server_pointer> const& all() const noexcept
 		{
 			return this->servers;
@@ -217,6 +243,8 @@
 		// Returns the record of an entry's server: the present one, or that of a departed server that is the same
 		// incarnation, which is then a server of the directory again. Null when there is none.
 		[[nodiscard]] server_pointer find_or_revive(registered_server const& entry);
+		// Keeps the version of the process that the server had until now.
+		void remember_version(server_id const& id);
 		// Applies an entry of a copy to the server's record and counts it.
 		void put_from_copy(server_record& known, registered_server const& entry, copy_summary& summary, time_point now);
 		// Doubts the start that a server's entry states. A server that states none can't be asked.
@@ -224,8 +252,17 @@
 		// Ends the times of a server during which its entry is awaited or doubted. Returns whether the server is gone.
 		[[nodiscard]] bool settle(server_record& known, time_point now) const;
 
+		// The version of a process that another one of its server has followed.
+		struct past_process
+		{
+			software_version version;
+			// Set at the first expire() after its end.
+			std::optional<time_point> forgotten_from;
+		};
+
 		directory_settings terms;
 		std::map<server_id, server_pointer> servers;
+		std::map<server_process, past_process> past_processes;
 		std::map<server_id, departed_server> departed;
 		bool is_registry_lost = false;
 		time_point registry_returned_at;
--- a/packages/routing/include/godwittrestle/routing/process_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/process_evidence.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
 #include <string_view>
 
 #include <godwittrestle/base/ids.hpp>
@@ -26,6 +29,8 @@
 		bool wants_pause = false;
 		// The start that the process stated; 0 when it was not asked, gave no answer or stated none.
 		incarnation stated;
+		// The callers' attempts that the process said it runs; null when it did not say.
+		std::shared_ptr<std::set<request_id> const> running;
 	};
 
 	// What has become of the process that a call was sent to.
@@ -49,4 +54,11 @@
 	// that accepts connections proves nothing where the server states its start, since another process may have taken
 	// its place; of other servers, and of one that wants no calls, nothing better can be had.
 	[[nodiscard]] process_state judge_process(registered_server const& called, process_evidence const& seen) noexcept;
+
+	// Returns the start of the process that has made the first event of a stream; nothing when that is not certain.
+	// sent_to: the start of the newest process that the server was known to have had when the stream was sent; an
+	// earlier one had ended by then. seen: what the server has said after the first event. attempt: the caller's, which
+	// is sent to no server twice.
+	[[nodiscard]] std::optional<incarnation> find_writer(
+		incarnation sent_to, process_evidence const& seen, request_id const& attempt);
 }
--- a/packages/routing/include/godwittrestle/routing/server.hpp
+++ b/packages/routing/include/godwittrestle/routing/server.hpp
@@ -43,6 +43,17 @@
 		[[nodiscard]] bool operator==(registered_server const&) const = default;
 	};
 
+	// One process of a backend server. A server that starts again under its id is another process, and may have another
+	// software version.
+	struct server_process
+	{
+		server_id server;
+		// As registered_server::started.
+		incarnation started;
+
+		[[nodiscard]] auto operator<=>(server_process const&) const = default;
+	};
+
 	// Returns the number of connections that each daemon may open to a server. max_connections: the most that the
 	// server accepts from all daemons together; 0 when it is unknown.
 	[[nodiscard]] std::size_t connection_share(std::uint32_t max_connections, std::uint32_t daemons) noexcept;
--- a/packages/routing/include/godwittrestle/routing/stream_origins.hpp
+++ b/packages/routing/include/godwittrestle/routing/stream_origins.hpp
@@ -13,6 +13,7 @@
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
 #include <godwittrestle/routing/fleet.hpp>
+#include <godwittrestle/routing/server.hpp>
 
 namespace godwittrestle::routing
 {
@@ -34,6 +35,13 @@
 		time_point begun_at;
 		// The daemon that passed the first event on.
 		instance_id learnt_from;
+		// The process that made the first event; nothing when it states no start, or when only its version is known.
+		std::optional<server_process> process = std::nullopt;
+		// Whether the origin's version is known. A process may begin streams before its entry can be read; its version
+		// is that of the entry.
+		bool is_version_known = true;
+		// Raised by the daemon that began the stream whenever it learns more of the origin.
+		std::uint32_t revision = 0;
 	};
 
 	// A stream's record that has to be told to other daemons.
@@ -68,6 +76,17 @@
 		// that this daemon has taken up counts as its own, since the daemon that began it may be gone.
 		void note(fingerprint attempt, known_stream const& stream);
 
+		// Records what this daemon has learnt of a stream that it began, in place of what it believed before. Keepers
+		// are told again.
+		void correct(fingerprint attempt, known_stream stream);
+
+		// Returns the processes that began streams and whose version is not known.
+		[[nodiscard]] std::set<server_process> unversioned_processes() const;
+
+		// Sets the version of the streams that a process began. Keepers are told those of this daemon again, since they
+		// may not have read the process's entry. Returns the number of streams.
+		std::size_t set_version(server_process const& process, software_version const& version);
+
 		// Returns what is known of a stream; null when nothing is.
 		[[nodiscard]] known_stream const* find(fingerprint attempt) const;
 
@@ -107,6 +126,8 @@
 		};
 
 		void drop_oldest();
+		// Stores a stream as one that no keeper has been told of.
+		void replace(fingerprint attempt, known_stream stream);
 		// Counts the changes of the fleet, so that keepers are only looked for again after a change.
 		void note_fleet(std::vector<fleet_member> const& others);
 
@@ -120,6 +141,8 @@
 		rank_function rank;
 		std::map<fingerprint, held_part> held_parts;
 		std::map<fingerprint, record> records;
+		// The records whose version is not known.
+		std::set<fingerprint> unversioned;
 		std::set<recipient> fleet_members;
 		std::uint64_t fleet_number = 1;
 	};
--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -305,3 +305,48 @@
 		REQUIRE_FALSE(servers.find(entry.id)->end_sign_at);
 	}
 }
+
+TEST_CASE("the version of a server's process is known once its entry was read, also after its end", "[directory]")
+{
+	routing::directory servers;
+	auto entry = make_server("d1", server_role::decode);
+	entry.started = incarnation(1);
+	entry.version = software_version("v1");
+	servers.put(entry);
+	routing::server_process const first{entry.id, incarnation(1)};
+	routing::server_process const second{entry.id, incarnation(2)};
+	REQUIRE(servers.version_of(first) == entry.version);
+	REQUIRE_FALSE(servers.version_of(second));
+	servers.find(entry.id)->note_stated_start(incarnation(2));
+	REQUIRE(servers.find(entry.id)->newest_process() == second);
+	REQUIRE(servers.has_unlisted_process(entry.service));
+	entry.started = incarnation(2);
+	entry.version = software_version("v1.1");
+	servers.put(entry);
+	REQUIRE_FALSE(servers.has_unlisted_process(entry.service));
+	REQUIRE(servers.version_of(first) == software_version("v1"));
+	REQUIRE(servers.version_of(second) == software_version("v1.1"));
+	// A server whose entry lapses and that comes back as a third process.
+	servers.remove(entry.id, at_ms(100));
+	std::ignore = servers.expire(at_ms(5'000));
+	REQUIRE(servers.version_of(second) == software_version("v1.1"));
+	entry.started = incarnation(3);
+	servers.put(entry);
+	REQUIRE(servers.version_of(second) == software_version("v1.1"));
+	std::ignore = servers.expire(at_ms(6'000));
+	std::ignore = servers.expire(at_ms(70'000));
+	REQUIRE_FALSE(servers.version_of(second));
+	REQUIRE(servers.version_of({entry.id, incarnation(3)}) == software_version("v1.1"));
+}
+
+TEST_CASE("a start that a server has stated stays newer than the entry of a process before it", "[directory]")
+{
+	routing::directory servers;
+	auto entry = make_server("d1", server_role::decode);
+	entry.started = incarnation(1);
+	servers.put(entry);
+	servers.find(entry.id)->note_stated_start(incarnation(3));
+	entry.started = incarnation(2);
+	servers.put(entry);
+	REQUIRE(servers.find(entry.id)->newest_process().started == incarnation(3));
+}
--- a/tests/unit/process_evidence.test.cpp
+++ b/tests/unit/process_evidence.test.cpp
@@ -58,3 +58,21 @@
 	REQUIRE(judge_process(make_called(server_role::decode, 7), not_asked) ==
 			(each.of_engine == unknown ? each.of_engine_without_start : each.of_engine));
 }
+
+TEST_CASE("the process that made a stream's first event is known from the start that its server states after it")
+{
+	request_id const attempt("t1");
+	incarnation const sent_to(7);
+	auto seen = make_evidence(false, true, true, 7);
+	REQUIRE(find_writer(sent_to, seen, attempt) == sent_to);
+	// The server has started again, before or after the event.
+	seen.stated = incarnation(8);
+	REQUIRE_FALSE(find_writer(sent_to, seen, attempt));
+	seen.running = std::make_shared<std::set<request_id> const>(std::set<request_id>{request_id("t2")});
+	REQUIRE_FALSE(find_writer(sent_to, seen, attempt));
+	seen.running = std::make_shared<std::set<request_id> const>(std::set<request_id>{attempt});
+	REQUIRE(find_writer(sent_to, seen, attempt) == incarnation(8));
+	// An answer without a start tells nothing.
+	REQUIRE_FALSE(find_writer(sent_to, make_evidence(false, true, true, 0), attempt));
+	REQUIRE_FALSE(find_writer(incarnation(), make_evidence(false, true, true, 0), attempt));
+}
--- a/tests/unit/stream_origin_exchange.test.cpp
+++ b/tests/unit/stream_origin_exchange.test.cpp
@@ -116,6 +116,35 @@
 	REQUIRE(started.shared.versions.only_version_since(digests, since, at_ms(2)) == software_version("v1"));
 }
 
+TEST_CASE("a daemon that was told of a process without its version learns it from the entry, or from who began it",
+	"[stream_origin_exchange]")
+{
+	test_daemon first("d0");
+	test_daemon second("d1");
+	first.shared.live_daemons = {member(second)};
+	first.set_versions(versions({"v1", "v1.1"}), at_ms(0));
+	routing::registered_server entry;
+	entry.id = server_id("s1");
+	entry.service = digests;
+	entry.started = incarnation(2);
+	entry.version = software_version("v1.1");
+	routing::known_stream stream{{digests, software_version()}, at_ms(100), first.id};
+	stream.process = {entry.id, entry.started};
+	stream.is_version_known = false;
+	first.shared.origins.note(fingerprint(1), stream);
+	first.exchange.tell_due(at_ms(100));
+	deliver(first, second, at_ms(101));
+	REQUIRE_FALSE(second.shared.origins.find(fingerprint(1))->is_version_known);
+	auto& reads_entry = GENERATE(true, false) ? second : first;
+	reads_entry.shared.servers.put(entry);
+	reads_entry.exchange.learn_versions();
+	first.exchange.tell_due(at_ms(200));
+	deliver(first, second, at_ms(201));
+	auto const* const known = second.shared.origins.find(fingerprint(1));
+	REQUIRE(known->is_version_known);
+	REQUIRE(known->origin.version == entry.version);
+}
+
 TEST_CASE("malformed and late messages about streams change nothing", "[stream_origin_exchange]")
 {
 	test_daemon receiver("d0");
--- a/tests/unit/stream_origins.test.cpp
+++ b/tests/unit/stream_origins.test.cpp
@@ -123,3 +123,49 @@
 	origins.note_held_part(fingerprint(5), new_origin, at_ms(1));
 	REQUIRE_FALSE(origins.only_holder(fingerprint(5), digests));
 }
+
+TEST_CASE("the version of a stream is set when the entry of its process has been read", "[stream_origins]")
+{
+	auto origins = make_origins();
+	routing::server_process const process{server_id("s1"), incarnation(2)};
+	routing::known_stream stream{{digests, software_version()}, at_ms(100), own};
+	stream.process = process;
+	stream.is_version_known = false;
+	origins.note(fingerprint(1), stream);
+	stream.learnt_from = instance_id("d1");
+	origins.note(fingerprint(2), stream);
+	REQUIRE(origins.take_untold(make_others(3), {digests}).size() == 1);
+	REQUIRE(origins.unversioned_processes() == std::set{process});
+	REQUIRE(origins.set_version({process.server, incarnation(1)}, software_version("v1")) == 0);
+	REQUIRE(origins.set_version(process, new_origin.version) == 2);
+	REQUIRE(origins.unversioned_processes().empty());
+	REQUIRE(origins.find(fingerprint(1))->origin == new_origin);
+	REQUIRE(origins.find(fingerprint(2))->origin == new_origin);
+	REQUIRE(origins.find(fingerprint(2))->is_version_known);
+	// Keepers may not have read the entry.
+	REQUIRE(origins.take_untold(make_others(3), {digests}).size() == 1);
+}
+
+TEST_CASE("a correction by the daemon that began a stream reaches those that were told before", "[stream_origins]")
+{
+	auto origins = make_origins();
+	auto keeper = routing::stream_origins(instance_id("d1"), decide::rank);
+	fingerprint const attempt(1);
+	routing::known_stream const believed{old_origin, at_ms(100), own};
+	origins.note(attempt, believed);
+	REQUIRE(origins.take_untold(make_others(1), {digests}).size() == 1);
+	keeper.note(attempt, believed);
+	routing::known_stream const learnt{new_origin, at_ms(100), own};
+	origins.correct(attempt, learnt);
+	REQUIRE(origins.find(attempt)->origin == new_origin);
+	auto const told = origins.take_untold(make_others(1), {digests});
+	REQUIRE(told.size() == 1);
+	// The keeper's clock may show a later time for the same first event.
+	auto received = told.front().stream;
+	received.begun_at = at_ms(130);
+	keeper.note(attempt, received);
+	REQUIRE(keeper.find(attempt)->origin == new_origin);
+	// What was told before and arrives late changes nothing.
+	keeper.note(attempt, believed);
+	REQUIRE(keeper.find(attempt)->origin == new_origin);
+}
