--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -263,10 +263,12 @@
 		}
 		// A sign that the engine has ended, or a new entry, may have come while the connection was opened.
 		auto const present = this->present_record(server);
+		auto const listed = this->shared->servers.find(entry.id);
+		auto const is_leaving = server->is_leaving() || (listed && listed->is_leaving());
 		auto const is_doubtful = state->matched_route->kind == routing::call_kind::streaming &&
 								 options.part == call_part::whole && this->is_start_doubtful(*state, *server);
-		if (state->is_caller_gone || state->is_out_of_time() || is_doubtful || server->is_leaving() ||
-			present->is_leaving() || server->load.paused_for(monotonic_now()) > duration{})
+		if (state->is_caller_gone || state->is_out_of_time() || is_doubtful || is_leaving ||
+			server->load.paused_for(monotonic_now()) > duration{})
 		{
 			connection->close();
 			co_return send_failure::not_sent;
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -144,7 +144,8 @@
 		auto const ended_at = monotonic_now();
 		// The connection has ended, so it takes no place of the one that asks.
 		answer.connection.release();
-		auto const seen = co_await this->end_check.ask_start(this->present_record(server), ended_at);
+		auto const asked = this->present_record(server);
+		auto const seen = co_await this->end_check.ask_start(asked, ended_at);
 		auto called = server->entry;
 		auto const is_writer_known = state->writer && state->writer_send == state->sends;
 		called.started = is_writer_known ? state->writer->started : state->sent_to_process.started;
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -45,8 +45,11 @@
 	void forwarder::check_server_end(request_state const& state, routing::server_record const& server)
 	{
 		auto const at = monotonic_now();
-		auto report = this->shared->crashes.make_report(
-			server.entry.id, server.entry.started, state.identity, this->shared->own_id, at);
+		// The server's record may be older than the process that got the request.
+		auto const& sent_to = state.sent_to_process;
+		auto const ended = sent_to.server == server.entry.id ? sent_to.started : server.entry.started;
+		auto report =
+			this->shared->crashes.make_report(server.entry.id, ended, state.identity, this->shared->own_id, at);
 		report.is_trial = state.is_trial;
 		this->end_check.check_port(server.entry,
 			[this, report = std::move(report), attempt = state.call.attempt](routing::process_evidence const& seen)
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -282,7 +282,11 @@
 		std::optional<routing::server_process> writer;
 		std::uint32_t writer_send = 0;
 		bool is_writer_assumed = false;
+		// Whether another process of the server was heard of while the send was in progress, so that the process that
+		// was taken to be the writer may not be it.
 		bool is_writer_reviewed = false;
+		// Whether the stream's last send has not failed yet.
+		bool is_send_running = false;
 		// The server that made the stream's first event, until its process is known.
 		routing::server_pointer unconfirmed_writer;
 		// Software versions of the servers whose events were passed on, in order and without repetitions.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -167,6 +167,9 @@
 			auto const present = this->present_record(placement.decode);
 			if (present != placement.decode)
 			{
+				// The process before granted the reservation.
+				reservation.reset();
+				options.reservation.reset();
 				placement.decode = present;
 				guard.emplace(present, own_tokens, this->needed_tokens(*state), silence);
 			}
@@ -189,6 +192,7 @@
 		auto const sent_at = monotonic_now();
 		auto const is_first = !state->first_event_at;
 		constexpr auto has_permit = true;
+		state->is_send_running = true;
 		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence, has_permit);
 		std::optional<send_failure> failure;
 		auto const* const rejected = std::get_if<send_failure>(&outcome);
@@ -228,6 +232,7 @@
 				this->release_unused(placement, source, reservation);
 			}
 		}
+		state->is_send_running = false;
 		this->record_failure(*state, *placement.decode, *failure);
 		co_return failure;
 	}
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -203,7 +203,7 @@
 		}
 		auto const since = now - longest_stream_life(*this->shared);
 		auto only = this->shared->versions.only_version_since(state.service, since, now);
-		if (only)
+		if (only && !this->shared->servers.has_unlisted_process(state.service))
 		{
 			state.origin = routing::stream_origin{state.service, std::move(*only)};
 			this->totals->count_taken_up_stream("only_version");
@@ -351,16 +351,32 @@
 	{
 		for (auto const& state : this->requests)
 		{
-			auto const is_under_send = state->is_writer_assumed && state->writer_send == state->sends;
+			auto const is_under_send =
+				state->is_writer_assumed && state->is_send_running && state->writer_send == state->sends;
 			auto const server = is_under_send ? this->shared->servers.find(state->writer->server) : nullptr;
 			if (server && server->newest_process() != *state->writer && !state->is_writer_reviewed)
 			{
 				state->is_writer_reviewed = true;
+				this->doubt_origin(*state, monotonic_now());
 				this->run_in_background("origin_check", this->confirm_origin(state, server, *state->writer));
 			}
 		}
 	}
 
+	void forwarder::doubt_origin(request_state const& state, time_point now)
+	{
+		if (state.call.attempt.empty() || !state.origin)
+		{
+			return;
+		}
+		routing::known_stream stream{
+			{state.service, software_version()}, state.first_event_at.value_or(now), this->shared->own_id};
+		stream.is_version_known = false;
+		this->shared->origins.correct(fingerprint_of(state.call.attempt), std::move(stream));
+		this->log_origin(state, "doubted");
+		this->origins->tell_due(now);
+	}
+
 	asio::awaitable<bool> forwarder::wait_for_entry(state_pointer state, std::function<bool()> is_known)
 	{
 		auto const longest = std::min(max_entry_wait, state->matched_route->caller_patience / 2);
@@ -393,6 +409,12 @@
 			{
 				std::ignore = co_await this->find_writer(state, present, *state->writer);
 			}
+			if (state->is_writer_assumed && state->is_writer_reviewed)
+			{
+				state->origin.reset();
+				state->no_retry_reason = "origin_unknown";
+				co_return false;
+			}
 		}
 		if (state->writer && !state->origin)
 		{
@@ -423,7 +445,7 @@
 
 	void forwarder::record_writer(request_state& state, routing::server_process const& writer, time_point now)
 	{
-		auto const is_correction = state.writer && *state.writer != writer;
+		auto const is_correction = state.is_writer_reviewed || (state.writer && *state.writer != writer);
 		auto const version = this->shared->servers.version_of(writer);
 		routing::known_stream stream{{state.service, version.value_or(software_version())},
 			state.first_event_at.value_or(now), this->shared->own_id};
--- a/packages/gateway/impl/stream_origin_exchange.cpp
+++ b/packages/gateway/impl/stream_origin_exchange.cpp
@@ -38,7 +38,6 @@
 				message.set_server(stream.process->server.str());
 				message.set_started(stream.process->started.count());
 			}
-			message.set_is_version_unknown(!stream.is_version_known);
 			message.set_revision(stream.revision);
 			return message;
 		}
@@ -69,8 +68,8 @@
 
 	void stream_origin_exchange::tell_due(time_point now)
 	{
-		auto const services =
-			this->shared->versions.services_with_several(now - longest_stream_life(*this->shared), now);
+		auto services = this->shared->versions.services_with_several(now - longest_stream_life(*this->shared), now);
+		services.merge(this->shared->servers.services_with_unlisted_process());
 		auto const untold = this->shared->origins.take_untold(this->shared->live_daemons, services);
 		std::map<std::string, wire::PeerMessage> messages;
 		for (auto const& each : untold)
@@ -78,8 +77,10 @@
 			for (auto const& recipient : each.recipients)
 			{
 				auto& message = messages.try_emplace(recipient.address, this->outgoing.make_message()).first->second;
-				*message.mutable_stream_origins()->add_streams() = to_wire(each.attempt, each.stream, now);
-				if (message.stream_origins().streams_size() >= max_told)
+				auto& told = *message.mutable_stream_origins();
+				auto* const added = each.stream.is_version_known ? told.add_streams() : told.add_unversioned_streams();
+				*added = to_wire(each.attempt, each.stream, now);
+				if (told.streams_size() + told.unversioned_streams_size() >= max_told)
 				{
 					this->outgoing.send(recipient.address, std::exchange(message, this->outgoing.make_message()));
 				}
@@ -87,7 +88,7 @@
 		}
 		for (auto& [address, message] : messages)
 		{
-			if (message.stream_origins().streams_size() > 0)
+			if (message.has_stream_origins())
 			{
 				this->outgoing.send(address, std::move(message));
 			}
@@ -143,10 +144,13 @@
 	{
 		if (message.has_stream_origins())
 		{
-			auto const& streams = message.stream_origins().streams();
-			if (streams.size() <= max_accepted_streams)
+			auto const& told = message.stream_origins();
+			if (told.streams_size() + told.unversioned_streams_size() <= max_accepted_streams)
 			{
-				std::ranges::for_each(streams, [&](wire::StreamOrigin const& each) { this->apply(each, now); });
+				std::ranges::for_each(
+					told.streams(), [&](wire::StreamOrigin const& each) { this->apply(each, true, now); });
+				std::ranges::for_each(
+					told.unversioned_streams(), [&](wire::StreamOrigin const& each) { this->apply(each, false, now); });
 			}
 			return true;
 		}
@@ -163,7 +167,7 @@
 		return false;
 	}
 
-	void stream_origin_exchange::apply(wire::StreamOrigin const& received, time_point now)
+	void stream_origin_exchange::apply(wire::StreamOrigin const& received, bool is_version_known, time_point now)
 	{
 		service_id service(received.service());
 		auto const is_valid =
@@ -179,7 +183,7 @@
 		{
 			stream.process = {server_id(received.server()), incarnation(received.started())};
 		}
-		stream.is_version_known = !received.is_version_unknown();
+		stream.is_version_known = is_version_known;
 		stream.revision = received.revision();
 		this->shared->origins.note(fingerprint(received.attempt()), stream);
 		this->learn_versions();
@@ -212,7 +216,8 @@
 		fingerprint const attempt(query.attempt());
 		if (auto const* const known = this->shared->origins.find(attempt))
 		{
-			*reply.mutable_stream() = to_wire(attempt, *known, now);
+			auto& stream = known->is_version_known ? *reply.mutable_stream() : *reply.mutable_unversioned_stream();
+			stream = to_wire(attempt, *known, now);
 		}
 		if (auto const since = this->shared->versions.complete_since(service_id(query.service())))
 		{
@@ -239,7 +244,11 @@
 		auto& asked = found->second;
 		if (reply.has_stream())
 		{
-			this->apply(reply.stream(), now);
+			this->apply(reply.stream(), true, now);
+		}
+		if (reply.has_unversioned_stream())
+		{
+			this->apply(reply.unversioned_stream(), false, now);
 		}
 		if (reply.history() > 0 && reply.versions_size() <= max_accepted_versions)
 		{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -134,6 +134,9 @@
 		void record_writer(request_state& state, routing::server_process const& writer, time_point now);
 		// Records the origin of a stream that a caller has taken up, or whose server states no start.
 		void record_origin(request_state& state, routing::known_stream stream);
+		// Takes back what was recorded of a stream's origin, here and at the daemons that were told, until its process
+		// is known.
+		void doubt_origin(request_state const& state, time_point now);
 		void log_origin(request_state const& state, std::string_view how);
 		// Asks the server that made the stream's first event which process did so, and records it. Returns whether it
 		// is known now.
--- a/packages/gateway/include/godwittrestle/gateway/stream_origin_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_origin_exchange.hpp
@@ -62,7 +62,7 @@
 		};
 
 		[[nodiscard]] bool is_known_service(service_id const& service) const;
-		void apply(wire::StreamOrigin const& received, time_point now);
+		void apply(wire::StreamOrigin const& received, bool is_version_known, time_point now);
 		void handle_query(wire::StreamOriginQuery const& query, time_point now);
 		void handle_reply(wire::StreamOriginReply const& reply, time_point now);
 
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -32,7 +32,7 @@
 			added->entry = entry;
 			if (known)
 			{
-				added->note_stated_start(std::max(known->stated_start.value_or(incarnation()), entry.started));
+				added->note_stated_start(known->newest_process().started);
 			}
 			this->remember_version(entry.id);
 			this->servers[entry.id] = added;
@@ -197,7 +197,6 @@
 		{
 			known.end_sign_at.reset();
 		}
-		known.stated_start.reset();
 	}
 
 	void directory::doubt_start(server_record& known, time_point now) noexcept
@@ -362,4 +361,17 @@
 		return std::ranges::any_of(this->servers | std::views::values,
 			[&](server_pointer const& each) { return each->entry.service == service && each->stated_start; });
 	}
+
+	std::set<service_id> directory::services_with_unlisted_process() const
+	{
+		std::set<service_id> services;
+		for (auto const& each : this->servers | std::views::values)
+		{
+			if (each->stated_start)
+			{
+				services.insert(each->entry.service);
+			}
+		}
+		return services;
+	}
 }
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,12 +81,17 @@
 			return {this->entry.id, this->stated_start.value_or(this->entry.started)};
 		}
 
-		// Records the start that the server has stated; 0 when it stated none.
+		// Records a start that the server has stated; 0 when it stated none. One before that of the entry or of an
+		// earlier statement comes from an answer that was overtaken.
 		void note_stated_start(incarnation stated) noexcept
 		{
-			if (stated != incarnation())
+			if (stated == this->entry.started)
 			{
-				this->stated_start = stated == this->entry.started ? std::nullopt : std::optional(stated);
+				this->stated_start.reset();
+			}
+			else if (stated > this->newest_process().started)
+			{
+				this->stated_start = stated;
 			}
 		}
 
@@ -226,6 +232,8 @@
 
 		// Returns whether a server of the service has stated a start whose entry has not been read yet.
 		[[nodiscard]] bool has_unlisted_process(service_id const& service) const;
+		// Returns the services of which that is so.
+		[[nodiscard]] std::set<service_id> services_with_unlisted_process() const;
 
 		[[nodiscard]] std::map<server_id, server_pointer> const& all() const noexcept
 		{
--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -349,4 +349,20 @@
 	entry.started = incarnation(2);
 	servers.put(entry);
 	REQUIRE(servers.find(entry.id)->newest_process().started == incarnation(3));
+	// An answer that was overtaken, and one that states no start.
+	servers.find(entry.id)->note_stated_start(incarnation(1));
+	servers.find(entry.id)->note_stated_start(incarnation());
+	REQUIRE(servers.find(entry.id)->newest_process().started == incarnation(3));
+	REQUIRE(servers.services_with_unlisted_process() == std::set{entry.service});
+}
+
+TEST_CASE("an entry of an earlier start does not hide that a later process was known", "[directory]")
+{
+	routing::directory servers;
+	auto entry = make_server("d1", server_role::decode);
+	entry.started = incarnation(2);
+	servers.put(entry);
+	entry.started = incarnation(1);
+	servers.put(entry);
+	REQUIRE(servers.find(entry.id)->newest_process().started == incarnation(2));
 }
