--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -14,6 +14,8 @@
 	namespace
 	{
 		constexpr std::size_t max_relays = 3;
+		// Another daemon may wait long for the origin of a stream before it refuses, so only one is asked to.
+		constexpr std::size_t max_relays_without_origin = 1;
 		// A daemon that leaves closes its connections; one that was used a moment ago is most likely still open.
 		constexpr duration max_idle = seconds(1);
 		constexpr std::size_t max_connections_per_peer = 256;
@@ -37,6 +39,38 @@
 		return !this->shared->reach.can_connect(monotonic_now()) && this->may_relay(state);
 	}
 
+	bool forwarder::knows_version(request_state const& state, time_point now) const
+	{
+		return !state.origin || this->has_engines(state, this->bound_origin(state, now), now);
+	}
+
+	bool forwarder::lacks_version(request_state const& state, time_point now) const
+	{
+		return !this->knows_version(state, now) && !this->must_refuse_before_stop(state) && this->may_relay(state);
+	}
+
+	bool forwarder::lacks_origin(request_state const& state) const
+	{
+		auto const* const known = this->shared->origins.find(fingerprint_of(state.call.resumes));
+		auto const is_entry_missing = known != nullptr && !known->is_version_known;
+		auto const is_known_elsewhere = is_entry_missing || state.is_origin_unanswered;
+		return !state.origin && !state.call.resumes.empty() && is_known_elsewhere &&
+			   !this->must_refuse_before_stop(state) && this->may_relay(state);
+	}
+
+	std::string_view forwarder::relay_reason(request_state const& state, time_point now) const
+	{
+		if (this->shared->is_cut_off)
+		{
+			return "no_server_in_reach";
+		}
+		if (this->lacks_origin(state))
+		{
+			return "origin_unknown";
+		}
+		return this->knows_version(state, now) ? "no_connection" : "no_server_of_version";
+	}
+
 	void forwarder::note_heard(request_state const& state, time_point now)
 	{
 		if (!state.is_relayed_on)
@@ -56,11 +90,12 @@
 	asio::awaitable<void> forwarder::relay(state_pointer state)
 	{
 		std::set<instance_id> tried;
+		auto const most = this->lacks_origin(*state) ? max_relays_without_origin : max_relays;
 		auto const draw_number = [this]
 		{
 			return this->draw();
 		};
-		while (tried.size() < max_relays && !state->is_caller_gone && !state->is_out_of_time())
+		while (tried.size() < most && !state->is_caller_gone && !state->is_out_of_time())
 		{
 			auto peer = this->shared->relays.choose(this->shared->live_daemons, tried, draw_number, monotonic_now());
 			if (!peer)
@@ -114,7 +149,8 @@
 			options.resumes = state->call.last_event ? state->call.resumes : state->call.attempt;
 		}
 		this->log_event(*state, "request_relayed",
-			{{"to", peer.id.str()}, {"address", peer.caller_address}, {"last_event", options.last_event.value_or("")},
+			{{"reason", std::string(this->relay_reason(*state, monotonic_now()))}, {"to", peer.id.str()},
+				{"address", peer.caller_address}, {"last_event", options.last_event.value_or("")},
 				{"unheard_ms", milliseconds_text(this->shared->reach.unheard_for(monotonic_now()))},
 				{"left_ms", milliseconds_text(state->time_left())}});
 		auto const outgoing = this->protocol.write_call(state->message, options);
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -277,6 +277,8 @@
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
+		// Whether other daemons were asked for the stream's origin and did not all answer in time.
+		bool is_origin_unanswered = false;
 		// The process that made the stream's first event, the send that brought it, and whether the process was taken
 		// to be the newest one that was known.
 		std::optional<routing::server_process> writer;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -52,7 +52,8 @@
 			auto granted = co_await this->wait_for_reservation(state);
 			if (!granted)
 			{
-				if (this->should_relay(*state) || this->lacks_connections(*state))
+				if (this->should_relay(*state) || this->lacks_connections(*state) ||
+					this->lacks_version(*state, monotonic_now()))
 				{
 					co_await this->relay(state);
 					co_return;
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -59,6 +59,11 @@
 		}
 		if (!state->origin && !this->apply_known_origin(*state, monotonic_now()))
 		{
+			if (this->lacks_origin(*state))
+			{
+				co_await this->relay(state);
+				co_return false;
+			}
 			this->totals->count_taken_up_stream("unknown");
 			co_await this->refuse(state, unavailable, "it is not known which software version began the stream",
 				"send the request without the last event's id, so that the stream begins anew",
@@ -245,6 +250,7 @@
 		{
 			this->origins->cancel(*query);
 		}
+		state->is_origin_unanswered = !is_answered;
 		auto const now = monotonic_now();
 		auto const* const known = this->shared->origins.find(attempt);
 		this->log_event(*state, "stream_origin_answered",
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -166,6 +166,18 @@
 		// Returns whether another daemon is to serve a request for which this one has found no server, since it can't
 		// open new connections.
 		[[nodiscard]] bool lacks_connections(request_state const& state) const;
+		// Returns whether the stream is bound to no version, or there is a decode engine of it that may serve the
+		// stream.
+		[[nodiscard]] bool knows_version(request_state const& state, time_point now) const;
+		// Returns whether another daemon is to serve a stream that has begun, since this one knows no server of the
+		// version that began it. This daemon may not have heard of servers that others know.
+		[[nodiscard]] bool lacks_version(request_state const& state, time_point now) const;
+		// Returns whether another daemon is to serve a stream that was taken up, since this one does not know its
+		// version and another may: the entry of the process that began it has not been read here, or the other daemons
+		// did not answer in time. When all have answered that they do not know the stream, none can serve it.
+		[[nodiscard]] bool lacks_origin(request_state const& state) const;
+		// Returns why the request is passed on to another daemon, for the log.
+		[[nodiscard]] std::string_view relay_reason(request_state const& state, time_point now) const;
 		// Passes the request on to daemons that reach servers, one after the other while that is allowed, and the
 		// answer, or the final failure, to the caller.
 		[[nodiscard]] asio::awaitable<void> relay(state_pointer state);
--- a/tests/contract/version_elsewhere.test.cpp
+++ b/tests/contract/version_elsewhere.test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -49,30 +50,39 @@
 			daemon_count, make_route(routing::call_kind::streaming, 3, true), entries_of(this->old_servers)};
 	};
 
-	std::string take_up(daemon_group const& daemons, std::size_t daemon, std::string const& name)
+	std::string take_up(daemon_group const& daemons, std::size_t daemon, std::string const& name,
+		std::vector<http::header> const& more_headers = {})
 	{
-		return send_to_daemon(daemons.addresses()[daemon], "POST",
-			{{"Attempt", "again-" + name}, {"Resumes", name}, {"Events", std::to_string(events)},
-				{"Last-Event-Id", std::to_string(events_before_break)}});
+		std::vector<http::header> headers{{"Attempt", "again-" + name}, {"Resumes", name},
+			{"Events", std::to_string(events)}, {"Last-Event-Id", std::to_string(events_before_break)}};
+		headers.insert(headers.end(), more_headers.begin(), more_headers.end());
+		return send_to_daemon(daemons.addresses()[daemon], "POST", headers);
 	}
-}
 
-TEST_CASE("a stream goes on elsewhere if its daemon knows no server of its version", "[version_elsewhere]")
-{
-	out_of_touch_daemon const system;
-	std::set<std::string> begun;
-	for (std::size_t number = 0; number < max_streams && begun.size() < streams_taken_up; ++number)
+	// Begins streams at the daemons that know both versions, until enough of them are of the second one. Returns those.
+	std::set<std::string> begin_streams(daemon_group const& daemons, std::size_t count)
 	{
-		auto const name = fmt::format("t{}", number);
-		auto const daemon = 1 + (number % (daemon_count - 1));
-		auto const answer = send_to_daemon(system.daemons.addresses()[daemon], "POST",
-			{{"Attempt", name}, {"Events", std::to_string(events_before_break)}});
-		if (answer.find("data: v1.1\n") != std::string::npos)
+		std::set<std::string> begun;
+		for (std::size_t number = 0; number < max_streams && begun.size() < count; ++number)
 		{
-			begun.insert(name);
+			auto const name = fmt::format("t{}", number);
+			auto const daemon = 1 + (number % (daemon_count - 1));
+			auto const answer = send_to_daemon(daemons.addresses()[daemon], "POST",
+				{{"Attempt", name}, {"Events", std::to_string(events_before_break)}});
+			if (answer.find("data: v1.1\n") != std::string::npos)
+			{
+				begun.insert(name);
+			}
 		}
+		std::this_thread::sleep_for(telling_time);
+		return begun;
 	}
-	std::this_thread::sleep_for(telling_time);
+}
+
+TEST_CASE("a stream goes on elsewhere if its daemon knows no server of its version", "[version_elsewhere]")
+{
+	out_of_touch_daemon const system;
+	auto const begun = begin_streams(system.daemons, streams_taken_up);
 	int went_on = 0;
 	int mixed = 0;
 	std::string last_refusal;
@@ -96,3 +106,33 @@
 		REQUIRE(std::ranges::all_of(runs, [](auto const& item) { return item.second == 1; }));
 	}
 }
+
+// Guards against loops: a daemon to which a stream was relayed does not relay it on.
+TEST_CASE("a relayed stream is refused where no server of its version is known", "[version_elsewhere]")
+{
+	out_of_touch_daemon const system;
+	auto const begun = begin_streams(system.daemons, 1);
+	REQUIRE(begun.size() == 1);
+	auto const answer = take_up(system.daemons, 0, *begun.begin(), {{"Relayed", "2"}});
+	CAPTURE(answer);
+	REQUIRE(answer.starts_with("HTTP/1.1 503"));
+	REQUIRE(answer.find("no_server_of_version") != std::string::npos);
+	REQUIRE(answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("a stream is refused at once if no daemon knows a server of its version", "[version_elsewhere]")
+{
+	constexpr std::chrono::milliseconds longest_refusal{500};
+	out_of_touch_daemon system;
+	auto const begun = begin_streams(system.daemons, 1);
+	REQUIRE(begun.size() == 1);
+	system.daemons.publish(entries_of(system.old_servers));
+	std::this_thread::sleep_for(telling_time);
+	auto const sent_at = std::chrono::steady_clock::now();
+	auto const answer = take_up(system.daemons, 0, *begun.begin());
+	auto const took = std::chrono::steady_clock::now() - sent_at;
+	CAPTURE(answer, std::chrono::duration<double>(took).count());
+	REQUIRE(answer.starts_with("HTTP/1.1 503"));
+	REQUIRE(answer.find("Retry-After: ") != std::string::npos);
+	REQUIRE(took < longest_refusal);
+}
