--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -1,5 +1,6 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <tuple>
 #include <utility>
@@ -189,10 +190,8 @@
 			load_guard const guard(server, token_count{}, token_count{});
 			// When a timeout could not lead to another attempt (a non-idempotent call, or the last server that may be
 			// tried), the server may use the whole remaining time, up to default_timeout.
-			auto const is_last = state->servers_left() <= 1;
-			auto const max_silence = state->matched_route->is_repeatable() && !is_last
-										 ? routing::response_timeout(*state->matched_route)
-										 : default_timeout;
+			auto const may_be_moved = state->matched_route->is_repeatable() && this->may_go_elsewhere(*state, *server);
+			auto const max_silence = may_be_moved ? routing::response_timeout(*state->matched_route) : default_timeout;
 			send_options options;
 			auto outcome = co_await this->send(state, server, std::move(options), max_silence);
 			std::optional<send_failure> failure;
@@ -348,6 +347,21 @@
 		co_return http::upstream_failure::broken;
 	}
 
+	bool forwarder::may_go_elsewhere(request_state const& state, routing::server_record const& server) const
+	{
+		auto const is_sent_here = state.sent_to.contains(server.entry.id);
+		auto const servers_left_here = state.servers_left() + (is_sent_here ? 1U : 0U);
+		auto const others = this->shared->servers.candidates(state.service, server.entry.role, monotonic_now());
+		return servers_left_here > 1 && std::ranges::any_of(others,
+											[&](routing::server_pointer const& each)
+											{
+												auto const is_of_version =
+													!state.origin || each->entry.version == state.origin->version;
+												return each->entry.id != server.entry.id &&
+													   !state.excluded.contains(each->entry.id) && is_of_version;
+											});
+	}
+
 	bool forwarder::authorize_retry(request_state& state, send_failure failure)
 	{
 		if (failure == send_failure::blocked)
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -188,8 +188,9 @@
 		options.last_event = state->joiner.last_event();
 		auto const first_event_timeout =
 			source ? fetched_first_event_timeout : 2 * placement.first_event + first_event_margin;
-		auto const max_silence =
-			state->matched_route->is_repeatable() && state->sent_to.empty() ? first_event_timeout : default_timeout;
+		auto const may_be_moved = state->matched_route->is_repeatable() && state->sent_to.empty() &&
+								  this->may_go_elsewhere(*state, *placement.decode);
+		auto const max_silence = may_be_moved ? first_event_timeout : default_timeout;
 		auto const sent_at = monotonic_now();
 		auto const is_first = !state->first_event_at;
 		constexpr auto has_permit = true;
@@ -406,8 +407,10 @@
 				}
 				if (is_repeatable)
 				{
-					max_silence = state->is_relayed_on ? routing::relayed_event_timeout(*state->matched_route)
-													   : routing::event_timeout(*state->matched_route);
+					// Without another server, only the caller can take the stream up, as with a relayed one.
+					auto const is_moved_here = !state->is_relayed_on && this->may_go_elsewhere(*state, *server);
+					max_silence = is_moved_here ? routing::event_timeout(*state->matched_route)
+												: routing::relayed_event_timeout(*state->matched_route);
 				}
 			}
 			auto is_accepted = !state->is_caller_gone;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -269,6 +269,9 @@
 		[[nodiscard]] routing::process_evidence read_start(
 			routing::server_pointer const& called, http::response const& answer) const;
 
+		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
+		// nothing is gained when the server's silence ends the wait for its answer.
+		[[nodiscard]] bool may_go_elsewhere(request_state const& state, routing::server_record const& server) const;
 		// Returns whether the call may be sent once more. Spends one retry of the budget unless the failed call was
 		// never sent.
 		[[nodiscard]] bool authorize_retry(request_state& state, routing::send_failure failure);
