--- a/tests/contract/changed_configuration.test.cpp
+++ b/tests/contract/changed_configuration.test.cpp
@@ -658,3 +658,39 @@
 		CHECK(is_whole(each->answer()));
 	}
 }
+
+// The routes have malinis-rounds' limits of time.
+TEST_CASE("requests at silent servers get whole answers beside a planned stop", "[changed_configuration]")
+{
+	constexpr int silence_ms = 700;
+	constexpr duration plain_timeout = milliseconds(1500);
+	constexpr duration stream_timeout = seconds(14);
+	auto const stops_after = GENERATE(milliseconds(100), milliseconds(900), milliseconds(1600));
+	held_server plain("p", routing::server_role::plain);
+	held_server engine("e");
+	plain.silence_ms = silence_ms;
+	engine.silence_ms = silence_ms;
+	daemon_of_test daemon;
+	auto config = make_configuration();
+	for (auto& route : config.routes)
+	{
+		route.timeout = route.kind == call_kind::streaming ? stream_timeout : plain_timeout;
+		route.objective = milliseconds(300);
+		route.longest_gap = milliseconds(300);
+	}
+	daemon.publish(config, std::vector{plain.entry(), engine.entry()});
+	std::list<caller> callers;
+	for (auto const* const path : {"/x/lookup/1", "/x/booking/1", "/x/stream/1", "/x/resumed/1"})
+	{
+		callers.emplace_back(daemon.address(), request_text(path, path));
+	}
+	wait_until([&] { return plain.attempts().size() == 2 && engine.attempts().size() == 2; });
+	std::this_thread::sleep_for(stops_after);
+	daemon.serving.drain();
+	for (auto& each : callers)
+	{
+		INFO(each.answer());
+		CHECK(is_whole(each.answer()));
+	}
+	wait_until([&] { return daemon.has_drained.load(); });
+}
