--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -366,3 +366,36 @@
 	servers.put(entry);
 	REQUIRE(servers.find(entry.id)->newest_process().started == incarnation(2));
 }
+
+// Calls during the pause break BUDGET: it is the same server after a new start.
+TEST_CASE("a pause that a server asked for outlasts the entry of its next process", "[.pause_of_new_start]")
+{
+	routing::directory servers;
+	auto entry = make_server("d1", server_role::decode);
+	servers.put(entry);
+	servers.find(entry.id)->load.note_pause(at_ms(5'000));
+	entry.started = incarnation(2);
+	SECTION("the entry is replaced")
+	{
+		servers.put(entry);
+	}
+	SECTION("the entry lapses first")
+	{
+		servers.remove(entry.id, at_ms(1'000));
+		REQUIRE(servers.expire(at_ms(2'500)).size() == 1);
+		servers.put(entry);
+	}
+	SECTION("the server moves to another address")
+	{
+		entry.address = "10.0.0.2:80";
+		servers.put(entry);
+	}
+	auto& load = servers.find(entry.id)->load;
+	REQUIRE(load.paused_for(at_ms(3'000)) == milliseconds(2'000));
+	REQUIRE(load.paused_for(at_ms(5'000)) == duration{});
+	// As after each pause, the first call shows whether more may follow.
+	auto const first = load.begin_call(token_count(), token_count(), at_ms(5'000));
+	REQUIRE(load.is_paused(at_ms(5'001)));
+	load.end_call(first);
+	REQUIRE_FALSE(load.is_paused(at_ms(5'002)));
+}
