--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -34,6 +34,11 @@
 			{
 				added->note_stated_start(known->newest_process().started);
 			}
+			auto const gone = this->departed.find(entry.id);
+			if (auto const before = known || gone == this->departed.end() ? known : gone->second.server)
+			{
+				added->load.take_over_pause(before->load);
+			}
 			this->remember_version(entry.id);
 			this->servers[entry.id] = added;
 			this->departed.erase(entry.id);
--- a/packages/routing/impl/server_load.cpp
+++ b/packages/routing/impl/server_load.cpp
@@ -30,6 +30,14 @@
 		this->first_after_pause.reset();
 	}
 
+	void server_load::take_over_pause(server_load const& before) noexcept
+	{
+		if (before.paused_until)
+		{
+			this->note_pause(*before.paused_until);
+		}
+	}
+
 	bool server_load::is_paused(time_point now) const noexcept
 	{
 		return this->paused_until && (now < *this->paused_until || this->first_after_pause);
--- a/packages/routing/include/godwittrestle/routing/server_load.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_load.hpp
@@ -64,6 +64,10 @@
 		// single call first: it may still be full, and all daemons would otherwise return at once.
 		void note_pause(time_point until) noexcept;
 
+		// Keeps the pause that the same server requested before its entry named another start or address. The server
+		// may have requested it after that start: entries are read later than answers.
+		void take_over_pause(server_load const& before) noexcept;
+
 		// Returns whether no call may be sent now because of a pause that the server requested.
 		[[nodiscard]] bool is_paused(time_point now) const noexcept;
 
--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -368,7 +368,7 @@
 }
 
 // Calls during the pause break BUDGET: it is the same server after a new start.
-TEST_CASE("a pause that a server asked for outlasts the entry of its next process", "[.pause_of_new_start]")
+TEST_CASE("a pause that a server asked for outlasts the entry of its next process", "[directory]")
 {
 	routing::directory servers;
 	auto entry = make_server("d1", server_role::decode);
