--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -18,6 +18,8 @@
 		// Retry-After for callers that another daemon can serve at once.
 		constexpr duration retry_elsewhere_delay = milliseconds(20);
 		constexpr duration prefill_margin = milliseconds(500);
+		// Looking for other servers takes a time that grows with their number, so a stream does so once in this time.
+		constexpr duration server_check_interval = milliseconds(500);
 		// The objective divided by this number is the idle_split_limit, unless this daemon was started recently.
 		constexpr int prefill_wait_divisor = 2;
 		// Timeout for the first event of a decode engine that only has to fetch a KV cache.
@@ -340,6 +342,8 @@
 		auto max_silence = default_timeout;
 		// Only complete events count as progress of the stream.
 		auto progress_at = monotonic_now();
+		auto next_server_check = progress_at;
+		auto may_be_moved = false;
 		while (true)
 		{
 			if (state->joiner.is_out_of_order())
@@ -408,9 +412,13 @@
 				if (is_repeatable)
 				{
 					// Without another server, only the caller can take the stream up, as with a relayed one.
-					auto const is_moved_here = !state->is_relayed_on && this->may_go_elsewhere(*state, *server);
-					max_silence = is_moved_here ? routing::event_timeout(*state->matched_route)
-												: routing::relayed_event_timeout(*state->matched_route);
+					if (progress_at >= next_server_check)
+					{
+						may_be_moved = !state->is_relayed_on && this->may_go_elsewhere(*state, *server);
+						next_server_check = progress_at + server_check_interval;
+					}
+					max_silence = may_be_moved ? routing::event_timeout(*state->matched_route)
+											   : routing::relayed_event_timeout(*state->matched_route);
 				}
 			}
 			auto is_accepted = !state->is_caller_gone;
