--- /dev/null
+++ b/packages/gateway/impl/forwarder_origin_search.cpp
@@ -0,0 +1,128 @@
+#include <godwittrestle/gateway/forwarder.hpp>
+
+#include <algorithm>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+
+#include "forwarder_state.hpp"
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// Engines of one service whose memory is searched at most.
+		constexpr std::size_t max_engines_searched = 32;
+		constexpr duration contents_timeout = milliseconds(300);
+		constexpr duration contact_poll_interval = milliseconds(25);
+	}
+
+	// What the engines of one service say that they run and hold.
+	struct forwarder::origin_search
+	{
+		std::size_t unanswered = 0;
+		std::size_t engines = 0;
+		std::map<fingerprint, std::set<routing::server_process>> runs;
+		std::size_t parts = 0;
+	};
+
+	void forwarder::learn_origins()
+	{
+		std::set<service_id> services;
+		auto const now = monotonic_now();
+		auto const since = now - longest_stream_life(*this->shared);
+		for (auto const& server : this->shared->servers.all() | std::views::values)
+		{
+			auto const is_engine = server->entry.role != routing::server_role::plain;
+			if (is_engine && !this->shared->versions.only_version_since(server->entry.service, since, now))
+			{
+				services.insert(server->entry.service);
+			}
+		}
+		for (auto const& service : services)
+		{
+			this->run_in_background("origin_search", this->search_origins(service));
+		}
+	}
+
+	asio::awaitable<void> forwarder::search_origins(service_id service)
+	{
+		auto const begun_at = monotonic_now();
+		auto engines = this->shared->servers.candidates(service, routing::server_role::decode, begun_at);
+		std::ranges::sort(engines, std::ranges::greater{}, [this](routing::server_pointer const& each)
+			{ return decide::rank(each->entry.id.str(), this->shared->own_id.str()); });
+		engines.resize(std::min(engines.size(), max_engines_searched));
+		auto const search = std::make_shared<origin_search>();
+		search->engines = engines.size();
+		search->unanswered = engines.size();
+		for (auto const& engine : engines)
+		{
+			this->run_in_background("origin_search", this->read_contents(engine, search));
+		}
+		asio::steady_timer timer(this->executor);
+		while (search->unanswered > 0 && monotonic_now() < begun_at + 2 * contents_timeout)
+		{
+			timer.expires_after(contact_poll_interval);
+			std::ignore = co_await timer.async_wait(wait_token);
+		}
+		std::size_t found = 0;
+		for (auto const& [attempt, processes] : search->runs)
+		{
+			if (processes.size() == 1)
+			{
+				++found;
+				auto const& process = *processes.begin();
+				auto const version = this->shared->servers.version_of(process);
+				routing::known_stream stream{
+					{service, version.value_or(software_version())}, begun_at, this->shared->own_id};
+				stream.process = process;
+				stream.is_version_known = version.has_value();
+				this->shared->origins.note(attempt, stream);
+			}
+		}
+		this->log(make_event("stream_origins_searched",
+			{{"service", service.str()}, {"engines", std::to_string(search->engines)},
+				{"unanswered", std::to_string(search->unanswered)}, {"streams", std::to_string(found)},
+				{"parts", std::to_string(search->parts)}, {"took_ms", milliseconds_text(monotonic_now() - begun_at)}}));
+		this->origins->tell_due(monotonic_now());
+	}
+
+	asio::awaitable<void> forwarder::read_contents(
+		routing::server_pointer engine, std::shared_ptr<origin_search> search)
+	{
+		auto const& entry = engine->entry;
+		auto report_request = this->protocol.write_report_request(entry.id);
+		auto const report_text = co_await this->fetch(engine, std::move(report_request), contents_timeout);
+		auto const report = report_text ? this->protocol.read_report(*report_text) : std::nullopt;
+		this->totals->count_send("report", report ? "served" : "failed");
+		// The streams of a process with another start are not of the entry's version.
+		auto const is_of_entry = report && (report->started == incarnation() || report->started == entry.started);
+		if (report)
+		{
+			auto const stated = report->started == incarnation() ? entry.started : report->started;
+			for (auto const& each : report->running | std::views::filter(&running_stream::has_events))
+			{
+				search->runs[fingerprint_of(each.attempt)].insert({entry.id, stated});
+			}
+		}
+		// An engine that has changed its role may hold prompts that it prefilled for engines of other versions.
+		if (is_of_entry && report->orders == 0)
+		{
+			auto memory_request = this->protocol.write_memory_request(entry.id);
+			auto const memory = co_await this->fetch(engine, std::move(memory_request), contents_timeout);
+			auto const parts = memory ? this->protocol.read_memory(*memory) : std::nullopt;
+			this->totals->count_send("memory_list", parts ? "served" : "failed");
+			for (auto const& each : parts.value_or(std::vector<std::string>{}))
+			{
+				++search->parts;
+				this->shared->origins.note_held_part(
+					fingerprint_of(each), {entry.service, entry.version}, monotonic_now());
+			}
+		}
+		--search->unanswered;
+	}
+}
--- /dev/null
+++ b/packages/gateway/impl/forwarder_writers.cpp
@@ -0,0 +1,197 @@
+#include <godwittrestle/gateway/forwarder.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "forwarder_state.hpp"
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// A run appears in its engine's report within about this time.
+		constexpr duration report_delay = milliseconds(250);
+		constexpr int max_origin_questions = 8;
+	}
+
+	void forwarder::note_event_server(state_pointer state, routing::server_pointer server, time_point now)
+	{
+		if (state->is_origin_recorded && state->writer_send != state->sends)
+		{
+			auto const version = this->shared->servers.version_of(state->sent_to_process);
+			state->note_event_version(version.value_or(server->entry.version));
+		}
+		if (state->joiner.events() == 0 || state->is_origin_recorded || state->unconfirmed_writer)
+		{
+			return;
+		}
+		state->writer_send = state->sends;
+		if (state->origin || !routing::states_start(server->entry))
+		{
+			routing::stream_origin const of_entry{state->service, server->entry.version};
+			this->record_origin(*state, {state->origin.value_or(of_entry), now, this->shared->own_id});
+			return;
+		}
+		auto const sent_to = state->sent_to_process;
+		if (!this->is_writer_doubtful(*state, server, now))
+		{
+			state->is_writer_assumed = true;
+			this->record_writer(*state, sent_to, now);
+			return;
+		}
+		state->unconfirmed_writer = server;
+		this->run_in_background("origin_check", this->confirm_origin(state, server, sent_to));
+	}
+
+	bool forwarder::is_writer_doubtful(
+		request_state const& state, routing::server_pointer const& server, time_point now) const
+	{
+		auto const is_present = this->shared->servers.find(server->entry.id) == server;
+		auto const since = now - longest_stream_life(*this->shared);
+		return server->end_sign_at || server->start_doubted_at || !is_present ||
+			   this->shared->servers.has_unlisted_process(state.service) ||
+			   this->shared->versions.served_since(state.service, since, now).size() > 1;
+	}
+
+	asio::awaitable<bool> forwarder::find_writer(
+		state_pointer state, routing::server_pointer server, routing::server_process sent_to)
+	{
+		auto const begun_at = monotonic_now();
+		auto const asked = this->present_record(server);
+		auto const seen = co_await this->end_check.ask_start(asked, begun_at);
+		if (state->writer && !state->is_writer_assumed)
+		{
+			co_return true;
+		}
+		if (seen.stated == asked->entry.started)
+		{
+			routing::directory::note_start_confirmed(*asked, seen.asked_at);
+		}
+		if (auto const stated = routing::find_writer(sent_to.started, seen, state->call.attempt))
+		{
+			state->is_writer_assumed = false;
+			this->record_writer(*state, {sent_to.server, *stated}, monotonic_now());
+			co_return true;
+		}
+		// While one version is known, only another start shows that there may be a second one.
+		auto const is_only_version = !this->has_several_versions(state->service, begun_at);
+		if (is_only_version && !state->writer && !routing::is_proved_replaced(asked->entry, seen))
+		{
+			state->is_writer_assumed = true;
+			this->record_writer(*state, sent_to, monotonic_now());
+		}
+		co_return state->writer.has_value();
+	}
+
+	asio::awaitable<void> forwarder::confirm_origin(
+		state_pointer state, routing::server_pointer server, routing::server_process sent_to)
+	{
+		asio::steady_timer pause(this->executor);
+		auto const send = state->sends;
+		for (int question = 0; question < max_origin_questions; ++question)
+		{
+			auto const is_known = co_await this->find_writer(state, server, sent_to);
+			auto const is_over = state->sends != send || state->http_exchange == nullptr || state->is_caller_gone;
+			if ((is_known && !state->is_writer_assumed) || is_over)
+			{
+				break;
+			}
+			// What a report says of the runs may be some hundred milliseconds old.
+			pause.expires_after(report_delay);
+			std::ignore = co_await pause.async_wait(wait_token);
+		}
+		if (!state->writer)
+		{
+			this->log_event(*state, "stream_origin_unconfirmed",
+				{{"server", sent_to.server.str()}, {"sent_to_start", std::to_string(sent_to.started.count())},
+					{"newest_start", std::to_string(server->newest_process().started.count())}});
+		}
+	}
+
+	void forwarder::review_origins()
+	{
+		for (auto const& state : this->requests)
+		{
+			auto const is_under_send =
+				state->is_writer_assumed && state->is_send_running && state->writer_send == state->sends;
+			auto const server = is_under_send ? this->shared->servers.find(state->writer->server) : nullptr;
+			if (server && server->newest_process() != *state->writer && !state->is_writer_reviewed)
+			{
+				state->is_writer_reviewed = true;
+				this->doubt_origin(*state, monotonic_now());
+				this->run_in_background("origin_check", this->confirm_origin(state, server, *state->writer));
+			}
+		}
+	}
+
+	void forwarder::doubt_origin(request_state const& state, time_point now)
+	{
+		if (state.call.attempt.empty() || !state.origin)
+		{
+			return;
+		}
+		routing::known_stream stream{
+			{state.service, software_version()}, state.first_event_at.value_or(now), this->shared->own_id};
+		stream.is_version_known = false;
+		this->shared->origins.correct(fingerprint_of(state.call.attempt), std::move(stream));
+		this->log_origin(state, "doubted");
+		this->origins->tell_due(now);
+	}
+
+	void forwarder::record_writer(request_state& state, routing::server_process const& writer, time_point now)
+	{
+		auto const is_correction = state.is_writer_reviewed || (state.writer && *state.writer != writer);
+		auto const version = this->shared->servers.version_of(writer);
+		routing::known_stream stream{{state.service, version.value_or(software_version())},
+			state.first_event_at.value_or(now), this->shared->own_id};
+		stream.process = writer;
+		stream.is_version_known = version.has_value();
+		state.writer = writer;
+		state.unconfirmed_writer = nullptr;
+		state.origin = version ? std::optional(stream.origin) : std::nullopt;
+		if (is_correction && !state.call.attempt.empty())
+		{
+			state.is_origin_recorded = true;
+			state.event_versions = {stream.origin.version};
+			this->shared->origins.correct(fingerprint_of(state.call.attempt), std::move(stream));
+			this->log_origin(state, "corrected");
+			this->origins->tell_due(now);
+			return;
+		}
+		this->record_origin(state, std::move(stream));
+	}
+
+	void forwarder::record_origin(request_state& state, routing::known_stream stream)
+	{
+		state.is_origin_recorded = true;
+		if (stream.is_version_known)
+		{
+			state.origin = stream.origin;
+			state.note_event_version(stream.origin.version);
+		}
+		// A stream that was taken up is known by the attempt that began it, also at a third try.
+		auto const& named = state.call.last_event ? state.call.resumes : state.call.attempt;
+		if (named.empty())
+		{
+			return;
+		}
+		this->shared->origins.note(fingerprint_of(named), stream);
+		this->log_origin(state, state.is_writer_assumed ? "assumed" : "confirmed");
+		this->origins->tell_due(monotonic_now());
+	}
+
+	void forwarder::log_origin(request_state const& state, std::string_view how)
+	{
+		auto const& named = state.call.last_event ? state.call.resumes : state.call.attempt;
+		this->log_event(state, "stream_origin_recorded",
+			{{"attempt", to_text(fingerprint_of(named))}, {"how", std::string(how)},
+				{"server", state.sent_to_process.server.str()},
+				{"sent_to_start", std::to_string(state.sent_to_process.started.count())},
+				{"writer_start", state.writer ? std::to_string(state.writer->started.count()) : "none"},
+				{"version", state.origin ? state.origin->version.str() : "unknown"},
+				{"taken_up", state.call.last_event ? "yes" : "no"}});
+	}
+}
