--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -316,6 +316,13 @@
 			co_return true;
 		}
 		auto const seen = co_await this->end_check.ask_start(engine, now);
+		if (seen.stated == incarnation())
+		{
+			this->log_event(*state, "server_start_unknown",
+				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
+					{"answered", seen.has_answered ? "yes" : "no"},
+					{"begun", state->joiner.last_event() ? "yes" : "no"}});
+		}
 		if (!seen.has_answered)
 		{
 			if (engine->start_doubted_at)
--- a/packages/gateway/impl/server_end_check.cpp
+++ b/packages/gateway/impl/server_end_check.cpp
@@ -157,7 +157,7 @@
 		auto const port = seen.is_refused ? http::port_state::refused : accepted;
 		this->log(make_event("server_end_checked",
 			{{"server", server.id.str()}, {"address", server.address}, {"port", std::string(http::to_string(port))},
-				{"entry_start", std::to_string(server.started.count())},
+				{"entry_start", std::to_string(server.started.count())}, {"answered", seen.has_answered ? "yes" : "no"},
 				{"stated_start", std::to_string(seen.stated.count())},
 				{"process", std::string(routing::to_string(routing::judge_process(server, seen)))},
 				{"broken_calls", std::to_string(waiting_calls)}}));
