--- a/tests/contract/stream_processes.test.cpp
+++ b/tests/contract/stream_processes.test.cpp
@@ -8,14 +8,10 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
 #include "daemon_group.hpp"
+#include "open_stream.hpp"
 #include "slow_prefill_server.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
@@ -26,9 +22,6 @@
 // Streams that begin at a server's new process while its entry still is that of the process before.
 namespace
 {
-	namespace asio = boost::asio;
-	using asio::ip::tcp;
-
 	constexpr int events_asked = 60;
 	constexpr std::chrono::milliseconds prefill_time{300};
 	// Time within which a daemon has applied what was published or read a server's report.
@@ -41,42 +34,6 @@
 		std::this_thread::sleep_for(time);
 	}
 
-	// A caller's stream that the test reads as it arrives.
-	class open_stream
-	{
-	  public:
-		open_stream(http::endpoint const& daemon, std::string const& attempt)
-			: socket(this->loop)
-		{
-			this->socket.connect(tcp::endpoint(asio::ip::make_address(daemon.address), daemon.port));
-			auto const text = fmt::format("POST /x/y HTTP/1.1\r\nHost: a.example\r\nTime-Left-Ms: 14000\r\n"
-										  "Content-Length: 0\r\nConnection: close\r\nAttempt: {}\r\nEvents: {}\r\n\r\n",
-				attempt, events_asked);
-			asio::write(this->socket, asio::buffer(text));
-		}
-
-		// Reads until the text has been received, or to the end. Returns whether it has been.
-		[[nodiscard]] bool read_until(std::string const& text)
-		{
-			boost::system::error_code error;
-			asio::read_until(this->socket, asio::dynamic_buffer(this->received), text, error);
-			return this->received.find(text) != std::string::npos;
-		}
-
-		// Reads to the end. Returns all that was received.
-		[[nodiscard]] std::string const& read_rest()
-		{
-			boost::system::error_code error;
-			asio::read(this->socket, asio::dynamic_buffer(this->received), error);
-			return this->received;
-		}
-
-	  private:
-		asio::io_context loop;
-		tcp::socket socket;
-		std::string received;
-	};
-
 	routing::route make_long_route()
 	{
 		auto route = make_route(routing::call_kind::streaming, 3, true);
@@ -166,7 +123,7 @@
 {
 	replaced_server system(1);
 	system.replace();
-	open_stream stream(system.daemons.addresses()[0], "t1");
+	open_stream stream(system.daemons.addresses()[0], "t1", events_asked);
 	REQUIRE(stream.read_until("id: 3\n"));
 	system.write_entry();
 	system.list_all();
@@ -182,7 +139,7 @@
 {
 	replaced_server system(1);
 	system.replace();
-	open_stream stream(system.daemons.addresses()[0], "t1");
+	open_stream stream(system.daemons.addresses()[0], "t1", events_asked);
 	REQUIRE(stream.read_until("id: 20\n"));
 	system.server.break_streams();
 	sleep(std::chrono::milliseconds(100));
@@ -200,7 +157,7 @@
 	replaced_server system(2);
 	sleep(meeting_time);
 	system.replace();
-	open_stream stream(system.daemons.addresses()[0], "t1");
+	open_stream stream(system.daemons.addresses()[0], "t1", events_asked);
 	REQUIRE(stream.read_until("id: 20\n"));
 	system.write_entry();
 	system.list_all();
@@ -218,7 +175,7 @@
 {
 	slow_prefill_server prefill(prefill_time);
 	replaced_server system(1, {prefill.entry()});
-	open_stream stream(system.daemons.addresses()[0], "t1");
+	open_stream stream(system.daemons.addresses()[0], "t1", events_asked);
 	sleep(prefill_time / 3);
 	REQUIRE(prefill.calls() > 0);
 	system.replace();
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -84,6 +84,11 @@
 		this->is_reporting = reports;
 	}
 
+	void streaming_server::set_report_delay(std::chrono::milliseconds delay)
+	{
+		this->report_delay = delay;
+	}
+
 	void streaming_server::restart(std::string const& new_version)
 	{
 		std::promise<void> done;
@@ -132,6 +137,8 @@
 		if (message.path() == "/report")
 		{
 			constexpr unsigned not_found = 404;
+			asio::steady_timer timer(this->thread.context(), this->report_delay.load());
+			std::ignore = co_await timer.async_wait(token);
 			http::response answer;
 			answer.status = this->is_reporting ? answer.status : not_found;
 			answer.body = fmt::format("{};{}", this->starts, fmt::join(this->running, ","));
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -43,6 +44,9 @@
 		// Sets whether the server answers questions for its report; otherwise it answers 404.
 		void set_reporting(bool reports);
 
+		// Sets how long the server takes to answer a question for its report.
+		void set_report_delay(std::chrono::milliseconds delay);
+
 		// Ends as a crash does, and starts again under the same id and at the same address with another version. What
 		// entry() returned before is then wrong.
 		void restart(std::string const& new_version);
@@ -63,6 +67,7 @@
 		std::uint64_t starts = 1;
 		std::atomic<unsigned> breaks = 0;
 		std::atomic<bool> is_reporting = true;
+		std::atomic<std::chrono::milliseconds> report_delay = std::chrono::milliseconds(0);
 		// Attempts whose streams run. Used only on the server's thread.
 		std::set<std::string> running;
 		mutable std::mutex mutex;
--- /dev/null
+++ b/tests/contract/unstated_starts.test.cpp
@@ -0,0 +1,203 @@
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "daemon_group.hpp"
+#include "open_stream.hpp"
+#include "streaming_servers.hpp"
+#include "test_protocol.hpp"
+
+using namespace godwittrestle;
+using namespace godwittrestle::testing;
+
+// Streams whose version depends on what servers do not state, or on what a daemon has not heard.
+namespace
+{
+	using std::chrono::milliseconds;
+
+	constexpr int events_asked = 60;
+	// Time within which a daemon has applied what was published or read a server's report.
+	constexpr milliseconds settle_time{250};
+	// Time within which daemons have found each other and told each other what they know.
+	constexpr milliseconds meeting_time{1500};
+	constexpr duration route_timeout = seconds(14);
+	// The timeout of a route whose streams are so short that a daemon soon knows all versions of their time.
+	constexpr duration short_route_timeout = milliseconds(1500);
+	// Time after which a daemon knows all versions of a short stream's longest life.
+	constexpr milliseconds history_time{4000};
+	// Time after which a daemon that has not read the registry does not know that its view is complete.
+	constexpr milliseconds old_view_time{4800};
+
+	routing::route make_route_with(duration timeout)
+	{
+		auto route = make_route(routing::call_kind::streaming, 3, true);
+		route.timeout = timeout;
+		return route;
+	}
+
+	bool holds(std::string const& answer, std::string const& version)
+	{
+		return answer.find("data: " + version + "\n") != std::string::npos;
+	}
+
+	bool is_complete(std::string const& answer, int events = events_asked)
+	{
+		return answer.find(fmt::format("id: {}\n", events)) != std::string::npos;
+	}
+
+	// A stream that began at a server of version v1, and a second server whose entry is of that version. Servers of
+	// version v1.1 are in service too.
+	class stream_with_second_server
+	{
+	  public:
+		void begin(int events = events_asked)
+		{
+			this->stream.emplace(this->daemons.addresses()[0], "t1", events);
+			REQUIRE(this->stream->read_until("id: 3\n"));
+			this->daemons.publish({this->first_entry, this->second_entry, this->newer.entry()});
+			std::this_thread::sleep_for(settle_time);
+		}
+
+		// Breaks the stream off at its first server. Returns all that the caller received.
+		[[nodiscard]] std::string const& break_off()
+		{
+			this->first.break_streams();
+			return this->stream->read_rest();
+		}
+
+		streaming_server first{"first", "v1"};
+		streaming_server second{"second", "v1"};
+		streaming_server newer{"newer", "v1.1"};
+
+	  private:
+		routing::registered_server first_entry = this->first.entry();
+		routing::registered_server second_entry = this->second.entry();
+		std::optional<open_stream> stream;
+
+	  public:
+		daemon_group daemons{1, make_route_with(route_timeout), {this->first_entry}};
+	};
+}
+
+// Guards against an answer that states no start and passes for the confirmation of the entry's (ORDER).
+TEST_CASE("a stream does not go on at a process that does not state its start", "[unstated_start]")
+{
+	stream_with_second_server system;
+	system.second.restart("v1.1");
+	system.second.set_reporting(false);
+	system.begin();
+	auto const& answer = system.break_off();
+	REQUIRE(holds(answer, "v1"));
+	REQUIRE_FALSE(holds(answer, "v1.1"));
+}
+
+// Guards against streams that are given up since an engine does not answer for its start at once (LOST).
+TEST_CASE("a stream goes on when the process states its start later", "[unstated_start]")
+{
+	stream_with_second_server system;
+	system.second.set_reporting(false);
+	system.begin();
+	std::thread reporting(
+		[&]
+		{
+			std::this_thread::sleep_for(2 * settle_time);
+			system.second.set_reporting(true);
+		});
+	auto const& answer = system.break_off();
+	reporting.join();
+	REQUIRE(is_complete(answer));
+	REQUIRE_FALSE(holds(answer, "v1.1"));
+}
+
+// Guards against a daemon that stops to ask which process began a stream (LOST).
+TEST_CASE("a stream is known whose server states its start long after the first event", "[unstated_start]")
+{
+	constexpr int events = 250;
+	constexpr milliseconds unstated_time{3000};
+	stream_with_second_server system;
+	system.first.set_reporting(false);
+	system.daemons.publish({system.newer.entry(), system.first.entry()});
+	std::this_thread::sleep_for(settle_time);
+	system.daemons.publish({system.first.entry()});
+	std::this_thread::sleep_for(settle_time);
+	system.begin(events);
+	std::this_thread::sleep_for(unstated_time);
+	system.first.set_reporting(true);
+	std::this_thread::sleep_for(meeting_time);
+	auto const& answer = system.break_off();
+	REQUIRE(is_complete(answer, events));
+	REQUIRE_FALSE(holds(answer, "v1.1"));
+}
+
+// Guards against engines that get no stream since their report takes longer than other calls (LOST).
+TEST_CASE("a stream goes on at an engine whose report is slow", "[slow_report]")
+{
+	constexpr milliseconds report_delay{350};
+	stream_with_second_server system;
+	system.first.set_report_delay(report_delay);
+	system.second.set_report_delay(report_delay);
+	system.begin();
+	auto const& answer = system.break_off();
+	REQUIRE(is_complete(answer));
+	REQUIRE_FALSE(holds(answer, "v1.1"));
+}
+
+// Guards against a stream that nobody has told of, since its process is not known, and that passes for one that began
+// at the only version another daemon knows (ORDER).
+TEST_CASE("a stream whose process is not known is not taken for one of the only version", "[unconfirmed_stream]")
+{
+	streaming_server replaced("replaced", "v1");
+	streaming_server old_server("old", "v1");
+	streaming_server newer("newer", "v1.1");
+	auto const replaced_entry = replaced.entry();
+	daemon_group daemons(2, make_route_with(short_route_timeout), {replaced_entry, old_server.entry()});
+	std::this_thread::sleep_for(history_time);
+	replaced.restart("v1.1");
+	replaced.set_reporting(false);
+	daemons.publish_to(0, {replaced_entry, newer.entry()});
+	std::this_thread::sleep_for(settle_time);
+	daemons.publish_to(0, {replaced_entry});
+	daemons.publish_to(1, {replaced_entry, old_server.entry()});
+	std::this_thread::sleep_for(settle_time);
+	open_stream stream(daemons.addresses()[0], "t1", events_asked);
+	REQUIRE(stream.read_until("id: 20\n"));
+	daemons.kill({0});
+	auto const answer = send_to_daemon(daemons.addresses()[1], "POST",
+		{{"Attempt", "t2"}, {"Resumes", "t1"}, {"Last-Event-Id", "20"}, {"Events", "30"}});
+	CAPTURE(answer);
+	REQUIRE(holds(stream.read_rest(), "v1.1"));
+	REQUIRE_FALSE(holds(answer, "v1"));
+}
+
+// Guards against a daemon that has not read the registry for a while and takes the only version that it knows for the
+// only one in service (ORDER).
+TEST_CASE("a daemon whose view is old asks others before it takes the only version", "[old_view]")
+{
+	streaming_server old_server("old", "v1");
+	streaming_server newer("newer", "v1.1");
+	daemon_group daemons(2, make_route_with(short_route_timeout), {old_server.entry()});
+	std::this_thread::sleep_for(old_view_time);
+	daemons.publish_to(0, {old_server.entry(), newer.entry()});
+	std::this_thread::sleep_for(settle_time);
+	auto const answer = send_to_daemon(daemons.addresses()[1], "POST",
+		{{"Attempt", "t2"}, {"Resumes", "t1"}, {"Last-Event-Id", "20"}, {"Events", "30"}});
+	CAPTURE(answer);
+	REQUIRE_FALSE(holds(answer, "v1"));
+}
+
+// While one version is in service, streams of which nothing is known go on there, however old the view is (LOST).
+TEST_CASE("a daemon whose view is old takes the only version that others know too", "[old_view]")
+{
+	streaming_server old_server("old", "v1");
+	daemon_group daemons(2, make_route_with(short_route_timeout), {old_server.entry()});
+	std::this_thread::sleep_for(old_view_time);
+	auto const answer = send_to_daemon(daemons.addresses()[1], "POST",
+		{{"Attempt", "t2"}, {"Resumes", "t1"}, {"Last-Event-Id", "20"}, {"Events", "30"}});
+	CAPTURE(answer);
+	REQUIRE(is_complete(answer, 30));
+}
