--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -22,6 +22,8 @@
 	{
 		constexpr unsigned first_server_error = 500;
 		constexpr duration rejected_decode_pause = milliseconds(300);
+		// Longest wait for the word of a server whose answer has ended with its connection.
+		constexpr duration longest_end_wait = milliseconds(1500);
 
 		routing::call_outcome to_call_outcome(send_failure failure) noexcept
 		{
@@ -145,7 +147,8 @@
 		// The connection has ended, so it takes no place of the one that asks.
 		answer.connection.release();
 		auto const asked = this->present_record(server);
-		auto const seen = co_await this->end_check.ask_start(asked, ended_at);
+		auto const longest_wait = std::min(state->time_left(), longest_end_wait);
+		auto const seen = co_await this->end_check.ask_start(asked, ended_at, longest_wait);
 		auto called = server->entry;
 		auto const is_writer_known = state->writer && state->writer_send == state->sends;
 		called.started = is_writer_known ? state->writer->started : state->sent_to_process.started;
--- a/packages/gateway/impl/forwarder_crashes.cpp
+++ b/packages/gateway/impl/forwarder_crashes.cpp
@@ -54,7 +54,7 @@
 		this->end_check.check_port(server.entry,
 			[this, report = std::move(report), attempt = state.call.attempt](routing::process_evidence const& seen)
 			{
-				if (!seen.is_refused || this->shared->reach.is_doubtful())
+				if (seen.port != routing::port_evidence::refused || this->shared->reach.is_doubtful())
 				{
 					return;
 				}
--- a/packages/gateway/impl/forwarder_origin_search.cpp
+++ b/packages/gateway/impl/forwarder_origin_search.cpp
@@ -99,14 +99,15 @@
 		auto const report_text = co_await this->fetch(engine, std::move(report_request), contents_timeout);
 		auto const report = report_text ? this->protocol.read_report(*report_text) : std::nullopt;
 		this->totals->count_send("report", report ? "served" : "failed");
-		// The streams of a process with another start are not of the entry's version.
-		auto const is_of_entry = report && (report->started == incarnation() || report->started == entry.started);
-		if (report)
+		// What a process runs and holds is known to be its own only if it states its start, unless its entry names
+		// none.
+		auto const states_start = report && (report->started != incarnation() || entry.started == incarnation());
+		auto const is_of_entry = report && report->started == entry.started;
+		if (states_start)
 		{
-			auto const stated = report->started == incarnation() ? entry.started : report->started;
 			for (auto const& each : report->running | std::views::filter(&running_stream::has_events))
 			{
-				search->runs[fingerprint_of(each.attempt)].insert({entry.id, stated});
+				search->runs[fingerprint_of(each.attempt)].insert({entry.id, report->started});
 			}
 		}
 		// An engine that has changed its role may hold prompts that it prefilled for engines of other versions.
@@ -114,7 +115,18 @@
 		{
 			auto memory_request = this->protocol.write_memory_request(entry.id);
 			auto const memory = co_await this->fetch(engine, std::move(memory_request), contents_timeout);
-			auto const parts = memory ? this->protocol.read_memory(*memory) : std::nullopt;
+			auto parts = memory ? this->protocol.read_memory(*memory) : std::nullopt;
+			if (parts && routing::states_start(entry))
+			{
+				// The list names no start: the process that wrote it is the one that was asked before only if it still
+				// is that one afterwards.
+				auto const now = monotonic_now();
+				auto const seen = co_await this->end_check.ask_start(engine, now, contents_timeout);
+				if (routing::judge_start(entry, seen) != routing::process_state::same)
+				{
+					parts.reset();
+				}
+			}
 			this->totals->count_send("memory_list", parts ? "served" : "failed");
 			for (auto const& each : parts.value_or(std::vector<std::string>{}))
 			{
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -14,6 +14,10 @@
 	namespace
 	{
 		constexpr duration reservation_timeout = milliseconds(200);
+		// A sound server may fall silent for about a second.
+		constexpr duration report_timeout = milliseconds(1200);
+		// Other engines are tried when one has not stated its start within this time.
+		constexpr duration longest_start_wait = milliseconds(200);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
 		// it is lost.
 		constexpr duration probe_lifetime = milliseconds(100);
@@ -216,135 +220,174 @@
 		if (known && known->entry.started != called->entry.started && known->entry.started != incarnation())
 		{
 			// Its entry tells that it has started again.
-			seen.has_answered = true;
-			seen.is_replaced = true;
-			seen.stated = known->entry.started;
+			seen.statement = routing::other_process();
 			co_return seen;
 		}
 		if (!routing::states_start(called->entry))
 		{
 			co_return seen;
 		}
-		seen.wants_pause = called->load.paused_for(monotonic_now()) > duration{};
-		if (seen.wants_pause)
+		if (called->load.paused_for(monotonic_now()) > duration{})
 		{
+			seen.statement = routing::pause_wanted();
 			co_return seen;
 		}
 		auto const begun_at = monotonic_now();
 		auto message = this->protocol.write_report_request(called->entry.id);
-		auto const answer = co_await this->call_server(called, std::move(message), reservation_timeout);
+		auto const answer = co_await this->call_server(called, std::move(message), report_timeout);
 		this->totals->count_send("report", answer ? "served" : "failed");
 		if (answer)
 		{
-			co_return this->read_start(called, *answer);
+			seen.statement = this->read_start(called, *answer);
 		}
-		if (monotonic_now() - begun_at < reservation_timeout / 2)
+		else if (monotonic_now() - begun_at < reservation_timeout / 2)
 		{
 			// It was not asked: no connection could be had.
-			seen = co_await this->ask_start_directly(called);
+			seen.statement = co_await this->ask_start_directly(called);
+		}
+		if (!this->shared->view.has_run_since(begun_at, monotonic_now()))
+		{
+			// This process was stopped meanwhile, and the answer may be as old as that.
+			seen.statement = routing::no_statement();
 		}
 		co_return seen;
 	}
 
-	asio::awaitable<routing::process_evidence> forwarder::ask_start_directly(routing::server_pointer called)
+	asio::awaitable<routing::process_statement> forwarder::ask_start_directly(routing::server_pointer called)
 	{
-		routing::process_evidence seen;
+		routing::process_statement stated;
 		auto const where = http::parse_endpoint(called->entry.address, called->entry.id.str());
 		if (!where)
 		{
-			co_return seen;
+			co_return stated;
 		}
 		auto const connection = std::make_shared<http::upstream>(this->executor, *where);
 		auto const is_connected = co_await connection->connect(reservation_timeout);
 		this->totals->count_connection();
 		if (!is_connected)
 		{
-			co_return seen;
+			co_return stated;
 		}
 		auto message = this->protocol.write_report_request(called->entry.id);
 		message.headers.push_back({"Host", called->entry.address});
 		connection->send(message);
-		auto head = co_await connection->read_head(reservation_timeout);
+		auto head = co_await connection->read_head(report_timeout);
+		auto is_read = false;
 		if (auto* const answer = std::get_if<http::response>(&head))
 		{
-			auto body = co_await connection->read_rest(reservation_timeout, max_small_body_bytes);
+			auto const metadata = this->protocol.read_answer(*answer);
+			this->record_server_state(*called, metadata);
+			this->record_limit(*called, metadata, answer->status, std::nullopt);
+			auto body = co_await connection->read_rest(report_timeout, max_small_body_bytes);
 			if (auto* const text = std::get_if<std::string>(&body))
 			{
 				answer->body = std::move(*text);
-				seen = this->read_start(called, *answer);
+				stated = this->read_start(called, *answer);
+				is_read = true;
 			}
 		}
-		this->totals->count_send("report", seen.has_answered ? "served" : "failed");
+		this->totals->count_send("report", is_read ? "served" : "failed");
 		connection->close();
-		co_return seen;
+		co_return stated;
 	}
 
-	routing::process_evidence forwarder::read_start(
+	routing::process_statement forwarder::read_start(
 		routing::server_pointer const& called, http::response const& answer) const
 	{
-		routing::process_evidence seen;
-		seen.is_accepted = true;
-		seen.has_answered = true;
 		auto const metadata = this->protocol.read_answer(answer);
-		seen.is_replaced = metadata.is_misdirected && !metadata.server.empty() && metadata.server != called->entry.id;
+		if (metadata.is_misdirected && !metadata.server.empty() && metadata.server != called->entry.id)
+		{
+			return routing::other_process();
+		}
 		auto const report = answer.status == status_ok ? this->protocol.read_report(answer.body) : std::nullopt;
-		if (!report || seen.is_replaced)
+		if (!report || report->started == incarnation())
 		{
-			return seen;
+			return routing::start_not_stated();
 		}
-		seen.stated = report->started;
+		this->present_record(called)->note_stated_start(report->started);
 		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
-		seen.running = std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end());
-		this->present_record(called)->note_stated_start(seen.stated);
-		return seen;
+		return routing::start_stated{
+			report->started, std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end())};
 	}
 
 	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine) const
 	{
 		auto const has_begun = state.joiner.last_event().has_value();
 		auto const is_present = this->shared->servers.find(engine.entry.id).get() == &engine;
-		return engine.start_doubted_at || (has_begun && (engine.end_sign_at || !is_present));
+		auto const is_new_sign = [&](std::optional<time_point> sign)
+		{
+			auto const was_asked =
+				!has_begun && state.accepted_unstated && state.accepted_unstated->server == engine.entry.id;
+			return sign && !(was_asked && *sign <= state.accepted_unstated->asked_at);
+		};
+		return is_new_sign(engine.start_doubted_at) || (has_begun && (engine.end_sign_at || !is_present));
 	}
 
 	asio::awaitable<bool> forwarder::confirm_start(state_pointer state, routing::server_pointer engine)
 	{
 		auto const now = monotonic_now();
-		auto const is_bound = state->joiner.last_event() && routing::states_start(engine->entry) &&
-							  this->has_several_versions(state->service, now);
+		auto const has_begun = state->joiner.last_event().has_value();
+		auto const is_bound =
+			has_begun && routing::states_start(engine->entry) && this->has_several_versions(state->service, now);
 		if (!is_bound && !is_start_doubtful(*state, *engine))
 		{
 			co_return true;
 		}
-		auto const seen = co_await this->end_check.ask_start(engine, now);
-		if (seen.stated == incarnation())
+		auto const last_sign = std::max(engine->start_doubted_at, engine->end_sign_at).value_or(time_point());
+		// An answer that was there before this stream needed it may be that of a process that has ended unseen.
+		auto const first_asked = state->start_asked_at.try_emplace(engine->entry.id, now).first->second;
+		auto const since = has_begun ? std::max(last_sign, first_asked) : last_sign;
+		auto const seen = co_await this->end_check.ask_start(engine, since, longest_start_wait);
+		switch (routing::judge_start(engine->entry, seen))
+		{
+			case routing::process_state::same:
+				// Another sign may have come while the engine was asked.
+				routing::directory::note_start_confirmed(*engine, seen.asked_at);
+				co_return !is_start_doubtful(*state, *engine);
+			case routing::process_state::ended:
+				this->note_start_refuted(*state, *engine, seen);
+				co_return false;
+			case routing::process_state::unknown:
+				break;
+		}
+		if (!has_begun && seen.has_answered())
+		{
+			// A new stream may begin at any version; where it began is found out after its first event.
+			state->accepted_unstated = {engine->entry.id, seen.asked_at};
+			co_return !is_start_doubtful(*state, *engine);
+		}
+		if (seen.asked_at >= now)
 		{
 			this->log_event(*state, "server_start_unknown",
 				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
-					{"answered", seen.has_answered ? "yes" : "no"},
-					{"begun", state->joiner.last_event() ? "yes" : "no"}});
+					{"answered", seen.has_answered() ? "yes" : "no"}, {"begun", has_begun ? "yes" : "no"}});
 		}
-		if (!seen.has_answered)
+		if (engine->start_doubted_at && !seen.has_answered())
 		{
-			if (engine->start_doubted_at)
-			{
-				engine->load.note_full_until(monotonic_now() + start_check_pause);
-			}
-			co_return false;
+			engine->load.note_full_until(monotonic_now() + start_check_pause);
 		}
-		if (routing::is_proved_replaced(engine->entry, seen))
+		co_return false;
+	}
+
+	void forwarder::note_start_refuted(
+		request_state& state, routing::server_record& engine, routing::process_evidence const& seen)
+	{
+		if (!routing::is_proved_replaced(engine.entry, seen))
 		{
-			// While the registry can be read, new streams may begin there: its entry will be written soon.
-			engine->is_replaced = engine->is_replaced || engine->start_doubted_at.has_value();
-			state->excluded.insert(engine->entry.id);
-			this->log(make_event("server_start_differs",
-				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
-					{"stated_start", std::to_string(seen.stated.count())},
-					{"entry_version", engine->entry.version.str()}}));
-			co_return false;
+			// Its port is refused, which may change at once.
+			if (engine.start_doubted_at)
+			{
+				engine.load.note_full_until(monotonic_now() + start_check_pause);
+			}
+			return;
 		}
-		// Another sign may have come while the engine was asked.
-		routing::directory::note_start_confirmed(*engine, seen.asked_at);
-		co_return !is_start_doubtful(*state, *engine);
+		// While the registry can be read, new streams may begin there: its entry will be written soon.
+		engine.is_replaced = engine.is_replaced || engine.start_doubted_at.has_value();
+		state.excluded.insert(engine.entry.id);
+		this->log(make_event("server_start_differs",
+			{{"server", engine.entry.id.str()}, {"entry_start", std::to_string(engine.entry.started.count())},
+				{"stated_start", std::to_string(seen.stated().value_or(incarnation()).count())},
+				{"entry_version", engine.entry.version.str()}}));
 	}
 
 	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -239,6 +240,13 @@
 		return fmt::format("{:.1f}", to_milliseconds(span));
 	}
 
+	// An engine that did not state its start.
+	struct unstated_engine
+	{
+		server_id server;
+		time_point asked_at;
+	};
+
 	// State of one caller's request while this daemon serves it.
 	struct forwarder::request_state
 	{
@@ -279,6 +287,8 @@
 		bool is_origin_recorded = false;
 		// Whether other daemons were asked for the stream's origin and did not all answer in time.
 		bool is_origin_unanswered = false;
+		// Whether all other daemons, if there are any, have said what they know of the stream.
+		bool have_others_answered = false;
 		// The process that made the stream's first event, the send that brought it, and whether the process was taken
 		// to be the newest one that was known.
 		std::optional<routing::server_process> writer;
@@ -287,8 +297,15 @@
 		// Whether another process of the server was heard of while the send was in progress, so that the process that
 		// was taken to be the writer may not be it.
 		bool is_writer_reviewed = false;
+		// Whether it was recorded, and told to other daemons, that the stream has begun and its process is not known.
+		bool is_unconfirmed_told = false;
 		// Whether the stream's last send has not failed yet.
 		bool is_send_running = false;
+		// When each engine was first asked for its start on behalf of this stream.
+		std::map<server_id, time_point> start_asked_at;
+		// The engine that answered without stating its start and may get the stream all the same, since it is a new one,
+		// and when it was asked. Signs of its end since then count.
+		std::optional<unstated_engine> accepted_unstated;
 		// The server that made the stream's first event, until its process is known.
 		routing::server_pointer unconfirmed_writer;
 		// Software versions of the servers whose events were passed on, in order and without repetitions.
--- a/packages/gateway/impl/forwarder_writers.cpp
+++ b/packages/gateway/impl/forwarder_writers.cpp
@@ -12,9 +12,13 @@
 {
 	namespace
 	{
-		// A run appears in its engine's report within about this time.
-		constexpr duration report_delay = milliseconds(250);
-		constexpr int max_origin_questions = 8;
+		// Intervals at which an engine is asked which process made a stream's first event.
+		constexpr duration min_question_interval = milliseconds(250);
+		constexpr duration max_question_interval = seconds(1);
+		// A caller that has broken its connection may take the stream up again; its server is asked for this long.
+		constexpr duration question_time_after_end = seconds(3);
+		// Other daemons are told of a stream whose process is not known this long after its first event.
+		constexpr duration unconfirmed_notice_delay = milliseconds(50);
 	}
 
 	void forwarder::note_event_server(state_pointer state, routing::server_pointer server, time_point now)
@@ -44,6 +48,7 @@
 		}
 		state->unconfirmed_writer = server;
 		this->run_in_background("origin_check", this->confirm_origin(state, server, sent_to));
+		this->run_in_background("origin_check", this->tell_unconfirmed_origin(state));
 	}
 
 	bool forwarder::is_writer_doubtful(
@@ -51,22 +56,23 @@
 	{
 		auto const is_present = this->shared->servers.find(server->entry.id) == server;
 		auto const since = now - longest_stream_life(*this->shared);
-		return server->end_sign_at || server->start_doubted_at || !is_present ||
+		return server->end_sign_at || server->start_doubted_at || !is_present || !this->shared->view.is_current(now) ||
 			   this->shared->servers.has_unlisted_process(state.service) ||
 			   this->shared->versions.served_since(state.service, since, now).size() > 1;
 	}
 
 	asio::awaitable<bool> forwarder::find_writer(
-		state_pointer state, routing::server_pointer server, routing::server_process sent_to)
+		state_pointer state, routing::server_pointer server, routing::server_process sent_to, duration longest_wait)
 	{
-		auto const begun_at = monotonic_now();
 		auto const asked = this->present_record(server);
-		auto const seen = co_await this->end_check.ask_start(asked, begun_at);
+		// What was asked after the first event bounds the process that made it.
+		auto const since = state->first_event_at.value_or(monotonic_now());
+		auto const seen = co_await this->end_check.ask_start(asked, since, longest_wait);
 		if (state->writer && !state->is_writer_assumed)
 		{
 			co_return true;
 		}
-		if (seen.stated == asked->entry.started)
+		if (seen.stated() == asked->entry.started)
 		{
 			routing::directory::note_start_confirmed(*asked, seen.asked_at);
 		}
@@ -76,13 +82,6 @@
 			this->record_writer(*state, {sent_to.server, *stated}, monotonic_now());
 			co_return true;
 		}
-		// While one version is known, only another start shows that there may be a second one.
-		auto const is_only_version = !this->has_several_versions(state->service, begun_at);
-		if (is_only_version && !state->writer && !routing::is_proved_replaced(asked->entry, seen))
-		{
-			state->is_writer_assumed = true;
-			this->record_writer(*state, sent_to, monotonic_now());
-		}
 		co_return state->writer.has_value();
 	}
 
@@ -91,17 +90,26 @@
 	{
 		asio::steady_timer pause(this->executor);
 		auto const send = state->sends;
-		for (int question = 0; question < max_origin_questions; ++question)
+		// What a report says of the runs may be some hundred milliseconds old.
+		auto interval = min_question_interval;
+		std::optional<time_point> gone_since;
+		auto is_known = false;
+		auto is_over = false;
+		while (!is_known && !is_over)
 		{
-			auto const is_known = co_await this->find_writer(state, server, sent_to);
-			auto const is_over = state->sends != send || state->http_exchange == nullptr || state->is_caller_gone;
-			if ((is_known && !state->is_writer_assumed) || is_over)
+			auto const has_writer = co_await this->find_writer(state, server, sent_to, duration::max());
+			is_known = has_writer && !state->is_writer_assumed;
+			gone_since = state->is_caller_gone ? gone_since.value_or(monotonic_now()) : gone_since;
+			auto const is_complete = state->http_exchange == nullptr && !state->is_caller_gone;
+			is_over = state->sends != send || is_complete ||
+					  (gone_since && monotonic_now() - *gone_since > question_time_after_end);
+			if (!is_known && !is_over)
 			{
-				break;
+				this->note_unconfirmed_origin(*state, monotonic_now());
+				pause.expires_after(interval);
+				std::ignore = co_await pause.async_wait(wait_token);
+				interval = std::min(2 * interval, max_question_interval);
 			}
-			// What a report says of the runs may be some hundred milliseconds old.
-			pause.expires_after(report_delay);
-			std::ignore = co_await pause.async_wait(wait_token);
 		}
 		if (!state->writer)
 		{
@@ -111,6 +119,28 @@
 		}
 	}
 
+	asio::awaitable<void> forwarder::tell_unconfirmed_origin(state_pointer state)
+	{
+		asio::steady_timer pause(this->executor, unconfirmed_notice_delay);
+		std::ignore = co_await pause.async_wait(wait_token);
+		this->note_unconfirmed_origin(*state, monotonic_now());
+	}
+
+	void forwarder::note_unconfirmed_origin(request_state& state, time_point now)
+	{
+		if (state.writer || state.is_origin_recorded || state.is_unconfirmed_told || state.call.attempt.empty())
+		{
+			return;
+		}
+		state.is_unconfirmed_told = true;
+		routing::known_stream stream{
+			{state.service, software_version()}, state.first_event_at.value_or(now), this->shared->own_id};
+		stream.is_version_known = false;
+		this->shared->origins.note(fingerprint_of(state.call.attempt), std::move(stream));
+		this->log_origin(state, "unconfirmed");
+		this->origins->tell_due(now);
+	}
+
 	void forwarder::review_origins()
 	{
 		for (auto const& state : this->requests)
@@ -143,7 +173,8 @@
 
 	void forwarder::record_writer(request_state& state, routing::server_process const& writer, time_point now)
 	{
-		auto const is_correction = state.is_writer_reviewed || (state.writer && *state.writer != writer);
+		auto const is_correction =
+			state.is_writer_reviewed || state.is_unconfirmed_told || (state.writer && *state.writer != writer);
 		auto const version = this->shared->servers.version_of(writer);
 		routing::known_stream stream{{state.service, version.value_or(software_version())},
 			state.first_event_at.value_or(now), this->shared->own_id};
--- a/packages/gateway/impl/server_end_check.cpp
+++ b/packages/gateway/impl/server_end_check.cpp
@@ -24,8 +24,38 @@
 		namespace asio = boost::asio;
 
 		constexpr duration probe_timeout = milliseconds(250);
+		// An answer is used for this long after it has arrived.
+		constexpr duration recent_time = milliseconds(250);
 		constexpr auto token = asio::as_tuple(asio::use_awaitable);
 
+		routing::port_evidence to_evidence(http::port_state port)
+		{
+			switch (port)
+			{
+				case http::port_state::refused:
+					return routing::port_evidence::refused;
+				case http::port_state::open:
+					return routing::port_evidence::accepted;
+				case http::port_state::unknown:
+					break;
+			}
+			return routing::port_evidence::none;
+		}
+
+		std::string_view to_string(process_evidence const& seen)
+		{
+			switch (seen.port)
+			{
+				case routing::port_evidence::refused:
+					return "refused";
+				case routing::port_evidence::accepted:
+					return "open";
+				case routing::port_evidence::none:
+					break;
+			}
+			return seen.has_answered() ? "open" : "unknown";
+		}
+
 		// A caller of ask_start() that waits for the answer.
 		struct waiting_caller
 		{
@@ -54,8 +84,14 @@
 		this->start(server, nullptr, std::move(callback));
 	}
 
-	asio::awaitable<process_evidence> server_end_check::ask_start(routing::server_pointer server, time_point since)
+	asio::awaitable<process_evidence> server_end_check::ask_start(
+		routing::server_pointer server, time_point since, duration longest_wait)
 	{
+		auto const begun_at = daemon::monotonic_now();
+		if (auto const known = this->find_recent(server->entry, since, begun_at))
+		{
+			co_return *known;
+		}
 		auto const caller = std::make_shared<waiting_caller>(this->executor);
 		// The first answer may be that to an earlier question; the next question is asked after it.
 		do
@@ -70,12 +106,29 @@
 				});
 			if (!caller->is_answered)
 			{
+				if (longest_wait != duration::max())
+				{
+					caller->answered.expires_after(begun_at + longest_wait - daemon::monotonic_now());
+				}
 				std::ignore = co_await caller->answered.async_wait(token);
 			}
+			if (!caller->is_answered)
+			{
+				co_return process_evidence();
+			}
 		} while (caller->seen.asked_at < since);
 		co_return caller->seen;
 	}
 
+	std::optional<process_evidence> server_end_check::find_recent(
+		registered_server const& server, time_point since, time_point now) const
+	{
+		auto const found = this->recent.find({server.id, server.address, server.started, question_kind::start});
+		auto const is_usable = found != this->recent.end() && found->second.seen.asked_at >= since &&
+							   now - found->second.answered_at <= recent_time;
+		return is_usable ? std::optional(found->second.seen) : std::nullopt;
+	}
+
 	void server_end_check::start(
 		registered_server const& server, routing::server_pointer const& asked, result_callback callback)
 	{
@@ -111,6 +164,13 @@
 			this->log_exception(server);
 		}
 		seen.asked_at = asked_at;
+		if (kind == question_kind::start)
+		{
+			auto const now = daemon::monotonic_now();
+			std::erase_if(
+				this->recent, [now](auto const& item) { return now - item.second.answered_at > recent_time; });
+			this->recent[{server.id, server.address, server.started, kind}] = {seen, now};
+		}
 		auto waiters = this->waiting.extract({server.id, server.address, server.started, kind});
 		auto const callbacks = std::move(waiters.mapped());
 		this->log_check(server, seen, callbacks.size());
@@ -135,11 +195,9 @@
 			seen = co_await this->question(asked);
 		}
 		auto const where = http::parse_endpoint(server.address, server.id.str());
-		if (!seen.has_answered && where)
+		if (!seen.has_answered() && where)
 		{
-			auto const port = co_await http::probe_port(this->executor, *where, probe_timeout);
-			seen.is_refused = port == http::port_state::refused;
-			seen.is_accepted = port == http::port_state::open;
+			seen.port = to_evidence(co_await http::probe_port(this->executor, *where, probe_timeout));
 		}
 		co_return seen;
 	}
@@ -153,12 +211,11 @@
 	void server_end_check::log_check(
 		registered_server const& server, process_evidence const& seen, std::size_t waiting_calls) const
 	{
-		auto const accepted = seen.is_accepted ? http::port_state::open : http::port_state::unknown;
-		auto const port = seen.is_refused ? http::port_state::refused : accepted;
 		this->log(make_event("server_end_checked",
-			{{"server", server.id.str()}, {"address", server.address}, {"port", std::string(http::to_string(port))},
-				{"entry_start", std::to_string(server.started.count())}, {"answered", seen.has_answered ? "yes" : "no"},
-				{"stated_start", std::to_string(seen.stated.count())},
+			{{"server", server.id.str()}, {"address", server.address}, {"port", std::string(to_string(seen))},
+				{"entry_start", std::to_string(server.started.count())},
+				{"answered", seen.has_answered() ? "yes" : "no"},
+				{"stated_start", std::to_string(seen.stated().value_or(incarnation()).count())},
 				{"process", std::string(routing::to_string(routing::judge_process(server, seen)))},
 				{"broken_calls", std::to_string(waiting_calls)}}));
 	}
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -115,6 +115,17 @@
 		// Sets the origin of a stream that is taken up from what this daemon knows. Returns false when it does not
 		// know.
 		[[nodiscard]] bool apply_known_origin(request_state& state, time_point now);
+		// Sets the origin of a stream that is taken up, and of which nothing is known, to the only version that was in
+		// service during a stream's longest life. Returns false when there were several, or when this daemon may lack
+		// servers that other daemons know, which have not been asked.
+		[[nodiscard]] bool apply_only_version(request_state& state, time_point now);
+		// Sets the origin of a stream that is taken up to the only version whose engines hold its prompt.
+		[[nodiscard]] bool apply_held_prompt(request_state& state, time_point now);
+		// Returns whether this daemon would know if others knew of further versions: it has read the registry, or they
+		// have said what they know.
+		[[nodiscard]] bool is_view_complete(request_state const& state, time_point now) const;
+		// Returns how long a stream that has broken off waits for one answer of its server at most.
+		[[nodiscard]] static duration longest_settle_wait(request_state const& state);
 		// Asks other daemons about the stream, and waits until one knows it, all have replied, or the timeout.
 		[[nodiscard]] asio::awaitable<void> ask_for_origin(state_pointer state);
 		// Asks one engine what it runs and holds, and adds it to the search.
@@ -139,19 +150,25 @@
 		void doubt_origin(request_state const& state, time_point now);
 		void log_origin(request_state const& state, std::string_view how);
 		// Asks the server that made the stream's first event which process did so, and records it. Returns whether it
-		// is known now.
-		[[nodiscard]] asio::awaitable<bool> find_writer(
-			state_pointer state, routing::server_pointer server, routing::server_process sent_to);
-		// Asks as find_writer() does until the process is known or the send has ended.
+		// is known now. longest_wait: for the answer.
+		[[nodiscard]] asio::awaitable<bool> find_writer(state_pointer state, routing::server_pointer server,
+			routing::server_process sent_to, duration longest_wait);
+		// Asks as find_writer() does until the process is known, the stream is complete or sent again, or its caller
+		// has been gone for a while. Meanwhile the stream is recorded as one whose process is not known.
 		[[nodiscard]] asio::awaitable<void> confirm_origin(
 			state_pointer state, routing::server_pointer server, routing::server_process sent_to);
+		// Records soon after a stream's first event that it has begun, if its process is not known by then.
+		[[nodiscard]] asio::awaitable<void> tell_unconfirmed_origin(state_pointer state);
+		// Records that a stream has begun at a process that is not known yet, and tells the daemons that keep the
+		// stream's record. Otherwise they could take it for one that began at the only version they know.
+		void note_unconfirmed_origin(request_state& state, time_point now);
 		// Waits for the entry of the process that made the stream's first event. is_known: whether the stream's origin
 		// is known. Returns its last value.
 		[[nodiscard]] asio::awaitable<bool> wait_for_entry(state_pointer state, std::function<bool()> is_known);
 		// Returns whether the stream may go on at another server: it has no event yet, or its origin is known.
 		[[nodiscard]] asio::awaitable<bool> settle_origin(state_pointer state);
 		// Returns whether several software versions of a service were in service during a stream's longest life, or may
-		// have been.
+		// have been: a process is known whose entry was not read yet, or this daemon's view of the servers is old.
 		[[nodiscard]] bool has_several_versions(service_id const& service, time_point now) const;
 		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
 		[[nodiscard]] std::optional<routing::stream_origin> bound_origin(
@@ -204,10 +221,14 @@
 			state_pointer state, std::vector<routing::server_pointer> engines, bool is_late);
 
 		// Asks an engine for its start, if it is doubted, or if the stream has begun and may go on at one of several
-		// versions only. Returns whether the engine may get the stream: its entry is that of the process that answers.
-		// An engine with another start is not used for this stream; while its entry can't be trusted it counts as
-		// replaced for all streams, until its entry is written again.
+		// versions only. Returns whether the engine may get the stream: one that has begun only if the process that
+		// answers states the start of the engine's entry, a new one also if it answers without a start. An engine whose
+		// start isn't known is asked again a moment later.
 		[[nodiscard]] asio::awaitable<bool> confirm_start(state_pointer state, routing::server_pointer engine);
+		// Keeps an engine with another start than its entry's from this stream. While its entry can't be trusted it
+		// counts as replaced for all streams, until its entry is written again.
+		void note_start_refuted(
+			request_state& state, routing::server_record& engine, routing::process_evidence const& seen);
 		// Returns whether the engine must be asked for its start before it gets the stream, since its process may have
 		// ended.
 		[[nodiscard]] bool is_start_doubtful(request_state const& state, routing::server_record const& engine) const;
@@ -263,10 +284,10 @@
 		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start(routing::server_pointer called);
 		// Asks on a connection of its own, which counts for no limit of this daemon: the one that has ended has left
 		// its place at the server.
-		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start_directly(routing::server_pointer called);
-		// Returns what the answer to the question for a server's start shows.
-		// Records a start whose entry has not been read yet.
-		[[nodiscard]] routing::process_evidence read_start(
+		[[nodiscard]] asio::awaitable<routing::process_statement> ask_start_directly(routing::server_pointer called);
+		// Returns what the answer to the question for a server's start states. Records a start whose entry has not been
+		// read yet.
+		[[nodiscard]] routing::process_statement read_start(
 			routing::server_pointer const& called, http::response const& answer) const;
 
 		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
--- a/packages/gateway/include/godwittrestle/gateway/server_end_check.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/server_end_check.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -27,7 +28,8 @@
 	class server_end_check
 	{
 	  public:
-		// Asks a server for its start. Returns what that has shown; empty evidence when the server gave no answer.
+		// Asks a server for its start. Returns what that has shown; evidence without a statement when the server gave
+		// no answer.
 		using start_question =
 			std::function<boost::asio::awaitable<routing::process_evidence>(routing::server_pointer server)>;
 		// Called with what the check has shown.
@@ -40,11 +42,12 @@
 		void check_port(routing::registered_server const& server, result_callback callback);
 
 		// Asks a server that states its start for it, and checks the port when it gives no answer. Calls for one server
-		// that wait at the same time share one question. server: its record when the call in question was sent; its
-		// entry may have been removed since. since: time of what led to the question; one that was sent earlier is not
-		// shared.
+		// that wait at the same time share one question, and an answer that has just arrived is used again. server: its
+		// record when the call in question was sent; its entry may have been removed since. since: time of what led to
+		// the question; one that was sent earlier is not shared. longest_wait: time after which evidence without a
+		// statement is returned; the question goes on, and its answer is there for the next call.
 		[[nodiscard]] boost::asio::awaitable<routing::process_evidence> ask_start(
-			routing::server_pointer server, time_point since);
+			routing::server_pointer server, time_point since, duration longest_wait = duration::max());
 
 	  private:
 		enum class question_kind : std::uint8_t
@@ -55,6 +58,15 @@
 
 		using check_key = std::tuple<server_id, std::string, incarnation, question_kind>;
 
+		struct recent_answer
+		{
+			routing::process_evidence seen;
+			time_point answered_at;
+		};
+
+		// Returns an answer that has just arrived to a question that was sent after a time.
+		[[nodiscard]] std::optional<routing::process_evidence> find_recent(
+			routing::registered_server const& server, time_point since, time_point now) const;
 		// Adds the callback to those that wait for a check, and begins it if there is none.
 		void start(
 			routing::registered_server const& server, routing::server_pointer const& asked, result_callback callback);
@@ -73,5 +85,6 @@
 		event_log log;
 		start_question question;
 		std::map<check_key, std::vector<result_callback>> waiting;
+		std::map<check_key, recent_answer> recent;
 	};
 }
--- a/packages/routing/impl/process_evidence.cpp
+++ b/packages/routing/impl/process_evidence.cpp
@@ -2,6 +2,18 @@
 
 namespace godwittrestle::routing
 {
+	bool process_evidence::has_answered() const noexcept
+	{
+		return !std::holds_alternative<no_statement>(this->statement) &&
+			   !std::holds_alternative<pause_wanted>(this->statement);
+	}
+
+	std::optional<incarnation> process_evidence::stated() const noexcept
+	{
+		auto const* const stated = std::get_if<start_stated>(&this->statement);
+		return stated == nullptr ? std::nullopt : std::optional(stated->start);
+	}
+
 	std::string_view to_string(process_state state) noexcept
 	{
 		switch (state)
@@ -23,28 +35,37 @@
 
 	bool is_proved_replaced(registered_server const& called, process_evidence const& seen) noexcept
 	{
-		auto const states_other = states_start(called) && seen.stated != incarnation() && seen.stated != called.started;
-		return seen.is_replaced || states_other;
+		auto const stated = seen.stated();
+		return std::holds_alternative<other_process>(seen.statement) ||
+			   (states_start(called) && stated && *stated != called.started);
 	}
 
-	process_state judge_process(registered_server const& called, process_evidence const& seen) noexcept
+	process_state judge_start(registered_server const& called, process_evidence const& seen) noexcept
 	{
-		if (seen.is_refused || is_proved_replaced(called, seen))
+		if (seen.port == port_evidence::refused || is_proved_replaced(called, seen))
 		{
 			return process_state::ended;
 		}
-		auto const is_confirmed = states_start(called) && seen.stated == called.started;
-		auto const can_be_asked = states_start(called) && !seen.wants_pause;
-		return is_confirmed || (seen.is_accepted && !can_be_asked) ? process_state::same : process_state::unknown;
+		auto const is_confirmed = states_start(called) && seen.stated() == called.started;
+		return is_confirmed ? process_state::same : process_state::unknown;
+	}
+
+	process_state judge_process(registered_server const& called, process_evidence const& seen) noexcept
+	{
+		auto const judged = judge_start(called, seen);
+		auto const can_be_asked = states_start(called) && !std::holds_alternative<pause_wanted>(seen.statement);
+		auto const is_accepted = seen.port == port_evidence::accepted || seen.has_answered();
+		return judged == process_state::unknown && is_accepted && !can_be_asked ? process_state::same : judged;
 	}
 
 	std::optional<incarnation> find_writer(incarnation sent_to, process_evidence const& seen, request_id const& attempt)
 	{
-		if (seen.stated == incarnation())
+		auto const* const stated = std::get_if<start_stated>(&seen.statement);
+		if (stated == nullptr)
 		{
 			return std::nullopt;
 		}
-		auto const is_running = seen.running && seen.running->contains(attempt);
-		return seen.stated == sent_to || is_running ? std::optional(seen.stated) : std::nullopt;
+		auto const is_running = stated->running && stated->running->contains(attempt);
+		return stated->start == sent_to || is_running ? std::optional(stated->start) : std::nullopt;
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/process_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/process_evidence.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <variant>
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
@@ -12,25 +13,60 @@
 
 namespace godwittrestle::routing
 {
-	// What an attempt to reach the process of a backend server has shown.
+	// Whether a process takes connections at a server's address.
+	enum class port_evidence : std::uint8_t
+	{
+		// It was not tried, or nothing came back.
+		none,
+		// The host is up, and no process listens.
+		refused,
+		accepted,
+	};
+
+	// The server was not asked, or gave no answer.
+	struct no_statement
+	{
+	};
+
+	// The server wants no calls from this daemon for a while, so it was not asked.
+	struct pause_wanted
+	{
+	};
+
+	// A process answered without its start: with a failure, or with a report that can't be read or states none.
+	struct start_not_stated
+	{
+	};
+
+	// Another server answered at the address, or the server's entry states a later start.
+	struct other_process
+	{
+	};
+
+	// A process answered with its start.
+	struct start_stated
+	{
+		incarnation start;
+		// The callers' attempts that the process said it runs; null when it did not say.
+		std::shared_ptr<std::set<request_id> const> running = nullptr;
+	};
+
+	using process_statement = std::variant<no_statement, pause_wanted, start_not_stated, other_process, start_stated>;
+
+	// What an attempt to reach the process of a backend server has shown. It answers no question by itself: see the
+	// judgements below, which tell a proof from the lack of one.
 	struct process_evidence
 	{
 		// Time at which the attempt began. It tells nothing of what has happened since.
 		time_point asked_at;
-		// The host is up, and no process listens at the server's address.
-		bool is_refused = false;
-		// A process accepted a connection.
-		bool is_accepted = false;
-		// A process answered the question for its start.
-		bool has_answered = false;
-		// Another server answered at the address, or the server's entry states a later start.
-		bool is_replaced = false;
-		// The server wants no calls from this daemon for a while, so it was not asked.
-		bool wants_pause = false;
-		// The start that the process stated; 0 when it was not asked, gave no answer or stated none.
-		incarnation stated;
-		// The callers' attempts that the process said it runs; null when it did not say.
-		std::shared_ptr<std::set<request_id> const> running;
+		port_evidence port = port_evidence::none;
+		process_statement statement;
+
+		// Returns whether a process answered the question for its start, whatever it said.
+		[[nodiscard]] bool has_answered() const noexcept;
+
+		// Returns the start that was stated; nothing when none was.
+		[[nodiscard]] std::optional<incarnation> stated() const noexcept;
 	};
 
 	// What has become of the process that a call was sent to.
@@ -50,6 +86,10 @@
 	// Returns whether it is proved that another process has taken the place of the one that the entry names.
 	[[nodiscard]] bool is_proved_replaced(registered_server const& called, process_evidence const& seen) noexcept;
 
+	// Returns whether the process that answers at a server's address is the one that the entry names. Only a process
+	// that states the entry's start proves it; a server that states no start is never proved to be the same.
+	[[nodiscard]] process_state judge_start(registered_server const& called, process_evidence const& seen) noexcept;
+
 	// Returns what has become of the process of a server. called: the server's entry when the call was sent. A port
 	// that accepts connections proves nothing where the server states its start, since another process may have taken
 	// its place; of other servers, and of one that wants no calls, nothing better can be had.
--- a/tests/contract/server_end_check.test.cpp
+++ b/tests/contract/server_end_check.test.cpp
@@ -47,9 +47,7 @@
 		{
 			++this->questions;
 			process_evidence seen;
-			seen.is_accepted = true;
-			seen.has_answered = true;
-			seen.stated = this->start;
+			seen.statement = routing::start_stated{this->start};
 			asio::steady_timer timer(this->loop, answer_time);
 			co_await timer.async_wait(asio::use_awaitable);
 			co_return seen;
@@ -93,7 +91,7 @@
 	server.loop.run();
 	REQUIRE(server.questions == 2);
 	REQUIRE(server.answers.size() == 3);
-	REQUIRE(server.answers[0].stated == incarnation(1));
-	REQUIRE(server.answers[1].stated == incarnation(2));
-	REQUIRE(server.answers[2].stated == incarnation(2));
+	REQUIRE(server.answers[0].stated() == incarnation(1));
+	REQUIRE(server.answers[1].stated() == incarnation(2));
+	REQUIRE(server.answers[2].stated() == incarnation(2));
 }
