--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -92,6 +92,7 @@
 		auto const live_now = this->members.live(now);
 		this->shared->permits.set_daemons(live_now, now);
 		this->shared->live_daemons = live_now;
+		this->shared->has_heard_others = this->shared->has_heard_others || !live_now.empty();
 		this->shared->is_coordinator = !this->is_leaving && !registry_state.is_lost && !this->shared->is_cut_off &&
 									   std::ranges::none_of(live_now, [this](routing::fleet_member const& each)
 										   { return each.id < this->outgoing.own_id(); });
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -30,26 +30,34 @@
 		}
 	}
 
+	duration forwarder::longest_settle_wait(request_state const& state)
+	{
+		return std::min(state.time_left(), state.matched_route->caller_patience / 4);
+	}
+
 	asio::awaitable<bool> forwarder::find_origin(state_pointer state)
 	{
 		if (!state->call.last_event)
 		{
 			co_return true;
 		}
-		if (!this->apply_known_origin(*state, monotonic_now()))
+		auto const is_alone = this->shared->live_daemons.empty();
+		if (!this->apply_known_origin(*state, monotonic_now()) &&
+			!(is_alone && this->apply_only_version(*state, monotonic_now())))
 		{
 			co_await this->ask_for_origin(state);
 		}
 		auto const* const known = this->shared->origins.find(fingerprint_of(state->call.resumes));
 		if (!state->origin && known != nullptr && !known->is_version_known)
 		{
-			std::function<bool()> is_known = [this, state]
+			std::function<bool()> has_entry = [this, state]
 			{
 				return this->apply_known_origin(*state, monotonic_now());
 			};
-			std::ignore = co_await this->wait_for_entry(state, is_known);
+			std::ignore = co_await this->wait_for_entry(state, has_entry);
 		}
-		if (!state->origin && !this->apply_known_origin(*state, monotonic_now()))
+		if (!state->origin && !this->apply_known_origin(*state, monotonic_now()) &&
+			!this->apply_only_version(*state, monotonic_now()) && !this->apply_held_prompt(*state, monotonic_now()))
 		{
 			if (this->lacks_origin(*state))
 			{
@@ -93,13 +101,32 @@
 					{"age_ms", milliseconds_text(now - known->begun_at)}, {"learnt_from", known->learnt_from.str()}});
 			return true;
 		}
+		return false;
+	}
+
+	bool forwarder::apply_only_version(request_state& state, time_point now)
+	{
+		auto const* const known = this->shared->origins.find(fingerprint_of(state.call.resumes));
+		// The daemon that began a stream whose process is not known may know of other versions.
+		auto const is_doubted = known != nullptr && (known->process || !state.have_others_answered);
 		auto const since = now - longest_stream_life(*this->shared);
 		auto only = this->shared->versions.only_version_since(state.service, since, now);
-		if (only && !this->shared->servers.has_unlisted_process(state.service))
+		if (is_doubted || !this->is_view_complete(state, now) || !only ||
+			this->shared->servers.has_unlisted_process(state.service))
 		{
-			state.origin = routing::stream_origin{state.service, std::move(*only)};
-			this->totals->count_taken_up_stream("only_version");
-			return true;
+			return false;
+		}
+		state.origin = routing::stream_origin{state.service, std::move(*only)};
+		this->totals->count_taken_up_stream("only_version");
+		return true;
+	}
+
+	bool forwarder::apply_held_prompt(request_state& state, time_point now)
+	{
+		auto const* const known = this->shared->origins.find(fingerprint_of(state.call.resumes));
+		if (known != nullptr || !this->is_view_complete(state, now))
+		{
+			return false;
 		}
 		auto holder =
 			state.call.prompt_parts.empty()
@@ -115,6 +142,11 @@
 		return holder.has_value();
 	}
 
+	bool forwarder::is_view_complete(request_state const& state, time_point now) const
+	{
+		return this->shared->view.is_current(now) || state.have_others_answered;
+	}
+
 	asio::awaitable<void> forwarder::ask_for_origin(state_pointer state)
 	{
 		auto const attempt = fingerprint_of(state->call.resumes);
@@ -138,6 +170,8 @@
 			this->origins->cancel(*query);
 		}
 		state->is_origin_unanswered = !is_answered;
+		// A daemon that hears no others, but has, may be cut off from them.
+		state->have_others_answered = is_answered || !this->shared->has_heard_others;
 		auto const now = monotonic_now();
 		auto const* const known = this->shared->origins.find(attempt);
 		this->log_event(*state, "stream_origin_answered",
@@ -169,14 +203,15 @@
 		}
 		if (auto const server = state->unconfirmed_writer; server && !state->writer)
 		{
-			std::ignore = co_await this->find_writer(state, server, state->sent_to_process);
+			std::ignore =
+				co_await this->find_writer(state, server, state->sent_to_process, longest_settle_wait(*state));
 		}
 		else if (state->is_writer_assumed && state->writer_send == state->sends)
 		{
 			auto const present = this->shared->servers.find(state->writer->server);
 			if (present && present->newest_process() != *state->writer)
 			{
-				std::ignore = co_await this->find_writer(state, present, *state->writer);
+				std::ignore = co_await this->find_writer(state, present, *state->writer, longest_settle_wait(*state));
 			}
 			if (state->is_writer_assumed && state->is_writer_reviewed)
 			{
@@ -185,11 +220,12 @@
 				co_return false;
 			}
 		}
-		if (state->writer && !state->origin)
+		if (!state->origin)
 		{
 			std::function<bool()> is_known = [this, state]
 			{
-				auto const version = this->shared->servers.version_of(*state->writer);
+				auto const version = state->writer ? this->shared->servers.version_of(*state->writer)
+												   : std::optional<software_version>();
 				if (version)
 				{
 					state->origin = routing::stream_origin{state->service, *version};
@@ -198,6 +234,13 @@
 			};
 			std::ignore = co_await this->wait_for_entry(state, is_known);
 		}
+		if (auto const now = monotonic_now(); !state->writer && !this->has_several_versions(state->service, now))
+		{
+			auto const since = now - longest_stream_life(*this->shared);
+			auto only = this->shared->versions.only_version_since(state->service, since, now);
+			state->origin = routing::stream_origin{state->service, std::move(*only)};
+			state->unconfirmed_writer = nullptr;
+		}
 		if (!state->origin)
 		{
 			state->no_retry_reason = "origin_unknown";
@@ -208,7 +251,7 @@
 	bool forwarder::has_several_versions(service_id const& service, time_point now) const
 	{
 		auto const since = now - longest_stream_life(*this->shared);
-		return !this->shared->versions.only_version_since(service, since, now) ||
+		return !this->shared->view.is_current(now) || !this->shared->versions.only_version_since(service, since, now) ||
 			   this->shared->servers.has_unlisted_process(service);
 	}
 
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -108,6 +108,7 @@
 	{
 		registry_update update;
 		update.is_complete_list = true;
+		update.asked_at = daemon::monotonic_now();
 		this->cursor.begin_list();
 		std::string after;
 		while (true)
@@ -168,6 +169,7 @@
 		auto const wait =
 			this->failures > 0 ? std::min(watch_wait_after_failure, this->timing.wait) : this->timing.wait;
 		auto message = this->protocol.watch(this->cursor.position().revision, wait);
+		auto const asked_at = daemon::monotonic_now();
 		auto const answer = co_await this->call(std::move(message), wait + watch_margin);
 		if (!answer)
 		{
@@ -197,13 +199,11 @@
 		registry_update update;
 		update.position = this->cursor.position();
 		update.is_recovery = this->had_outage();
+		update.asked_at = asked_at;
 		update.changes = std::move(reply.changes);
 		this->note_answer();
 		auto const has_changes = !update.changes.empty();
-		if (has_changes || update.is_recovery)
-		{
-			this->hooks.sink(std::move(update));
-		}
+		this->hooks.sink(std::move(update));
 		this->batching_delay =
 			has_changes ? std::min(this->batching_delay + batching_step, this->timing.max_batching_delay) : duration{};
 		if (has_changes)
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -55,11 +55,20 @@
 			return converted;
 		}
 
+		// Returns the longest time between two answers of the registry while it can be read.
+		duration longest_view_age(gateway_settings const& settings)
+		{
+			constexpr duration margin = milliseconds(600);
+			auto const& timing = settings.registry;
+			return std::max(settings.servers.entry_lifetime, timing.wait + timing.max_batching_delay + margin);
+		}
+
 		shared_state make_shared_state(gateway_settings const& settings)
 		{
 			shared_state state;
 			state.own_id = settings.instance;
 			state.servers = routing::directory(settings.servers);
+			state.view = routing::registry_view(longest_view_age(settings));
 			state.retries = settings.retries;
 			state.data_centre = settings.data_centre;
 			state.crashes = routing::crash_evidence(settings.crashes);
@@ -345,6 +354,7 @@
 
 	void serving_thread::maintain(time_point now)
 	{
+		this->shared.view.note_running(now);
 		auto const all_gone = this->shared.servers.expire(now);
 		for (auto const& gone : all_gone)
 		{
--- a/packages/gateway/impl/serving_thread_registry.cpp
+++ b/packages/gateway/impl/serving_thread_registry.cpp
@@ -23,6 +23,10 @@
 		auto const now = monotonic_now();
 		this->registry_state.is_lost = update.is_lost;
 		this->registry_state.position = update.position;
+		if (!update.is_lost)
+		{
+			this->shared.view.note_read(update.asked_at, now);
+		}
 		if (update.is_lost)
 		{
 			this->shared.servers.note_registry_lost(now);
--- a/packages/gateway/impl/stream_origin_exchange.cpp
+++ b/packages/gateway/impl/stream_origin_exchange.cpp
@@ -1,7 +1,10 @@
 #include <godwittrestle/gateway/stream_origin_exchange.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
+#include <ranges>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -70,6 +73,13 @@
 	{
 		auto services = this->shared->versions.services_with_several(now - longest_stream_life(*this->shared), now);
 		services.merge(this->shared->servers.services_with_unlisted_process());
+		if (!this->shared->view.is_current(now))
+		{
+			// Another version may have come into service unseen.
+			std::ranges::transform(this->shared->servers.all() | std::views::values,
+				std::inserter(services, services.end()),
+				[](routing::server_pointer const& each) { return each->entry.service; });
+		}
 		auto const untold = this->shared->origins.take_untold(this->shared->live_daemons, services);
 		std::map<std::string, wire::PeerMessage> messages;
 		for (auto const& each : untold)
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -20,7 +20,8 @@
 {
 	namespace asio = boost::asio;
 
-	// What the follower has read from the registry.
+	// What the follower has read from the registry. An answer without changes is told too, since it shows that there
+	// are none.
 	struct registry_update
 	{
 		// Whether the changes are the registry's complete contents; otherwise they are the differences since the last
@@ -30,6 +31,8 @@
 		bool is_lost = false;
 		// Whether the registry could not be read before this update.
 		bool is_recovery = false;
+		// Time at which the question that was answered was sent.
+		time_point asked_at = time_point::max();
 		// With a complete list: time since the registry was last read.
 		duration unobserved{};
 		// Set when the list is the first one after the registry came back from a copy: what was written after the copy
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -18,6 +18,7 @@
 		instance_id own_id;
 		std::shared_ptr<routing::route_table const> routes;
 		routing::directory servers;
+		routing::registry_view view;
 		std::map<service_id, routing::retry_budget> retry_budgets;
 		routing::permit_issuer permits;
 		routing::crash_evidence crashes;
@@ -46,6 +47,8 @@
 		std::uint32_t daemon_count = 1;
 		// The other daemons that are live.
 		std::vector<routing::fleet_member> live_daemons;
+		// Whether there ever were any.
+		bool has_heard_others = false;
 		// Set when this daemon starts to drain: the time at which it aborts the requests that are still running.
 		std::optional<time_point> shutdown_deadline;
 	};
--- a/packages/routing/impl/stream_origins.cpp
+++ b/packages/routing/impl/stream_origins.cpp
@@ -194,7 +194,7 @@
 	std::vector<untold_stream> stream_origins::take_untold(
 		std::vector<fleet_member> const& others, std::set<service_id> const& services)
 	{
-		if (services.empty())
+		if (services.empty() && this->unversioned.empty())
 		{
 			return {};
 		}
@@ -203,8 +203,8 @@
 		for (auto& [attempt, known] : this->records)
 		{
 			auto const is_own = known.stream.learnt_from == this->own_id;
-			if (!is_own || known.told_for_fleet == this->fleet_number ||
-				!services.contains(known.stream.origin.service))
+			auto const is_due = !known.stream.is_version_known || services.contains(known.stream.origin.service);
+			if (!is_own || known.told_for_fleet == this->fleet_number || !is_due)
 			{
 				continue;
 			}
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -13,6 +13,7 @@
 #include <godwittrestle/routing/placement.hpp>
 #include <godwittrestle/routing/pool_balance.hpp>
 #include <godwittrestle/routing/process_evidence.hpp>
+#include <godwittrestle/routing/registry_view.hpp>
 #include <godwittrestle/routing/relay_peers.hpp>
 #include <godwittrestle/routing/request_identity.hpp>
 #include <godwittrestle/routing/request_rate.hpp>
--- a/packages/routing/include/godwittrestle/routing/stream_origins.hpp
+++ b/packages/routing/include/godwittrestle/routing/stream_origins.hpp
@@ -105,7 +105,8 @@
 			fingerprint attempt, std::vector<fleet_member> const& others) const;
 
 		// Returns the records of this daemon's streams that keepers have not been told yet, and records them as told.
-		// services: those whose streams have to be told at present.
+		// services: those whose streams have to be told at present. A stream whose version is not known is told always:
+		// other daemons could take it for one of the only version they know.
 		[[nodiscard]] std::vector<untold_stream> take_untold(
 			std::vector<fleet_member> const& others, std::set<service_id> const& services);
 
--- a/tests/contract/gateway_fixture.hpp
+++ b/tests/contract/gateway_fixture.hpp
@@ -60,12 +60,14 @@
 		[[nodiscard]] std::string send_request(
 			std::string const& method = "POST", duration time_left = milliseconds(1400))
 		{
+			this->note_registry_read();
 			return run_to_end(this->loop, this->exchange(request_text(method, time_left)));
 		}
 
 		// Sends one request with a long time limit and returns the caller's connection.
 		[[nodiscard]] boost::asio::ip::tcp::socket begin_request()
 		{
+			this->note_registry_read();
 			boost::asio::ip::tcp::socket socket(this->loop);
 			socket.connect(boost::asio::ip::tcp::endpoint(
 				boost::asio::ip::make_address("127.0.0.1"), this->caller_listener.port()));
@@ -109,6 +111,13 @@
 		http::server caller_listener;
 
 	  private:
+		// The servers that a test adds are what the registry has just answered.
+		void note_registry_read()
+		{
+			auto const now = daemon::monotonic_now();
+			this->shared.view.note_read(now, now);
+		}
+
 		static std::string request_text(std::string const& method, duration time_left)
 		{
 			return fmt::format("{} /x/y HTTP/1.1\r\nHost: a.example\r\nAttempt: r1\r\n"
--- a/tests/contract/unstated_starts.test.cpp
+++ b/tests/contract/unstated_starts.test.cpp
@@ -174,6 +174,38 @@
 	REQUIRE_FALSE(holds(answer, "v1"));
 }
 
+// As before, but the daemon that began the stream knows one version too, and has only seen that the process ended.
+TEST_CASE("a stream whose process is not known is told while one version is known", "[unconfirmed_stream]")
+{
+	constexpr milliseconds entry_delay{200};
+	streaming_server replaced("replaced", "v1");
+	streaming_server old_server("old", "v1");
+	auto const old_entries = std::vector{replaced.entry(), old_server.entry()};
+	daemon_group daemons(2, make_route_with(short_route_timeout), old_entries);
+	std::this_thread::sleep_for(history_time);
+	daemons.publish_to(0, {old_entries.front()});
+	daemons.publish_to(1, old_entries);
+	std::this_thread::sleep_for(settle_time);
+	open_stream first(daemons.addresses()[0], "t0", events_asked);
+	REQUIRE(first.read_until("id: 3\n"));
+	replaced.set_reporting(false);
+	replaced.restart("v1.1");
+	open_stream stream(daemons.addresses()[0], "t1", events_asked);
+	REQUIRE(stream.read_until("id: 20\n"));
+	std::thread writing(
+		[&]
+		{
+			std::this_thread::sleep_for(entry_delay);
+			daemons.publish({replaced.entry(), old_server.entry()});
+		});
+	auto const answer = send_to_daemon(daemons.addresses()[1], "POST",
+		{{"Attempt", "t2"}, {"Resumes", "t1"}, {"Last-Event-Id", "20"}, {"Events", "30"}});
+	writing.join();
+	CAPTURE(answer);
+	REQUIRE(holds(stream.read_rest(), "v1.1"));
+	REQUIRE_FALSE(holds(answer, "v1"));
+}
+
 // Guards against a daemon that has not read the registry for a while and takes the only version that it knows for the
 // only one in service (ORDER).
 TEST_CASE("a daemon whose view is old asks others before it takes the only version", "[old_view]")
