A silent server is given up only for another try that is sure

Callers saw a stream broken off, or 502, although their server was sound and went on after a moment and no other try was left.

Cause: whether a request may go elsewhere was judged when its wait began, and without the retry budget. When the wait was over, the retry was refused: no retry left, or spent meanwhile by another request that waited at the same time, no event id to go on from, or a daemon about to stop. It is looked at again every 0.5 s, so an engine that joins takes the stream. This also replaces the search for other servers while events flow.

--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -24,6 +24,9 @@
 		constexpr duration release_timeout = milliseconds(500);
 		// Number of servers whose limits may refuse a request before it goes to servers without a limit only.
 		constexpr int max_refused_permits = 3;
+		// Time after which a request that waits for a silent server is looked at again: another try may have become
+		// possible. Looking for other servers takes a time that grows with their number.
+		constexpr duration silence_check_interval = milliseconds(500);
 
 		std::string_view without_port(std::string_view host)
 		{
@@ -188,10 +191,12 @@
 				break;
 			}
 			load_guard const guard(server, token_count{}, token_count{});
-			// When a timeout could not lead to another attempt (a non-idempotent call, or the last server that may be
-			// tried), the server may use the whole remaining time, up to default_timeout.
-			auto const may_be_moved = state->matched_route->is_repeatable() && this->may_go_elsewhere(*state, *server);
-			auto const max_silence = may_be_moved ? routing::response_timeout(*state->matched_route) : default_timeout;
+			// While a timeout could not lead to another attempt (a non-idempotent call, or no further try), the server
+			// may use the whole remaining time, up to default_timeout.
+			auto const before_move = state->matched_route->is_repeatable()
+										 ? routing::response_timeout(*state->matched_route)
+										 : default_timeout;
+			silence_limits const max_silence{before_move, default_timeout};
 			send_options options;
 			auto outcome = co_await this->send(state, server, std::move(options), max_silence);
 			std::optional<send_failure> failure;
@@ -219,7 +224,7 @@
 	}
 
 	asio::awaitable<forwarder::send_outcome> forwarder::send(state_pointer state, routing::server_pointer server,
-		send_options options, duration max_silence, bool has_permit)
+		send_options options, silence_limits max_silence, bool has_permit)
 	{
 		state->connection->clear();
 		// The server's entry may have been read anew since it was chosen.
@@ -295,8 +300,9 @@
 		}
 		connection->send(outgoing);
 		auto const may_be_sent_again_here = options.source.has_value();
-		auto const wait = std::min(max_silence, state->time_left());
-		auto head = co_await this->read_own_head(connection, state->call.attempt, wait);
+		auto const wait = std::min(max_silence.before_move, state->time_left());
+		auto wait_on = this->wait_unless_moved(state, server, max_silence, sent_at);
+		auto head = co_await this->read_own_head(connection, state->call.attempt, wait, std::move(wait_on));
 		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
 		{
 			connection->close();
@@ -323,11 +329,11 @@
 	}
 
 	asio::awaitable<std::variant<http::response, http::upstream_failure>> forwarder::read_own_head(
-		http::upstream_pointer connection, request_id attempt, duration wait)
+		http::upstream_pointer connection, request_id attempt, duration wait, http::further_wait wait_on)
 	{
 		for (int stray = 0; stray < max_stray_answers; ++stray)
 		{
-			auto head = co_await connection->read_head(wait);
+			auto head = co_await connection->read_head(wait, wait_on);
 			auto const* const answer = std::get_if<http::response>(&head);
 			if (answer == nullptr)
 			{
@@ -362,6 +368,36 @@
 											});
 	}
 
+	http::further_wait forwarder::wait_unless_moved(
+		state_pointer const& state, routing::server_pointer const& server, silence_limits limits, time_point since)
+	{
+		return [this, state = std::weak_ptr(state), server, limits, since]
+		{
+			auto const waiting = state.lock();
+			return waiting ? this->decide_further_wait(*waiting, *server, limits, since, monotonic_now()) : duration{};
+		};
+	}
+
+	duration forwarder::decide_further_wait(request_state& state, routing::server_record const& server,
+		silence_limits limits, time_point since, time_point now)
+	{
+		auto const left = std::min(limits.longest - (now - since), state.time_left());
+		if (left <= duration{} || state.is_caller_gone)
+		{
+			return duration{};
+		}
+		// The retry is spent here, since several requests may wait for the last one. One that gets none waits on.
+		auto const is_refused_next =
+			state.matched_route->kind == routing::call_kind::streaming && this->must_refuse_before_stop(state);
+		auto const may_be_repeated = !state.is_out_of_time() && state.joiner.may_go_on() && !is_refused_next;
+		if (may_be_repeated && this->may_go_elsewhere(state, server) && this->spend_retry(state))
+		{
+			state.is_retry_spent = true;
+			return duration{};
+		}
+		return std::min(left, silence_check_interval);
+	}
+
 	bool forwarder::authorize_retry(request_state& state, send_failure failure)
 	{
 		if (failure == send_failure::blocked)
@@ -393,7 +429,7 @@
 		{
 			return true;
 		}
-		auto const is_granted = this->spend_retry(state);
+		auto const is_granted = std::exchange(state.is_retry_spent, false) || this->spend_retry(state);
 		state.no_retry_reason = is_granted ? "no_room" : "retry_budget_spent";
 		return is_granted;
 	}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -266,6 +266,8 @@
 		// Every server that a connection was requested for, in order and with repetitions; for the log.
 		std::vector<std::string> attempted_servers;
 		std::optional<send_failure> failure;
+		// Whether the retry for the next try has been spent already.
+		bool is_retry_spent = false;
 		// Why the call was not retried after its last failure.
 		std::string_view no_retry_reason;
 		// The last error response of a server. It is passed on when no server serves the request.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -18,8 +18,6 @@
 		// Retry-After for callers that another daemon can serve at once.
 		constexpr duration retry_elsewhere_delay = milliseconds(20);
 		constexpr duration prefill_margin = milliseconds(500);
-		// Looking for other servers takes a time that grows with their number, so a stream does so once in this time.
-		constexpr duration server_check_interval = milliseconds(500);
 		// The objective divided by this number is the idle_split_limit, unless this daemon was started recently.
 		constexpr int prefill_wait_divisor = 2;
 		// Timeout for the first event of a decode engine that only has to fetch a KV cache.
@@ -190,9 +188,8 @@
 		options.last_event = state->joiner.last_event();
 		auto const first_event_timeout =
 			source ? fetched_first_event_timeout : 2 * placement.first_event + first_event_margin;
-		auto const may_be_moved = state->matched_route->is_repeatable() && state->sent_to.empty() &&
-								  this->may_go_elsewhere(*state, *placement.decode);
-		auto const max_silence = may_be_moved ? first_event_timeout : default_timeout;
+		auto const is_first_try = state->matched_route->is_repeatable() && state->sent_to.empty();
+		silence_limits const max_silence{is_first_try ? first_event_timeout : default_timeout, default_timeout};
 		auto const sent_at = monotonic_now();
 		auto const is_first = !state->first_event_at;
 		constexpr auto has_permit = true;
@@ -307,7 +304,8 @@
 		send_options options;
 		options.part = call_part::prefill;
 		auto const sent_before = state->sent_to;
-		auto outcome = co_await this->send(state, server, std::move(options), max_silence);
+		silence_limits const limits{max_silence, max_silence};
+		auto outcome = co_await this->send(state, server, std::move(options), limits);
 		// A prefill does not count as sending the call to the server, whether or not it succeeds.
 		state->sent_to = sent_before;
 		if (auto const* const failure = std::get_if<send_failure>(&outcome))
@@ -339,11 +337,9 @@
 	{
 		auto const is_repeatable = state->matched_route->is_repeatable();
 		auto const connection = answer.connection.get();
-		auto max_silence = default_timeout;
+		silence_limits max_silence{default_timeout, default_timeout};
 		// Only complete events count as progress of the stream.
 		auto progress_at = monotonic_now();
-		auto next_server_check = progress_at;
-		auto may_be_moved = false;
 		while (true)
 		{
 			if (state->joiner.is_out_of_order())
@@ -354,9 +350,10 @@
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
-			auto const left = std::max(duration{}, max_silence - (monotonic_now() - progress_at));
+			auto const left = std::max(duration{}, max_silence.before_move - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
-			auto piece = co_await connection->read_piece(wait);
+			auto wait_on = this->wait_unless_moved(state, server, max_silence, progress_at);
+			auto piece = co_await connection->read_piece(wait, std::move(wait_on));
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
 				connection->close();
@@ -411,14 +408,10 @@
 				}
 				if (is_repeatable)
 				{
-					// Without another server, only the caller can take the stream up, as with a relayed one.
-					if (progress_at >= next_server_check)
-					{
-						may_be_moved = !state->is_relayed_on && this->may_go_elsewhere(*state, *server);
-						next_server_check = progress_at + server_check_interval;
-					}
-					max_silence = may_be_moved ? routing::event_timeout(*state->matched_route)
-											   : routing::relayed_event_timeout(*state->matched_route);
+					// Without another try, only the caller can take the stream up, as with a relayed one.
+					auto const longest = routing::relayed_event_timeout(*state->matched_route);
+					max_silence = {
+						state->is_relayed_on ? longest : routing::event_timeout(*state->matched_route), longest};
 				}
 			}
 			auto is_accepted = !state->is_caller_gone;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -97,6 +97,15 @@
 			std::optional<std::string> reservation;
 		};
 
+		// How long a server may be silent.
+		struct silence_limits
+		{
+			// Time after which the request goes to another server, if it may.
+			duration before_move;
+			// Time after which the wait ends in any case.
+			duration longest;
+		};
+
 		using state_pointer = std::shared_ptr<request_state>;
 		// The head of a server's answer, or the reason for which there is none.
 		using send_outcome = std::variant<unread_answer, routing::send_failure>;
@@ -241,12 +250,13 @@
 		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused. Obtains
 		// the permit that a server with a limit requires, unless has_permit; returns not_permitted without one.
 		[[nodiscard]] asio::awaitable<send_outcome> send(state_pointer state, routing::server_pointer server,
-			send_options options, duration max_silence, bool has_permit = false);
+			send_options options, silence_limits max_silence, bool has_permit = false);
 
 		// Reads the head of the answer to the call just sent. Skips late answers to earlier requests. attempt: the
-		// caller's attempt id; empty for calls of this daemon's own, whose answers name none.
+		// caller's attempt id; empty for calls of this daemon's own, whose answers name none. wait_on: says for how
+		// much longer to wait after that time.
 		[[nodiscard]] asio::awaitable<std::variant<http::response, http::upstream_failure>> read_own_head(
-			http::upstream_pointer connection, request_id attempt, duration wait);
+			http::upstream_pointer connection, request_id attempt, duration wait, http::further_wait wait_on = {});
 
 		// Obtains a permit to send one request to a server. Returns true at once when the server states no limit.
 		[[nodiscard]] asio::awaitable<bool> obtain_permit(state_pointer state, routing::server_pointer server);
@@ -293,6 +303,13 @@
 		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
 		// nothing is gained when the server's silence ends the wait for its answer.
 		[[nodiscard]] bool may_go_elsewhere(request_state const& state, routing::server_record const& server) const;
+		// Returns what decides, when a server has been silent, whether to wait on for it. The wait ends early only for
+		// another try, for which a retry has then been spent. since: begin of the silence.
+		[[nodiscard]] http::further_wait wait_unless_moved(
+			state_pointer const& state, routing::server_pointer const& server, silence_limits limits, time_point since);
+		// Returns for how much longer to wait for a silent server; see wait_unless_moved().
+		[[nodiscard]] duration decide_further_wait(request_state& state, routing::server_record const& server,
+			silence_limits limits, time_point since, time_point now);
 		// Returns whether the call may be sent once more. Spends one retry of the budget unless the failed call was
 		// never sent.
 		[[nodiscard]] bool authorize_retry(request_state& state, routing::send_failure failure);
--- a/packages/http/impl/upstream.cpp
+++ b/packages/http/impl/upstream.cpp
@@ -86,22 +86,31 @@
 		{
 		}
 
-		// Starts a timeout that closes the connection when it expires, so that the operation in progress fails.
-		void start_timeout(duration timeout, std::weak_ptr<upstream> owner)
+		// Starts a timeout that closes the connection when it expires, so that the operation in progress fails, unless
+		// the operation may go on then.
+		void start_timeout(duration timeout, std::weak_ptr<upstream> owner, further_wait wait_on = {})
 		{
 			this->is_timed_out = false;
 			++this->timeout_id;
 			this->timer.expires_after(std::max(duration{}, timeout));
 			this->timer.async_wait(
-				[owner = std::move(owner), timeout_id = this->timeout_id](error_code const& error)
+				[owner = std::move(owner), wait_on = std::move(wait_on), timeout_id = this->timeout_id](
+					error_code const& error) mutable
 				{
 					auto const self = owner.lock();
 					// Ignores a timer that expired just before it was cancelled: it belongs to an earlier operation.
-					if (!error && self && self->impl->timeout_id == timeout_id)
+					if (error || !self || self->impl->timeout_id != timeout_id)
 					{
-						self->impl->is_timed_out = true;
-						self->close();
+						return;
 					}
+					auto const further = wait_on ? wait_on() : duration{};
+					if (further > duration{})
+					{
+						self->impl->start_timeout(further, std::move(owner), std::move(wait_on));
+						return;
+					}
+					self->impl->is_timed_out = true;
+					self->close();
 				});
 		}
 
@@ -182,11 +191,12 @@
 			});
 	}
 
-	asio::awaitable<std::variant<response, upstream_failure>> upstream::read_head(duration timeout)
+	asio::awaitable<std::variant<response, upstream_failure>> upstream::read_head(
+		duration timeout, further_wait wait_on)
 	{
 		auto const self = this->shared_from_this();
 		auto& state = *this->impl;
-		state.start_timeout(timeout, self);
+		state.start_timeout(timeout, self, std::move(wait_on));
 		auto is_final = false;
 		for (int interim = 0; !is_final; ++interim)
 		{
@@ -219,11 +229,12 @@
 		co_return head;
 	}
 
-	asio::awaitable<std::variant<std::string, upstream_failure>> upstream::read_piece(duration timeout)
+	asio::awaitable<std::variant<std::string, upstream_failure>> upstream::read_piece(
+		duration timeout, further_wait wait_on)
 	{
 		auto const self = this->shared_from_this();
 		auto& state = *this->impl;
-		state.start_timeout(timeout, self);
+		state.start_timeout(timeout, self, std::move(wait_on));
 		std::string received;
 		while (received.empty() && !state.parser->is_done())
 		{
--- a/packages/http/include/godwittrestle/http/upstream.hpp
+++ b/packages/http/include/godwittrestle/http/upstream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
 		std::optional<duration> idle_timeout;
 	};
 
+	// Called when the timeout of a read has expired. Returns for how long the read goes on; zero ends it.
+	using further_wait = std::function<duration()>;
+
 	// A connection to a server. It carries one request at a time and reads each answer piece by piece. The server may
 	// answer before the whole request is sent. Must be used on one executor and be owned by a shared pointer:
 	// operations in progress share the ownership.
@@ -53,10 +57,12 @@
 		void send(request const& message);
 
 		// Reads the head of the answer, skipping interim (1xx) answers. Read the body with read_piece() or read_rest().
-		[[nodiscard]] asio::awaitable<std::variant<response, upstream_failure>> read_head(duration timeout);
+		[[nodiscard]] asio::awaitable<std::variant<response, upstream_failure>> read_head(
+			duration timeout, further_wait wait_on = {});
 
 		// Returns the next piece of the answer's body; an empty piece at the end of the body.
-		[[nodiscard]] asio::awaitable<std::variant<std::string, upstream_failure>> read_piece(duration timeout);
+		[[nodiscard]] asio::awaitable<std::variant<std::string, upstream_failure>> read_piece(
+			duration timeout, further_wait wait_on = {});
 
 		// Returns the rest of the answer's body. The timeout is for the whole rest. Fails with broken when the rest is
 		// longer than the limit, in bytes.
