--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -305,8 +305,8 @@
 		bool is_send_running = false;
 		// When each engine was first asked for its start on behalf of this stream.
 		std::map<server_id, time_point> start_asked_at;
-		// The engine that answered without stating its start and may get the stream all the same, since it is a new one,
-		// and when it was asked. Signs of its end since then count.
+		// The engine that answered without stating its start and may get the stream all the same, since it is a new
+		// one, and when it was asked. Signs of its end since then count.
 		std::optional<unstated_engine> accepted_unstated;
 		// The server that made the stream's first event, until its process is known.
 		routing::server_pointer unconfirmed_writer;
--- a/packages/gateway/impl/forwarder_writers.cpp
+++ b/packages/gateway/impl/forwarder_writers.cpp
@@ -136,7 +136,7 @@
 		routing::known_stream stream{
 			{state.service, software_version()}, state.first_event_at.value_or(now), this->shared->own_id};
 		stream.is_version_known = false;
-		this->shared->origins.note(fingerprint_of(state.call.attempt), std::move(stream));
+		this->shared->origins.note(fingerprint_of(state.call.attempt), stream);
 		this->log_origin(state, "unconfirmed");
 		this->origins->tell_due(now);
 	}
