--- a/tests/contract/changed_configuration.test.cpp
+++ b/tests/contract/changed_configuration.test.cpp
@@ -627,6 +627,43 @@
 	}
 }
 
+TEST_CASE("a stream that breaks off goes on at an engine that has more connections than are allowed by then",
+	"[lowered_connections]")
+{
+	constexpr unsigned held_streams = 6;
+	held_server first("e1");
+	held_server second("e2");
+	daemon_of_test daemon;
+	auto config = make_configuration();
+	config.services.begin()->second.max_connections = 200;
+	first.breaks = true;
+	second.has_room = false;
+	daemon.publish(config, std::vector{first.entry(), second.entry()});
+	caller breaks(daemon.address(), request_text("/x/resumed/1", "r0"));
+	wait_until([&] { return first.first_events == 1; });
+	second.has_room = true;
+	first.has_room = false;
+	std::list<caller> held;
+	for (unsigned number = 1; number <= held_streams; ++number)
+	{
+		held.emplace_back(daemon.address(), request_text("/x/stream/1", fmt::format("r{}", number)));
+	}
+	wait_until([&] { return second.first_events == held_streams; });
+	config.services.begin()->second.max_connections = 1;
+	daemon.publish(config);
+	first.is_held = false;
+	wait_until([&] { return daemon.events("request_send_failed") > 0; });
+	second.is_held = false;
+	for (auto& each : held)
+	{
+		INFO(each.answer());
+		CHECK(is_whole(each.answer()));
+	}
+	INFO(breaks.answer());
+	CHECK(is_whole(breaks.answer()));
+	CHECK(second.unreserved == 0);
+}
+
 TEST_CASE("requests that have begun to arrive, or run, are answered when the limits of time become shorter",
 	"[changed_configuration]")
 {
