--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -293,6 +293,10 @@
 		{
 			++state->sends;
 			state->sent_to_process = present->newest_process();
+			if (state->matched_route->kind == routing::call_kind::streaming)
+			{
+				this->log_stream_sent(*state, *present, *connection);
+			}
 		}
 		if (server->limit.rate())
 		{
@@ -328,6 +332,19 @@
 		co_return unread_answer{std::move(answer), std::move(pooled)};
 	}
 
+	void forwarder::log_stream_sent(
+		request_state const& state, routing::server_record const& server, http::upstream const& connection)
+	{
+		auto const& stated = server.last_statement;
+		this->log_event(state, "stream_sent",
+			{{"server", server.entry.id.str()}, {"entry_start", std::to_string(server.entry.started.count())},
+				{"entry_version", server.entry.version.str()},
+				{"stated_start", stated ? std::to_string(stated->start.count()) : "none"},
+				{"stated_ms", stated ? milliseconds_text(monotonic_now() - stated->asked_at) : "none"},
+				{"port", std::to_string(connection.local_port())},
+				{"last_event", state.joiner.last_event().value_or("")}});
+	}
+
 	asio::awaitable<std::variant<http::response, http::upstream_failure>> forwarder::read_own_head(
 		http::upstream_pointer connection, request_id attempt, duration wait, http::further_wait wait_on)
 	{
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -238,7 +238,7 @@
 		this->totals->count_send("report", answer ? "served" : "failed");
 		if (answer)
 		{
-			seen.statement = this->read_start(called, *answer);
+			seen.statement = this->read_start(called, *answer, begun_at);
 		}
 		else if (monotonic_now() - begun_at < reservation_timeout / 2)
 		{
@@ -270,6 +270,7 @@
 		}
 		auto message = this->protocol.write_report_request(called->entry.id);
 		message.headers.push_back({"Host", called->entry.address});
+		auto const asked_at = monotonic_now();
 		connection->send(message);
 		auto head = co_await connection->read_head(report_timeout);
 		auto is_read = false;
@@ -282,7 +283,7 @@
 			if (auto* const text = std::get_if<std::string>(&body))
 			{
 				answer->body = std::move(*text);
-				stated = this->read_start(called, *answer);
+				stated = this->read_start(called, *answer, asked_at);
 				is_read = true;
 			}
 		}
@@ -292,7 +293,7 @@
 	}
 
 	routing::process_statement forwarder::read_start(
-		routing::server_pointer const& called, http::response const& answer) const
+		routing::server_pointer const& called, http::response const& answer, time_point asked_at) const
 	{
 		auto const metadata = this->protocol.read_answer(answer);
 		if (metadata.is_misdirected && !metadata.server.empty() && metadata.server != called->entry.id)
@@ -304,7 +305,9 @@
 		{
 			return routing::start_not_stated();
 		}
-		this->present_record(called)->note_stated_start(report->started);
+		auto const present = this->present_record(called);
+		present->note_stated_start(report->started);
+		present->last_statement = {report->started, asked_at};
 		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
 		return routing::start_stated{
 			report->started, std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end())};
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -295,10 +295,13 @@
 		// Asks on a connection of its own, which counts for no limit of this daemon: the one that has ended has left
 		// its place at the server.
 		[[nodiscard]] asio::awaitable<routing::process_statement> ask_start_directly(routing::server_pointer called);
-		// Returns what the answer to the question for a server's start states. Records a start whose entry has not been
-		// read yet.
+		// Returns what the answer to the question for a server's start states, and records it. asked_at: time of the
+		// question.
 		[[nodiscard]] routing::process_statement read_start(
-			routing::server_pointer const& called, http::response const& answer) const;
+			routing::server_pointer const& called, http::response const& answer, time_point asked_at) const;
+		// Logs over which connection a stream is sent, and what is known of the process that holds it.
+		void log_stream_sent(
+			request_state const& state, routing::server_record const& server, http::upstream const& connection);
 
 		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
 		// nothing is gained when the server's silence ends the wait for its answer.
--- a/packages/http/impl/upstream.cpp
+++ b/packages/http/impl/upstream.cpp
@@ -306,6 +306,13 @@
 		return this->impl->was_closed_by_peer;
 	}
 
+	unsigned short upstream::local_port() const
+	{
+		error_code not_open;
+		auto const local = this->impl->socket.local_endpoint(not_open);
+		return not_open ? static_cast<unsigned short>(0) : local.port();
+	}
+
 	void upstream::close()
 	{
 		error_code ignored;
--- a/packages/http/include/godwittrestle/http/upstream.hpp
+++ b/packages/http/include/godwittrestle/http/upstream.hpp
@@ -85,6 +85,9 @@
 		// Returns whether the last read failed because the peer had closed or reset the connection.
 		[[nodiscard]] bool was_closed_by_peer() const noexcept;
 
+		// Returns the port of this end; 0 when the connection is not open.
+		[[nodiscard]] unsigned short local_port() const;
+
 		// Closes the connection. Operations in progress fail.
 		void close();
 
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -33,6 +33,14 @@
 		time_point believed_from;
 	};
 
+	// The start that a server has stated last.
+	struct start_statement
+	{
+		incarnation start;
+		// Time at which the server was asked. The statement tells nothing of what has happened since.
+		time_point asked_at;
+	};
+
 	// State that this daemon keeps of one backend server.
 	struct server_record
 	{
@@ -66,6 +74,9 @@
 		// been read yet.
 		std::optional<incarnation> stated_start;
 
+		// What the server has stated last, whether or not it is the start of the entry.
+		std::optional<start_statement> last_statement;
+
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
 
