--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include <godwittrestle/gateway/connection_pool.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <ranges>
 
@@ -30,41 +31,41 @@
 	{
 	}
 
-	asio::awaitable<http::upstream_pointer> connection_pool::acquire(
-		routing::registered_server const& server, std::size_t limit, duration max_idle, duration timeout)
+	asio::awaitable<server_connection> connection_pool::acquire(routing::registered_server const& server,
+		std::size_t limit, duration max_idle, duration timeout, connection_preference preference)
 	{
 		auto& connections = this->servers[server.id];
 		if (connections.started != server.started || connections.address != server.address)
 		{
 			connections = server_connections{server.started, server.address, {}, 0};
 		}
-		if (auto idle = this->take_idle(server.id, connections, max_idle, daemon::monotonic_now()))
+		if (auto idle = this->take_idle(server.id, connections, max_idle, preference, daemon::monotonic_now()))
 		{
 			++connections.in_use;
 			co_return idle;
 		}
 		if (connections.in_use + connections.idle.size() >= limit)
 		{
-			co_return nullptr;
+			co_return server_connection();
 		}
 		auto const where = http::parse_endpoint(server.address, server.id.str());
 		if (!where)
 		{
-			co_return nullptr;
+			co_return server_connection();
 		}
 		++connections.in_use;
-		auto fresh = std::make_shared<http::upstream>(this->executor, *where);
-		auto const is_connected = co_await fresh->connect(timeout);
+		server_connection fresh{std::make_shared<http::upstream>(this->executor, *where)};
+		auto const is_connected = co_await fresh.stream->connect(timeout);
 		this->on_connect(server.id, is_connected);
 		if (!is_connected)
 		{
-			this->release(server, nullptr);
-			co_return nullptr;
+			this->release(server, server_connection());
+			co_return server_connection();
 		}
 		co_return fresh;
 	}
 
-	void connection_pool::release(routing::registered_server const& server, http::upstream_pointer const& connection)
+	void connection_pool::release(routing::registered_server const& server, server_connection const& connection)
 	{
 		auto const known = this->servers.find(server.id);
 		auto const is_current = known != this->servers.end() && known->second.started == server.started &&
@@ -77,9 +78,10 @@
 		{
 			return;
 		}
-		if (this->is_closed || !is_current || !connection->is_reusable())
+		auto const has_holder_ended = connection.holder && *connection.holder < server.started;
+		if (this->is_closed || !is_current || has_holder_ended || !connection.stream->is_reusable())
 		{
-			connection->close();
+			connection.stream->close();
 			return;
 		}
 		known->second.idle.push_back({connection, daemon::monotonic_now()});
@@ -92,7 +94,7 @@
 		{
 			return;
 		}
-		std::ranges::for_each(known->second.idle, [](idle_connection& each) { each.connection->close(); });
+		std::ranges::for_each(known->second.idle, [](idle_connection& each) { each.connection.stream->close(); });
 		this->servers.erase(known);
 	}
 
@@ -110,11 +112,12 @@
 			std::erase_if(connections.idle,
 				[&](idle_connection& each)
 				{
-					auto const is_ended = !each.connection->is_open_without_data();
-					auto const is_over = is_ended || now - each.since > idle_time(*each.connection);
+					auto const& stream = each.connection.stream;
+					auto const is_ended = !stream->is_open_without_data();
+					auto const is_over = is_ended || now - each.since > idle_time(*stream);
 					if (is_over)
 					{
-						each.connection->close();
+						stream->close();
 					}
 					has_ended = has_ended || is_ended;
 					return is_over;
@@ -133,25 +136,33 @@
 		return std::accumulate(idle.begin(), idle.end(), std::size_t{0});
 	}
 
-	http::upstream_pointer connection_pool::take_idle(
-		server_id const& server, server_connections& connections, duration max_idle, time_point now)
+	server_connection connection_pool::take_idle(server_id const& server, server_connections& connections,
+		duration max_idle, connection_preference preference, time_point now)
 	{
+		auto const is_preferred = [preference](idle_connection const& each)
+		{
+			return preference == connection_preference::latest || each.connection.holder.has_value();
+		};
 		while (!connections.idle.empty())
 		{
-			auto const candidate = connections.idle.back();
-			connections.idle.pop_back();
+			auto const preferred = std::find_if(connections.idle.rbegin(), connections.idle.rend(), is_preferred);
+			auto const taken =
+				preferred == connections.idle.rend() ? std::prev(connections.idle.end()) : std::prev(preferred.base());
+			auto const candidate = *taken;
+			connections.idle.erase(taken);
+			auto const& stream = candidate.connection.stream;
 			auto const age = now - candidate.since;
-			auto const is_open = candidate.connection->is_open_without_data();
-			if (is_open && age <= std::min(max_idle, idle_time(*candidate.connection)))
+			auto const is_open = stream->is_open_without_data();
+			if (is_open && age <= std::min(max_idle, idle_time(*stream)))
 			{
 				return candidate.connection;
 			}
-			candidate.connection->close();
+			stream->close();
 			if (!is_open)
 			{
 				this->on_idle_end(server);
 			}
 		}
-		return nullptr;
+		return {};
 	}
 }
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -17,7 +17,6 @@
 		// A call on a connection that the server has just closed is lost. A non-idempotent call can't be retried, so it
 		// only reuses a connection that was in use within this time.
 		constexpr duration max_idle_non_repeatable = seconds(2);
-		constexpr duration max_idle = seconds(30);
 		constexpr duration drain_body_timeout = milliseconds(100);
 		// Number of answers to earlier requests after which a connection is given up.
 		constexpr int max_stray_answers = 3;
@@ -198,7 +197,7 @@
 										 : default_timeout;
 			silence_limits const max_silence{before_move, default_timeout};
 			send_options options;
-			auto outcome = co_await this->send(state, server, std::move(options), max_silence);
+			auto outcome = co_await this->send(state, server, std::move(options), max_silence, send_grant());
 			std::optional<send_failure> failure;
 			if (auto* const answer = std::get_if<unread_answer>(&outcome))
 			{
@@ -224,21 +223,21 @@
 	}
 
 	asio::awaitable<forwarder::send_outcome> forwarder::send(state_pointer state, routing::server_pointer server,
-		send_options options, silence_limits max_silence, bool has_permit)
+		send_options options, silence_limits max_silence, send_grant grant)
 	{
 		state->connection->clear();
 		// The server's entry may have been read anew since it was chosen.
 		server = this->present_record(server);
 		auto const& entry = server->entry;
 		auto const max_idle_for_call = state->matched_route->is_repeatable() || options.part == call_part::prefill
-										   ? max_idle
+										   ? max_server_idle
 										   : max_idle_non_repeatable;
 		if (this->is_blocked(*state, monotonic_now()))
 		{
 			co_return send_failure::blocked;
 		}
 		auto const had_limit = server->limit.rate().has_value();
-		if (!has_permit)
+		if (!grant.has_permit)
 		{
 			auto const is_permitted = co_await this->obtain_permit(state, server);
 			if (!is_permitted)
@@ -246,17 +245,37 @@
 				co_return send_failure::not_permitted;
 			}
 		}
-		auto const time_to_connect = std::min(connect_timeout, state->time_left());
-		auto const limit = this->connection_limit(entry);
 		state->attempted_servers.push_back(entry.id.str());
-		auto connection = co_await this->pool.acquire(entry, limit, max_idle_for_call, time_to_connect);
-		if (!connection)
+		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming &&
+							   options.part == call_part::whole && routing::states_start(entry);
+		engine_connection reached;
+		if (is_stream)
+		{
+			auto const wait = std::min(this->longest_answer_wait(*server), state->time_left());
+			auto const needs_holder = this->needs_holder(*state, entry, monotonic_now());
+			reached = co_await this->connect_to_engine(server, wait, needs_holder);
+		}
+		else
+		{
+			auto const time_to_connect = std::min(connect_timeout, state->time_left());
+			auto const limit = this->connection_limit(entry);
+			auto const taken = co_await this->pool.acquire(entry, limit, max_idle_for_call, time_to_connect);
+			if (taken)
+			{
+				reached.connection.emplace(this->pool, entry, taken);
+			}
+			else
+			{
+				this->shared->reach.note_failure(entry.id);
+			}
+		}
+		if (!reached.connection)
 		{
-			this->shared->reach.note_failure(entry.id);
 			co_return send_failure::not_sent;
 		}
-		pooled_connection pooled(this->pool, entry, connection);
-		if (!has_permit && !had_limit)
+		auto& pooled = *reached.connection;
+		auto const connection = pooled.get();
+		if (!grant.has_permit && !had_limit)
 		{
 			// The server may have stated a limit while the connection was opened.
 			auto const is_permitted = co_await this->obtain_permit(state, server);
@@ -269,14 +288,22 @@
 		auto const present = this->present_record(server);
 		auto const listed = this->shared->servers.find(entry.id);
 		auto const is_leaving = server->is_leaving() || (listed && listed->is_leaving());
-		auto const is_doubtful = state->matched_route->kind == routing::call_kind::streaming &&
-								 options.part == call_part::whole && this->is_start_doubtful(*state, *server);
-		if (state->is_caller_gone || state->is_out_of_time() || is_doubtful || is_leaving ||
+		auto const holder = routing::compare_holder(entry, pooled.holder());
+		auto const may_be_sent = !is_stream || routing::may_send_stream(entry, holder, this->terms_of(*state, *server));
+		if (state->is_caller_gone || state->is_out_of_time() || !may_be_sent || is_leaving ||
 			server->load.paused_for(monotonic_now()) > duration{})
 		{
 			connection->close();
 			co_return send_failure::not_sent;
 		}
+		if (options.reservation && grant.reserved_at && pooled.holder() != grant.reserved_at)
+		{
+			// Another process granted it.
+			this->log_event(*state, "reservation_dropped",
+				{{"server", entry.id.str()}, {"reserved_at", std::to_string(grant.reserved_at->count())},
+					{"holder", std::string(routing::to_string(holder))}});
+			options.reservation.reset();
+		}
 		if (!this->begin_send(*state, monotonic_now()))
 		{
 			co_return send_failure::blocked;
@@ -292,10 +319,12 @@
 		if (options.part == call_part::whole)
 		{
 			++state->sends;
-			state->sent_to_process = present->newest_process();
+			state->is_holder_known = is_stream && pooled.holder();
+			state->sent_to_process = state->is_holder_known ? routing::server_process{entry.id, *pooled.holder()}
+															: present->newest_process();
 			if (state->matched_route->kind == routing::call_kind::streaming)
 			{
-				this->log_stream_sent(*state, *present, *connection);
+				this->log_stream_sent(*state, *present, pooled);
 			}
 		}
 		if (server->limit.rate())
@@ -333,7 +362,7 @@
 	}
 
 	void forwarder::log_stream_sent(
-		request_state const& state, routing::server_record const& server, http::upstream const& connection)
+		request_state const& state, routing::server_record const& server, pooled_connection const& connection)
 	{
 		auto const& stated = server.last_statement;
 		this->log_event(state, "stream_sent",
@@ -341,7 +370,8 @@
 				{"entry_version", server.entry.version.str()},
 				{"stated_start", stated ? std::to_string(stated->start.count()) : "none"},
 				{"stated_ms", stated ? milliseconds_text(monotonic_now() - stated->asked_at) : "none"},
-				{"port", std::to_string(connection.local_port())},
+				{"holder", connection.holder() ? std::to_string(connection.holder()->count()) : "unknown"},
+				{"port", std::to_string(connection->local_port())},
 				{"last_event", state.joiner.last_event().value_or("")}});
 	}
 
@@ -457,46 +487,6 @@
 		return budget.try_spend(this->shared->retries, this->shared->daemon_count, monotonic_now());
 	}
 
-	asio::awaitable<std::optional<http::response>> forwarder::call_server(
-		routing::server_pointer server, http::request message, duration timeout)
-	{
-		if (server->load.paused_for(monotonic_now()) > duration{})
-		{
-			co_return std::nullopt;
-		}
-		auto const limit = this->connection_limit(server->entry);
-		auto const connection = co_await this->pool.acquire(server->entry, limit, max_idle, timeout);
-		if (!connection)
-		{
-			this->shared->reach.note_failure(server->entry.id);
-			co_return std::nullopt;
-		}
-		pooled_connection const pooled(this->pool, server->entry, connection);
-		message.headers.push_back({"Host", server->entry.address});
-		connection->send(message);
-		auto const no_attempt = request_id();
-		auto head = co_await this->read_own_head(connection, no_attempt, timeout);
-		if (auto* const answer = std::get_if<http::response>(&head))
-		{
-			auto const metadata = this->protocol.read_answer(*answer);
-			this->record_server_state(*server, metadata);
-			this->record_limit(*server, metadata, answer->status, std::nullopt);
-			auto body = co_await connection->read_rest(timeout, max_small_body_bytes);
-			if (auto* const text = std::get_if<std::string>(&body))
-			{
-				answer->body = std::move(*text);
-				co_return std::move(*answer);
-			}
-		}
-		this->shared->reach.note_failure(server->entry.id);
-		if (connection->was_closed_by_peer())
-		{
-			this->shared->servers.note_end_sign(server->entry.id, monotonic_now());
-		}
-		connection->close();
-		co_return std::nullopt;
-	}
-
 	asio::awaitable<std::optional<std::string>> forwarder::fetch(
 		routing::server_pointer server, http::request message, duration timeout)
 	{
@@ -534,6 +524,7 @@
 	void forwarder::forget_server(server_id const& server)
 	{
 		this->pool.remove_server(server);
+		this->late_questions.erase(server);
 	}
 
 	std::size_t forwarder::idle_connections() const
--- /dev/null
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -0,0 +1,211 @@
+#include <godwittrestle/gateway/forwarder.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "forwarder_state.hpp"
+
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// A process that answered without its start is asked again on the same connection after this time.
+		constexpr duration holder_question_pause = milliseconds(100);
+		// Connections to one engine that are opened for one stream, when answers close them.
+		constexpr int max_connections_tried = 3;
+	}
+
+	// The question, on a connection, for the start of the process that holds it. It goes on when nobody waits for the
+	// answer any more; the connection then returns to its pool with what was stated.
+	struct forwarder::holder_question
+	{
+		holder_question(asio::any_io_executor const& executor, pooled_connection asked)
+			: connection(std::move(asked))
+			, answered(executor)
+		{
+		}
+
+		pooled_connection connection;
+		// Cancelled when the answer is there.
+		asio::steady_timer answered;
+		bool is_over = false;
+		routing::process_evidence seen;
+	};
+
+	asio::awaitable<forwarder::engine_connection> forwarder::connect_to_engine(
+		routing::server_pointer server, duration longest_wait, bool needs_holder)
+	{
+		engine_connection reached;
+		auto const& entry = server->entry;
+		if (server->load.paused_for(monotonic_now()) > duration{})
+		{
+			reached.seen.statement = routing::pause_wanted();
+			co_return reached;
+		}
+		auto const limit = this->connection_limit(entry);
+		auto const ends_at = monotonic_now() + longest_wait;
+		for (int tried = 1; tried <= max_connections_tried; ++tried)
+		{
+			auto const taken = co_await this->pool.acquire(
+				entry, limit, max_server_idle, connect_timeout, connection_preference::known_holder);
+			if (!taken)
+			{
+				this->shared->reach.note_failure(entry.id);
+				reached.is_unreachable = true;
+				co_return reached;
+			}
+			pooled_connection connection(this->pool, entry, taken);
+			if (routing::compare_holder(entry, connection.holder()) == routing::connection_holder::earlier)
+			{
+				// That process has ended, and the connection with it.
+				connection->close();
+				continue;
+			}
+			if (connection.holder())
+			{
+				reached.seen = {connection.asked_at().value_or(time_point()), routing::port_evidence::none,
+					routing::start_stated{*connection.holder()}};
+			}
+			auto const now = monotonic_now();
+			auto const is_asked_lately = connection.asked_at() && now - *connection.asked_at() < holder_question_pause;
+			auto const is_unstated = !connection.holder() && is_asked_lately;
+			if (is_unstated)
+			{
+				reached.seen = {*connection.asked_at(), routing::port_evidence::none, routing::start_not_stated()};
+			}
+			auto const is_last = tried == max_connections_tried || now >= ends_at;
+			auto const is_unasked =
+				!needs_holder && !connection.holder() && (is_last || this->has_late_question(entry.id));
+			if (connection.holder() || !routing::states_start(entry) || is_unstated || is_unasked)
+			{
+				if (connection.holder() || !needs_holder || !routing::states_start(entry))
+				{
+					reached.connection.emplace(std::move(connection));
+				}
+				co_return reached;
+			}
+			auto const question = std::make_shared<holder_question>(this->executor, std::move(connection));
+			this->run_in_background("holder_question", this->ask_holder(server, question));
+			if (!question->is_over)
+			{
+				question->answered.expires_after(ends_at - monotonic_now());
+				std::ignore = co_await question->answered.async_wait(wait_token);
+			}
+			if (!question->is_over)
+			{
+				this->late_questions[entry.id] = question;
+				if (needs_holder)
+				{
+					co_return reached;
+				}
+				continue;
+			}
+			reached.seen = question->seen;
+			auto& asked = question->connection;
+			auto const is_other = std::holds_alternative<routing::other_process>(reached.seen.statement);
+			if (is_other)
+			{
+				co_return reached;
+			}
+			if (asked->is_reusable() && (asked.holder() || !needs_holder))
+			{
+				reached.connection.emplace(std::move(asked));
+				co_return reached;
+			}
+			if (asked->is_reusable())
+			{
+				co_return reached;
+			}
+		}
+		co_return reached;
+	}
+
+	asio::awaitable<void> forwarder::ask_holder(
+		routing::server_pointer server, std::shared_ptr<holder_question> question)
+	{
+		auto& connection = question->connection;
+		auto const asked_at = monotonic_now();
+		auto message = this->protocol.write_report_request(server->entry.id);
+		auto const answer = co_await this->call_on(server, connection, std::move(message), report_timeout);
+		this->totals->count_send("report", answer ? "served" : "failed");
+		question->seen.asked_at = asked_at;
+		if (answer)
+		{
+			question->seen.statement = this->read_start(server, *answer, asked_at);
+			auto const stated = question->seen.stated();
+			connection.note_statement(stated, asked_at);
+			if (stated && *stated == server->entry.started)
+			{
+				routing::directory::note_start_confirmed(*server, asked_at);
+			}
+		}
+		this->log(make_event("connection_holder",
+			{{"server", server->entry.id.str()}, {"entry_start", std::to_string(server->entry.started.count())},
+				{"stated_start", std::to_string(question->seen.stated().value_or(incarnation()).count())},
+				{"answered", answer ? "yes" : "no"}, {"port", std::to_string(connection->local_port())},
+				{"took_ms", milliseconds_text(monotonic_now() - asked_at)}}));
+		question->is_over = true;
+		question->answered.cancel();
+	}
+
+	bool forwarder::has_late_question(server_id const& server)
+	{
+		auto const found = this->late_questions.find(server);
+		if (found != this->late_questions.end() && found->second.expired())
+		{
+			this->late_questions.erase(found);
+			return false;
+		}
+		return found != this->late_questions.end();
+	}
+
+	asio::awaitable<std::optional<http::response>> forwarder::call_on(
+		routing::server_pointer server, pooled_connection& pooled, http::request message, duration timeout)
+	{
+		auto const connection = pooled.get();
+		message.headers.push_back({"Host", server->entry.address});
+		connection->send(message);
+		auto const no_attempt = request_id();
+		auto head = co_await this->read_own_head(connection, no_attempt, timeout);
+		if (auto* const answer = std::get_if<http::response>(&head))
+		{
+			auto const metadata = this->protocol.read_answer(*answer);
+			this->record_server_state(*server, metadata);
+			this->record_limit(*server, metadata, answer->status, std::nullopt);
+			auto body = co_await connection->read_rest(timeout, max_small_body_bytes);
+			if (auto* const text = std::get_if<std::string>(&body))
+			{
+				answer->body = std::move(*text);
+				co_return std::move(*answer);
+			}
+		}
+		this->shared->reach.note_failure(server->entry.id);
+		if (connection->was_closed_by_peer())
+		{
+			this->shared->servers.note_end_sign(server->entry.id, monotonic_now());
+		}
+		connection->close();
+		co_return std::nullopt;
+	}
+
+	asio::awaitable<std::optional<http::response>> forwarder::call_server(
+		routing::server_pointer server, http::request message, duration timeout)
+	{
+		if (server->load.paused_for(monotonic_now()) > duration{})
+		{
+			co_return std::nullopt;
+		}
+		auto const limit = this->connection_limit(server->entry);
+		auto const connection = co_await this->pool.acquire(server->entry, limit, max_server_idle, timeout);
+		if (!connection)
+		{
+			this->shared->reach.note_failure(server->entry.id);
+			co_return std::nullopt;
+		}
+		pooled_connection pooled(this->pool, server->entry, connection);
+		co_return co_await this->call_on(server, pooled, std::move(message), timeout);
+	}
+}
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -128,13 +128,14 @@
 		auto const& entry = target->entry;
 		state->attempted_servers.push_back(entry.id.str());
 		auto const time_to_connect = std::min(connect_timeout, state->time_left());
-		auto connection = co_await this->peer_pool.acquire(entry, max_connections_per_peer, max_idle, time_to_connect);
-		if (!connection)
+		auto const taken = co_await this->peer_pool.acquire(entry, max_connections_per_peer, max_idle, time_to_connect);
+		if (!taken)
 		{
 			this->totals->count_relayed_request(routing::to_string(send_failure::not_sent));
 			co_return send_failure::not_sent;
 		}
-		pooled_connection pooled(this->peer_pool, entry, connection);
+		auto const connection = taken.stream;
+		pooled_connection pooled(this->peer_pool, entry, taken);
 		if (state->is_caller_gone || state->is_out_of_time())
 		{
 			connection->close();
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -14,8 +14,6 @@
 	namespace
 	{
 		constexpr duration reservation_timeout = milliseconds(200);
-		// A sound server may fall silent for about a second.
-		constexpr duration report_timeout = milliseconds(1200);
 		// Other engines are tried when one has not stated its start within this time.
 		constexpr duration longest_start_wait = milliseconds(200);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
@@ -155,14 +153,14 @@
 		{
 			for (auto const& engine : engines)
 			{
-				auto may_get_stream = co_await this->confirm_start(state, engine);
-				if (may_get_stream)
+				auto checked = co_await this->confirm_start(state, engine);
+				if (checked.may_get_stream)
 				{
-					may_get_stream = co_await this->obtain_permit(state, engine);
+					checked.may_get_stream = co_await this->obtain_permit(state, engine);
 				}
-				if (may_get_stream)
+				if (checked.may_get_stream)
 				{
-					co_return reserved_engine{engine, std::nullopt};
+					co_return reserved_engine{engine, std::nullopt, checked.holder};
 				}
 			}
 			co_return std::nullopt;
@@ -174,17 +172,18 @@
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
 		{
-			auto const is_confirmed = co_await this->confirm_start(state, engine);
-			if (!is_confirmed)
+			auto const checked = co_await this->confirm_start(state, engine);
+			if (!checked.may_get_stream)
 			{
 				continue;
 			}
-			auto reservation = co_await this->request_reservation(engine, needed, lifetime);
+			auto reservation = co_await this->request_reservation(engine, checked.holder, needed, lifetime);
 			if (!reservation)
 			{
 				continue;
 			}
-			auto const probe = co_await this->request_reservation(engine, margin, std::min(*longest, probe_lifetime));
+			auto const probe_time = std::min(*longest, probe_lifetime);
+			auto const probe = co_await this->request_reservation(engine, checked.holder, margin, probe_time);
 			if (probe)
 			{
 				this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *probe));
@@ -208,7 +207,7 @@
 			{
 				continue;
 			}
-			co_return reserved_engine{engine, std::move(reservation)};
+			co_return reserved_engine{engine, std::move(reservation), checked.holder};
 		}
 		co_return std::nullopt;
 	}
@@ -326,50 +325,79 @@
 		return is_new_sign(engine.start_doubted_at) || (has_begun && (engine.end_sign_at || !is_present));
 	}
 
-	asio::awaitable<bool> forwarder::confirm_start(state_pointer state, routing::server_pointer engine)
+	duration forwarder::longest_answer_wait(routing::server_record const& /*engine*/) const
 	{
-		auto const now = monotonic_now();
+		return longest_start_wait;
+	}
+
+	bool forwarder::needs_holder(
+		request_state const& state, routing::registered_server const& entry, time_point now) const
+	{
+		return state.joiner.last_event() && routing::states_start(entry) &&
+			   this->has_several_versions(state.service, now);
+	}
+
+	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
+	{
+		routing::stream_terms terms;
+		if (state.joiner.last_event() && state.origin)
+		{
+			terms.origin = state.origin->version;
+		}
+		terms.has_several_versions = this->has_several_versions(state.service, monotonic_now());
+		terms.is_start_doubtful = this->is_start_doubtful(state, engine);
+		return terms;
+	}
+
+	asio::awaitable<forwarder::checked_engine> forwarder::confirm_start(
+		state_pointer state, routing::server_pointer engine)
+	{
+		checked_engine checked;
+		auto const& entry = engine->entry;
+		if (!routing::states_start(entry))
+		{
+			checked.may_get_stream = true;
+			co_return checked;
+		}
+		engine_connection reached;
+		if (!this->has_late_question(entry.id))
+		{
+			auto const wait = std::min(this->longest_answer_wait(*engine), state->time_left());
+			constexpr auto needs_holder = true;
+			reached = co_await this->connect_to_engine(engine, wait, needs_holder);
+		}
 		auto const has_begun = state->joiner.last_event().has_value();
-		auto const is_bound =
-			has_begun && routing::states_start(engine->entry) && this->has_several_versions(state->service, now);
-		if (!is_bound && !is_start_doubtful(*state, *engine))
+		if (reached.connection)
 		{
-			co_return true;
+			checked.holder = reached.connection->holder();
 		}
-		auto const last_sign = std::max(engine->start_doubted_at, engine->end_sign_at).value_or(time_point());
-		// An answer that was there before this stream needed it may be that of a process that has ended unseen.
-		auto const first_asked = state->start_asked_at.try_emplace(engine->entry.id, now).first->second;
-		auto const since = has_begun ? std::max(last_sign, first_asked) : last_sign;
-		auto const seen = co_await this->end_check.ask_start(engine, since, longest_start_wait);
-		switch (routing::judge_start(engine->entry, seen))
-		{
-			case routing::process_state::same:
-				// Another sign may have come while the engine was asked.
-				routing::directory::note_start_confirmed(*engine, seen.asked_at);
-				co_return !is_start_doubtful(*state, *engine);
-			case routing::process_state::ended:
-				this->note_start_refuted(*state, *engine, seen);
-				co_return false;
-			case routing::process_state::unknown:
-				break;
+		auto const holder = routing::compare_holder(entry, checked.holder);
+		auto const is_later = holder == routing::connection_holder::later;
+		auto const is_refuted = is_later ? has_begun || engine->start_doubted_at
+										 : routing::is_proved_replaced(entry, reached.seen) && !checked.holder;
+		if (is_refuted)
+		{
+			this->note_start_refuted(*state, *engine, reached.seen);
+			co_return checked;
 		}
-		if (!has_begun && seen.has_answered())
+		if (!has_begun && !checked.holder && reached.seen.has_answered())
 		{
 			// A new stream may begin at any version; where it began is found out after its first event.
-			state->accepted_unstated = {engine->entry.id, seen.asked_at};
-			co_return !is_start_doubtful(*state, *engine);
+			state->accepted_unstated = {entry.id, reached.seen.asked_at};
 		}
-		if (seen.asked_at >= now)
+		checked.may_get_stream = routing::may_send_stream(entry, holder, this->terms_of(*state, *engine));
+		if (!checked.may_get_stream)
 		{
 			this->log_event(*state, "server_start_unknown",
-				{{"server", engine->entry.id.str()}, {"entry_start", std::to_string(engine->entry.started.count())},
-					{"answered", seen.has_answered() ? "yes" : "no"}, {"begun", has_begun ? "yes" : "no"}});
+				{{"server", entry.id.str()}, {"entry_start", std::to_string(entry.started.count())},
+					{"holder", std::string(routing::to_string(holder))},
+					{"answered", reached.seen.has_answered() ? "yes" : "no"}, {"begun", has_begun ? "yes" : "no"}});
 		}
-		if (engine->start_doubted_at && !seen.has_answered())
+		if (!checked.may_get_stream && engine->start_doubted_at && !reached.seen.has_answered())
 		{
 			engine->load.note_full_until(monotonic_now() + start_check_pause);
 		}
-		co_return false;
+		co_return checked;
 	}
 
 	void forwarder::note_start_refuted(
@@ -394,14 +422,21 @@
 	}
 
 	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
-		routing::server_pointer engine, token_count tokens, duration lifetime)
+		routing::server_pointer engine, std::optional<incarnation> holder, token_count tokens, duration lifetime)
 	{
 		if (engine->load.paused_for(monotonic_now()) > duration{})
 		{
 			co_return std::nullopt;
 		}
-		auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
-		auto const answer = co_await this->call_server(engine, std::move(message), reservation_timeout);
+		auto const needs_holder = holder.has_value();
+		auto const wait = this->longest_answer_wait(*engine);
+		auto reached = co_await this->connect_to_engine(engine, wait, needs_holder);
+		std::optional<http::response> answer;
+		if (reached.connection && (!holder || reached.connection->holder() == holder))
+		{
+			auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
+			answer = co_await this->call_on(engine, *reached.connection, std::move(message), reservation_timeout);
+		}
 		auto const now = monotonic_now();
 		if (!answer)
 		{
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -27,6 +27,10 @@
 	// Statuses by which a server, or another daemon, states that it did not run the request.
 	inline constexpr std::array<unsigned, 4> not_run_statuses{408, 421, 429, 503};
 	inline constexpr duration connect_timeout = milliseconds(250);
+	// A connection to a server that was idle for longer is not used again.
+	inline constexpr duration max_server_idle = seconds(30);
+	// A sound server may fall silent for about a second.
+	inline constexpr duration report_timeout = milliseconds(1200);
 	// A call is not sent when its caller's deadline is closer than this.
 	inline constexpr duration min_time_to_send = milliseconds(25);
 	inline constexpr std::size_t max_small_body_bytes = 65'536;
@@ -161,17 +165,17 @@
 	class pooled_connection
 	{
 	  public:
-		pooled_connection(connection_pool& owner, routing::registered_server target, http::upstream_pointer opened)
+		pooled_connection(connection_pool& owner, routing::registered_server target, server_connection opened)
 			: pool(&owner)
 			, server(std::move(target))
-			, connection(std::move(opened))
+			, taken(std::move(opened))
 		{
 		}
 
 		// From now on until the connection is returned, the request may close it.
 		void lend_to(std::shared_ptr<connection_in_use> request)
 		{
-			request->begin(this->connection);
+			request->begin(this->taken.stream);
 			this->borrower = std::move(request);
 		}
 
@@ -183,12 +187,24 @@
 		pooled_connection(pooled_connection const&) = delete;
 		pooled_connection& operator=(pooled_connection const&) = delete;
 		pooled_connection(pooled_connection&& other) noexcept = default;
-		pooled_connection& operator=(pooled_connection&&) = delete;
+
+		pooled_connection& operator=(pooled_connection&& other) noexcept
+		{
+			if (this != &other)
+			{
+				this->release();
+				this->pool = other.pool;
+				this->server = std::move(other.server);
+				this->taken = std::exchange(other.taken, server_connection());
+				this->borrower = std::move(other.borrower);
+			}
+			return *this;
+		}
 
 		// Returns the connection to the pool before this object is destroyed.
 		void release()
 		{
-			if (auto const returned = std::exchange(this->connection, nullptr))
+			if (auto const returned = std::exchange(this->taken, server_connection()))
 			{
 				if (auto const request = std::exchange(this->borrower, nullptr))
 				{
@@ -200,23 +216,42 @@
 
 		[[nodiscard]] http::upstream& operator*() const noexcept
 		{
-			return *this->connection;
+			return *this->taken.stream;
 		}
 
 		[[nodiscard]] http::upstream* operator->() const noexcept
 		{
-			return this->connection.get();
+			return this->taken.stream.get();
 		}
 
 		[[nodiscard]] http::upstream_pointer const& get() const noexcept
 		{
-			return this->connection;
+			return this->taken.stream;
+		}
+
+		// Returns the start of the process that holds the connection; nothing when it has not stated it there.
+		[[nodiscard]] std::optional<incarnation> holder() const noexcept
+		{
+			return this->taken.holder;
+		}
+
+		// Returns when the process was last asked for its start on this connection.
+		[[nodiscard]] std::optional<time_point> asked_at() const noexcept
+		{
+			return this->taken.asked_at;
+		}
+
+		// Records what the process has stated of its start on this connection; nothing when it answered without it.
+		void note_statement(std::optional<incarnation> stated, time_point asked) noexcept
+		{
+			this->taken.asked_at = asked;
+			this->taken.holder = stated;
 		}
 
 	  private:
 		connection_pool* pool;
 		routing::registered_server server;
-		http::upstream_pointer connection;
+		server_connection taken;
 		std::shared_ptr<connection_in_use> borrower;
 	};
 
@@ -280,10 +315,12 @@
 		// Whether the request was last sent to another daemon instead of a server, and that daemon's last refusal.
 		bool is_relayed_on = false;
 		std::optional<http::response> relayed_refusal;
-		// Number of times that the call was sent to a server, and the newest process that was known of the server when
-		// it was last sent.
+		// Number of times that the call was sent to a server, and the process that held the connection when it was last
+		// sent; if that was not known, the newest process that was known of the server.
 		std::uint32_t sends = 0;
 		routing::server_process sent_to_process;
+		// Whether that process is known to hold the connection.
+		bool is_holder_known = false;
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
@@ -291,20 +328,11 @@
 		bool is_origin_unanswered = false;
 		// Whether all other daemons, if there are any, have said what they know of the stream.
 		bool have_others_answered = false;
-		// The process that made the stream's first event, the send that brought it, and whether the process was taken
-		// to be the newest one that was known.
+		// The process that made the stream's first event, and the send that brought it.
 		std::optional<routing::server_process> writer;
 		std::uint32_t writer_send = 0;
-		bool is_writer_assumed = false;
-		// Whether another process of the server was heard of while the send was in progress, so that the process that
-		// was taken to be the writer may not be it.
-		bool is_writer_reviewed = false;
 		// Whether it was recorded, and told to other daemons, that the stream has begun and its process is not known.
 		bool is_unconfirmed_told = false;
-		// Whether the stream's last send has not failed yet.
-		bool is_send_running = false;
-		// When each engine was first asked for its start on behalf of this stream.
-		std::map<server_id, time_point> start_asked_at;
 		// The engine that answered without stating its start and may get the stream all the same, since it is a new
 		// one, and when it was asked. Signs of its end since then count.
 		std::optional<unstated_engine> accepted_unstated;
@@ -418,6 +446,16 @@
 		}
 	};
 
+	// A connection to an engine, and what was learnt of the engine's process while it was obtained.
+	struct forwarder::engine_connection
+	{
+		// Nothing when no connection could be had, or none whose process is known though that was asked for.
+		std::optional<pooled_connection> connection;
+		routing::process_evidence seen;
+		// Whether connecting failed.
+		bool is_unreachable = false;
+	};
+
 	// The head of a server's answer and the connection from which the body is still to be read.
 	struct forwarder::unread_answer
 	{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -75,8 +75,9 @@
 			auto placement = routing::place_prefill(
 				this->shared->servers, request, granted->engine, this->engine_speed(*state), draw_number, now);
 			auto const has_separate_prefill = placement.prefill != nullptr;
+			auto const engine = granted->engine->entry.id;
 			this->record_placement(*state, placement, granted->reservation.has_value());
-			auto const failure = co_await this->run_stream(state, std::move(placement), granted->reservation);
+			auto const failure = co_await this->run_stream(state, std::move(placement), std::move(*granted));
 			if (!failure)
 			{
 				co_return;
@@ -85,8 +86,8 @@
 			if (has_separate_prefill && *failure == send_failure::not_run)
 			{
 				state->is_separate_prefill_disabled = true;
-				state->excluded.erase(granted->engine->entry.id);
-				state->sent_to.erase(granted->engine->entry.id);
+				state->excluded.erase(engine);
+				state->sent_to.erase(engine);
 			}
 			auto const is_origin_known = co_await this->settle_origin(state);
 			if (!is_origin_known)
@@ -147,9 +148,10 @@
 	}
 
 	asio::awaitable<std::optional<send_failure>> forwarder::run_stream(
-		state_pointer state, routing::stream_placement placement, std::optional<std::string> reservation)
+		state_pointer state, routing::stream_placement placement, reserved_engine granted)
 	{
 		send_options options;
+		auto reservation = std::move(granted.reservation);
 		options.reservation = reservation;
 		// Count the memory as committed before the prefill starts. Otherwise other streams could use it up meanwhile
 		// and the prefill would be wasted.
@@ -164,13 +166,14 @@
 		if (!state->joiner.last_event())
 		{
 			// The engine's entry may have been read anew during the prefill. A stream that has begun needs the process
-			// that was asked for its start.
+			// that has stated its start.
 			auto const present = this->present_record(placement.decode);
 			if (present != placement.decode)
 			{
 				// The process before granted the reservation.
 				reservation.reset();
 				options.reservation.reset();
+				granted.holder.reset();
 				placement.decode = present;
 				guard.emplace(present, own_tokens, this->needed_tokens(*state), silence);
 			}
@@ -179,8 +182,9 @@
 		{
 			options.fetch_from = state->prompt_cache_address;
 		}
-		// A sign that the engine has ended may have come since its start was confirmed.
-		if (state->is_caller_gone || state->is_out_of_time() || this->is_start_doubtful(*state, *placement.decode))
+		// A sign that the engine has ended may have come since.
+		auto const is_doubtful = !granted.holder && this->is_start_doubtful(*state, *placement.decode);
+		if (state->is_caller_gone || state->is_out_of_time() || is_doubtful)
 		{
 			this->release_unused(placement, source, reservation);
 			co_return send_failure::not_sent;
@@ -192,9 +196,8 @@
 		silence_limits const max_silence{is_first_try ? first_event_timeout : default_timeout, default_timeout};
 		auto const sent_at = monotonic_now();
 		auto const is_first = !state->first_event_at;
-		constexpr auto has_permit = true;
-		state->is_send_running = true;
-		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence, has_permit);
+		send_grant const grant{true, granted.holder};
+		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence, grant);
 		std::optional<send_failure> failure;
 		auto const* const rejected = std::get_if<send_failure>(&outcome);
 		if (reservation && !source && rejected != nullptr && *rejected == send_failure::not_run)
@@ -233,7 +236,6 @@
 				this->release_unused(placement, source, reservation);
 			}
 		}
-		state->is_send_running = false;
 		this->record_failure(*state, *placement.decode, *failure);
 		co_return failure;
 	}
@@ -305,7 +307,7 @@
 		options.part = call_part::prefill;
 		auto const sent_before = state->sent_to;
 		silence_limits const limits{max_silence, max_silence};
-		auto outcome = co_await this->send(state, server, std::move(options), limits);
+		auto outcome = co_await this->send(state, server, std::move(options), limits, send_grant());
 		// A prefill does not count as sending the call to the server, whether or not it succeeds.
 		state->sent_to = sent_before;
 		if (auto const* const failure = std::get_if<send_failure>(&outcome))
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -206,20 +206,6 @@
 			std::ignore =
 				co_await this->find_writer(state, server, state->sent_to_process, longest_settle_wait(*state));
 		}
-		else if (state->is_writer_assumed && state->writer_send == state->sends)
-		{
-			auto const present = this->shared->servers.find(state->writer->server);
-			if (present && present->newest_process() != *state->writer)
-			{
-				std::ignore = co_await this->find_writer(state, present, *state->writer, longest_settle_wait(*state));
-			}
-			if (state->is_writer_assumed && state->is_writer_reviewed)
-			{
-				state->origin.reset();
-				state->no_retry_reason = "origin_unknown";
-				co_return false;
-			}
-		}
 		if (!state->origin)
 		{
 			std::function<bool()> is_known = [this, state]
--- a/packages/gateway/impl/forwarder_writers.cpp
+++ b/packages/gateway/impl/forwarder_writers.cpp
@@ -40,9 +40,8 @@
 			return;
 		}
 		auto const sent_to = state->sent_to_process;
-		if (!this->is_writer_doubtful(*state, server, now))
+		if (state->is_holder_known)
 		{
-			state->is_writer_assumed = true;
 			this->record_writer(*state, sent_to, now);
 			return;
 		}
@@ -51,24 +50,21 @@
 		this->run_in_background("origin_check", this->tell_unconfirmed_origin(state));
 	}
 
-	bool forwarder::is_writer_doubtful(
-		request_state const& state, routing::server_pointer const& server, time_point now) const
-	{
-		auto const is_present = this->shared->servers.find(server->entry.id) == server;
-		auto const since = now - longest_stream_life(*this->shared);
-		return server->end_sign_at || server->start_doubted_at || !is_present || !this->shared->view.is_current(now) ||
-			   this->shared->servers.has_unlisted_process(state.service) ||
-			   this->shared->versions.served_since(state.service, since, now).size() > 1;
-	}
-
 	asio::awaitable<bool> forwarder::find_writer(
 		state_pointer state, routing::server_pointer server, routing::server_process sent_to, duration longest_wait)
 	{
 		auto const asked = this->present_record(server);
-		// What was asked after the first event bounds the process that made it.
-		auto const since = state->first_event_at.value_or(monotonic_now());
+		// The stream's connection was there when the stream was sent, so a process that answers what was asked since
+		// is the one that holds the connection, or a later one.
+		auto const since = state->sent_at.value_or(monotonic_now());
+		auto const& last = asked->last_statement;
+		if (!state->writer && last && last->asked_at >= since && last->start == sent_to.started)
+		{
+			this->record_writer(*state, sent_to, monotonic_now());
+			co_return true;
+		}
 		auto const seen = co_await this->end_check.ask_start(asked, since, longest_wait);
-		if (state->writer && !state->is_writer_assumed)
+		if (state->writer)
 		{
 			co_return true;
 		}
@@ -78,11 +74,10 @@
 		}
 		if (auto const stated = routing::find_writer(sent_to.started, seen, state->call.attempt))
 		{
-			state->is_writer_assumed = false;
 			this->record_writer(*state, {sent_to.server, *stated}, monotonic_now());
 			co_return true;
 		}
-		co_return state->writer.has_value();
+		co_return false;
 	}
 
 	asio::awaitable<void> forwarder::confirm_origin(
@@ -97,8 +92,7 @@
 		auto is_over = false;
 		while (!is_known && !is_over)
 		{
-			auto const has_writer = co_await this->find_writer(state, server, sent_to, duration::max());
-			is_known = has_writer && !state->is_writer_assumed;
+			is_known = co_await this->find_writer(state, server, sent_to, duration::max());
 			gone_since = state->is_caller_gone ? gone_since.value_or(monotonic_now()) : gone_since;
 			auto const is_complete = state->http_exchange == nullptr && !state->is_caller_gone;
 			is_over = state->sends != send || is_complete ||
@@ -141,40 +135,9 @@
 		this->origins->tell_due(now);
 	}
 
-	void forwarder::review_origins()
-	{
-		for (auto const& state : this->requests)
-		{
-			auto const is_under_send =
-				state->is_writer_assumed && state->is_send_running && state->writer_send == state->sends;
-			auto const server = is_under_send ? this->shared->servers.find(state->writer->server) : nullptr;
-			if (server && server->newest_process() != *state->writer && !state->is_writer_reviewed)
-			{
-				state->is_writer_reviewed = true;
-				this->doubt_origin(*state, monotonic_now());
-				this->run_in_background("origin_check", this->confirm_origin(state, server, *state->writer));
-			}
-		}
-	}
-
-	void forwarder::doubt_origin(request_state const& state, time_point now)
-	{
-		if (state.call.attempt.empty() || !state.origin)
-		{
-			return;
-		}
-		routing::known_stream stream{
-			{state.service, software_version()}, state.first_event_at.value_or(now), this->shared->own_id};
-		stream.is_version_known = false;
-		this->shared->origins.correct(fingerprint_of(state.call.attempt), std::move(stream));
-		this->log_origin(state, "doubted");
-		this->origins->tell_due(now);
-	}
-
 	void forwarder::record_writer(request_state& state, routing::server_process const& writer, time_point now)
 	{
-		auto const is_correction =
-			state.is_writer_reviewed || state.is_unconfirmed_told || (state.writer && *state.writer != writer);
+		auto const is_correction = state.is_unconfirmed_told;
 		auto const version = this->shared->servers.version_of(writer);
 		routing::known_stream stream{{state.service, version.value_or(software_version())},
 			state.first_event_at.value_or(now), this->shared->own_id};
@@ -210,7 +173,7 @@
 			return;
 		}
 		this->shared->origins.note(fingerprint_of(named), stream);
-		this->log_origin(state, state.is_writer_assumed ? "assumed" : "confirmed");
+		this->log_origin(state, "confirmed");
 		this->origins->tell_due(monotonic_now());
 	}
 
--- a/packages/gateway/impl/serving_thread_registry.cpp
+++ b/packages/gateway/impl/serving_thread_registry.cpp
@@ -133,7 +133,6 @@
 		this->shared.versions.set_in_service(std::move(versions), now);
 		this->origins.learn_versions();
 		this->origins.tell_due(now);
-		this->request_forwarder.review_origins();
 	}
 
 	void serving_thread::apply_server_entry(routing::registered_server const& entry)
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -4,6 +4,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,6 +19,31 @@
 {
 	namespace asio = boost::asio;
 
+	// A connection to a backend server, and what is known of the process at its other end. One process holds a
+	// connection from the accept to its end, so what it has stated on the connection stays true as long as that lives.
+	struct server_connection
+	{
+		// Null when no connection could be had.
+		http::upstream_pointer stream;
+		// The start that the process has stated on this connection; nothing while it has stated none.
+		std::optional<incarnation> holder = std::nullopt;
+		// Time at which the process was last asked on this connection.
+		std::optional<time_point> asked_at = std::nullopt;
+
+		[[nodiscard]] explicit operator bool() const noexcept
+		{
+			return this->stream != nullptr;
+		}
+	};
+
+	// Which idle connection to a server is taken first.
+	enum class connection_preference : std::uint8_t
+	{
+		latest,
+		// One whose process is known.
+		known_holder,
+	};
+
 	// Keeps connections to backend servers open for reuse. An idle connection is closed before the server would close
 	// it, and at once when the server sends anything on it or closes it.
 	class connection_pool
@@ -32,11 +59,13 @@
 		// Returns a connection to a server, reused or new. Returns nothing when connecting fails or times out, the
 		// server's address can't be parsed or the limit is reached. limit: the most connections to this server, idle
 		// ones included. max_idle: a connection that was idle for longer is closed instead of reused.
-		[[nodiscard]] asio::awaitable<http::upstream_pointer> acquire(
-			routing::registered_server const& server, std::size_t limit, duration max_idle, duration timeout);
+		[[nodiscard]] asio::awaitable<server_connection> acquire(routing::registered_server const& server,
+			std::size_t limit, duration max_idle, duration timeout,
+			connection_preference preference = connection_preference::latest);
 
-		// Returns a connection to the pool; one that can't be reused is closed.
-		void release(routing::registered_server const& server, http::upstream_pointer const& connection);
+		// Returns a connection to the pool; one that can't be reused is closed, and one whose process has started
+		// before the server's entry says, since that process has ended.
+		void release(routing::registered_server const& server, server_connection const& connection);
 
 		// Closes the idle connections of a server that was removed; those in use are closed when they are released.
 		void remove_server(server_id const& server);
@@ -54,7 +83,7 @@
 	  private:
 		struct idle_connection
 		{
-			http::upstream_pointer connection;
+			server_connection connection;
 			time_point since;
 		};
 
@@ -66,8 +95,8 @@
 			std::size_t in_use = 0;
 		};
 
-		[[nodiscard]] http::upstream_pointer take_idle(
-			server_id const& server, server_connections& connections, duration max_idle, time_point now);
+		[[nodiscard]] server_connection take_idle(server_id const& server, server_connections& connections,
+			duration max_idle, connection_preference preference, time_point now);
 
 		asio::any_io_executor executor;
 		connect_callback on_connect;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -31,6 +31,8 @@
 {
 	namespace asio = boost::asio;
 
+	class pooled_connection;
+
 	// Serves callers' requests: finds the route, chooses a backend server, sends the call, retries it after a failure
 	// where that is allowed, and passes the answer on. Each request runs in its own coroutine; all of them use one
 	// executor.
@@ -54,10 +56,6 @@
 		// service.
 		void learn_origins();
 
-		// Looks again at the streams in progress whose origin was taken from an entry that another process's has
-		// followed. Must be called after entries have changed.
-		void review_origins();
-
 		// Ends the requests that still run, just before this daemon stops: those that are not answered yet get their
 		// final answer.
 		void end_requests();
@@ -88,6 +86,8 @@
 		struct request_state;
 		struct unread_answer;
 		struct origin_search;
+		struct engine_connection;
+		struct holder_question;
 
 		// A decode engine with the permit to send it one stream, and the reservation of a slot and memory for it. There
 		// is no reservation when the engines of the service do not offer them.
@@ -95,6 +95,25 @@
 		{
 			routing::server_pointer engine;
 			std::optional<std::string> reservation;
+			// Start of the process that granted it, or that was asked where there is none; nothing when it is not
+			// known.
+			std::optional<incarnation> holder;
+		};
+
+		// Whether an engine may get a stream, and the start that its process has stated.
+		struct checked_engine
+		{
+			bool may_get_stream = false;
+			std::optional<incarnation> holder;
+		};
+
+		// What was obtained for a call before it is sent.
+		struct send_grant
+		{
+			// Whether the permit was obtained that a server with a limit requires.
+			bool has_permit = false;
+			// Start of the process that granted the call's reservation. Another one does not get it.
+			std::optional<incarnation> reserved_at;
 		};
 
 		// How long a server may be silent.
@@ -143,20 +162,13 @@
 		// Asks the engines of a service.
 		[[nodiscard]] asio::awaitable<void> search_origins(service_id service);
 		// Records that a server has made an event of the stream that was passed on. The stream's origin is recorded at
-		// once when nothing speaks against it that the process is the newest one that is known of the server. Otherwise
-		// the server is asked, without holding the stream up.
+		// once when it is known which process holds the connection. Otherwise the server is asked, without holding the
+		// stream up.
 		void note_event_server(state_pointer state, routing::server_pointer server, time_point now);
-		// Returns whether the process that made the stream's first event may be another one than was known when the
-		// stream was sent, with another version.
-		[[nodiscard]] bool is_writer_doubtful(
-			request_state const& state, routing::server_pointer const& server, time_point now) const;
 		// Records which process made the stream's first event, and the origin if the process's version is known.
 		void record_writer(request_state& state, routing::server_process const& writer, time_point now);
 		// Records the origin of a stream that a caller has taken up, or whose server states no start.
 		void record_origin(request_state& state, routing::known_stream stream);
-		// Takes back what was recorded of a stream's origin, here and at the daemons that were told, until its process
-		// is known.
-		void doubt_origin(request_state const& state, time_point now);
 		void log_origin(request_state const& state, std::string_view how);
 		// Asks the server that made the stream's first event which process did so, and records it. Returns whether it
 		// is known now. longest_wait: for the answer.
@@ -229,11 +241,32 @@
 		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> try_reserve(
 			state_pointer state, std::vector<routing::server_pointer> engines, bool is_late);
 
-		// Asks an engine for its start, if it is doubted, or if the stream has begun and may go on at one of several
-		// versions only. Returns whether the engine may get the stream: one that has begun only if the process that
-		// answers states the start of the engine's entry, a new one also if it answers without a start. An engine whose
-		// start isn't known is asked again a moment later.
-		[[nodiscard]] asio::awaitable<bool> confirm_start(state_pointer state, routing::server_pointer engine);
+		// Takes a connection to an engine whose process has stated its start on it. The question is asked on each
+		// connection once; it goes on after longest_wait, and the connection is then kept for later calls.
+		// needs_holder: whether a connection whose process is not known is of no use.
+		[[nodiscard]] asio::awaitable<engine_connection> connect_to_engine(
+			routing::server_pointer server, duration longest_wait, bool needs_holder);
+		[[nodiscard]] asio::awaitable<void> ask_holder(
+			routing::server_pointer server, std::shared_ptr<holder_question> question);
+		// Returns whether a question on a connection to the server, for which nobody waits any more, is not answered
+		// yet.
+		[[nodiscard]] bool has_late_question(server_id const& server);
+		// Returns how long a stream waits for an answer of an engine before it tries another one.
+		[[nodiscard]] duration longest_answer_wait(routing::server_record const& engine) const;
+		// Returns whether the stream may go on only over a connection whose process is known.
+		[[nodiscard]] bool needs_holder(
+			request_state const& state, routing::registered_server const& entry, time_point now) const;
+		[[nodiscard]] routing::stream_terms terms_of(
+			request_state const& state, routing::server_record const& engine) const;
+		// Sends a request of this daemon's own over a connection and reads the answer. Closes the connection when that
+		// fails.
+		[[nodiscard]] asio::awaitable<std::optional<http::response>> call_on(
+			routing::server_pointer server, pooled_connection& pooled, http::request message, duration timeout);
+		// Finds out, on a connection to an engine, which process holds it, and whether the engine may get the stream:
+		// one that has begun only if that process is of the version that began it, a new one also if the process is not
+		// known and nothing speaks against it.
+		[[nodiscard]] asio::awaitable<checked_engine> confirm_start(
+			state_pointer state, routing::server_pointer engine);
 		// Keeps an engine with another start than its entry's from this stream. While its entry can't be trusted it
 		// counts as replaced for all streams, until its entry is written again.
 		void note_start_refuted(
@@ -243,14 +276,15 @@
 		[[nodiscard]] bool is_start_doubtful(request_state const& state, routing::server_record const& engine) const;
 
 		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
+		// holder: start of the only process that may grant it; nothing when any may.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
-			routing::server_pointer engine, token_count tokens, duration lifetime);
+			routing::server_pointer engine, std::optional<incarnation> holder, token_count tokens, duration lifetime);
 
 		// Sends the call to a server and waits for the head of its answer. Returns not_sent when no connection is
 		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused. Obtains
-		// the permit that a server with a limit requires, unless has_permit; returns not_permitted without one.
+		// the permit that a server with a limit requires, unless it is granted; returns not_permitted without one.
 		[[nodiscard]] asio::awaitable<send_outcome> send(state_pointer state, routing::server_pointer server,
-			send_options options, silence_limits max_silence, bool has_permit = false);
+			send_options options, silence_limits max_silence, send_grant grant);
 
 		// Reads the head of the answer to the call just sent. Skips late answers to earlier requests. attempt: the
 		// caller's attempt id; empty for calls of this daemon's own, whose answers name none. wait_on: says for how
@@ -277,7 +311,7 @@
 		// Sends the stream to its decode engine and passes its events on. Returns nothing when the stream is complete
 		// or its caller has disconnected.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> run_stream(
-			state_pointer state, routing::stream_placement placement, std::optional<std::string> reservation);
+			state_pointer state, routing::stream_placement placement, reserved_engine granted);
 		// Passes the events of a stream on as they arrive. Returns the failure when the stream ends early or stalls.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_events(
 			state_pointer state, unread_answer& answer, routing::server_pointer server, call_id call);
@@ -301,7 +335,7 @@
 			routing::server_pointer const& called, http::response const& answer, time_point asked_at) const;
 		// Logs over which connection a stream is sent, and what is known of the process that holds it.
 		void log_stream_sent(
-			request_state const& state, routing::server_record const& server, http::upstream const& connection);
+			request_state const& state, routing::server_record const& server, pooled_connection const& connection);
 
 		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
 		// nothing is gained when the server's silence ends the wait for its answer.
@@ -401,5 +435,7 @@
 		time_point started;
 		// The requests in progress.
 		std::set<state_pointer> requests;
+		// The question for which nobody waits any more, of each server that has one.
+		std::map<server_id, std::weak_ptr<holder_question>> late_questions;
 	};
 }
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -2,6 +2,7 @@
 
 #include <godwittrestle/routing/admission_queue.hpp>
 #include <godwittrestle/routing/configuration.hpp>
+#include <godwittrestle/routing/connection_holder.hpp>
 #include <godwittrestle/routing/crash_evidence.hpp>
 #include <godwittrestle/routing/directory.hpp>
 #include <godwittrestle/routing/engine_memory.hpp>
