--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -35,10 +35,14 @@
 		std::size_t limit, duration max_idle, duration timeout, connection_preference preference)
 	{
 		auto& connections = this->servers[server.id];
-		if (connections.started != server.started || connections.address != server.address)
+		if (connections.address != server.address)
 		{
 			connections = server_connections{server.started, server.address, {}, 0};
 		}
+		if (connections.started < server.started)
+		{
+			this->begin_process(connections, server.started);
+		}
 		if (auto idle = this->take_idle(server.id, connections, max_idle, preference, daemon::monotonic_now()))
 		{
 			++connections.in_use;
@@ -68,8 +72,7 @@
 	void connection_pool::release(routing::registered_server const& server, server_connection const& connection)
 	{
 		auto const known = this->servers.find(server.id);
-		auto const is_current = known != this->servers.end() && known->second.started == server.started &&
-								known->second.address == server.address;
+		auto const is_current = known != this->servers.end() && known->second.address == server.address;
 		if (is_current && known->second.in_use > 0)
 		{
 			--known->second.in_use;
@@ -78,8 +81,8 @@
 		{
 			return;
 		}
-		auto const has_holder_ended = connection.holder && *connection.holder < server.started;
-		if (this->is_closed || !is_current || has_holder_ended || !connection.stream->is_reusable())
+		auto const is_of_present = is_current && connection.holder.value_or(server.started) >= known->second.started;
+		if (this->is_closed || !is_of_present || !connection.stream->is_reusable())
 		{
 			connection.stream->close();
 			return;
@@ -87,6 +90,21 @@
 		known->second.idle.push_back({connection, daemon::monotonic_now()});
 	}
 
+	void connection_pool::begin_process(server_connections& connections, incarnation started)
+	{
+		connections.started = started;
+		std::erase_if(connections.idle,
+			[started](idle_connection& each)
+			{
+				auto const is_of_earlier = each.connection.holder.value_or(incarnation()) < started;
+				if (is_of_earlier)
+				{
+					each.connection.stream->close();
+				}
+				return is_of_earlier;
+			});
+	}
+
 	void connection_pool::remove_server(server_id const& server)
 	{
 		auto const known = this->servers.find(server);
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -251,9 +251,17 @@
 		engine_connection reached;
 		if (is_stream)
 		{
-			auto const wait = std::min(this->longest_answer_wait(*server), state->time_left());
-			auto const needs_holder = this->needs_holder(*state, entry, monotonic_now());
-			reached = co_await this->connect_to_engine(server, wait, needs_holder);
+			reached.connection = std::move(grant.connection);
+			if (reached.connection && !(*reached.connection)->is_open_without_data())
+			{
+				reached.connection.reset();
+				this->shared->servers.note_end_sign(entry.id, monotonic_now());
+			}
+			if (!reached.connection || !(*reached.connection)->is_reusable())
+			{
+				auto const holder_is_needed = grant.reserved_at || this->needs_holder(*state, *server, monotonic_now());
+				reached = co_await this->connect_to_engine(server, state->time_left(), holder_is_needed);
+			}
 		}
 		else
 		{
@@ -304,6 +312,7 @@
 					{"holder", std::string(routing::to_string(holder))}});
 			options.reservation.reset();
 		}
+		state->is_reservation_sent = options.reservation.has_value();
 		if (!this->begin_send(*state, monotonic_now()))
 		{
 			co_return send_failure::blocked;
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -36,7 +36,7 @@
 	};
 
 	asio::awaitable<forwarder::engine_connection> forwarder::connect_to_engine(
-		routing::server_pointer server, duration longest_wait, bool needs_holder)
+		routing::server_pointer server, duration time_left, bool holder_is_needed)
 	{
 		engine_connection reached;
 		auto const& entry = server->entry;
@@ -46,11 +46,12 @@
 			co_return reached;
 		}
 		auto const limit = this->connection_limit(entry);
-		auto const ends_at = monotonic_now() + longest_wait;
+		auto const ends_at = monotonic_now() + time_left;
 		for (int tried = 1; tried <= max_connections_tried; ++tried)
 		{
+			auto const time_to_connect = std::min(connect_timeout, std::max(duration{}, ends_at - monotonic_now()));
 			auto const taken = co_await this->pool.acquire(
-				entry, limit, max_server_idle, connect_timeout, connection_preference::known_holder);
+				entry, limit, max_server_idle, time_to_connect, connection_preference::known_holder);
 			if (!taken)
 			{
 				this->shared->reach.note_failure(entry.id);
@@ -58,30 +59,31 @@
 				co_return reached;
 			}
 			pooled_connection connection(this->pool, entry, taken);
-			if (routing::compare_holder(entry, connection.holder()) == routing::connection_holder::earlier)
+			if (connection.holder() && *connection.holder() < server->newest_process().started)
 			{
 				// That process has ended, and the connection with it.
 				connection->close();
 				continue;
 			}
+			auto const now = monotonic_now();
+			auto const answered_at = connection.answered_at();
+			auto const is_known = connection.holder() || !routing::states_start(entry);
+			auto const answered_without = !is_known && answered_at && now - *answered_at < holder_question_pause;
 			if (connection.holder())
 			{
-				reached.seen = {connection.asked_at().value_or(time_point()), routing::port_evidence::none,
-					routing::start_stated{*connection.holder()}};
+				reached.seen.asked_at = connection.asked_at().value_or(time_point());
+				reached.seen.statement = routing::start_stated{*connection.holder()};
 			}
-			auto const now = monotonic_now();
-			auto const is_asked_lately = connection.asked_at() && now - *connection.asked_at() < holder_question_pause;
-			auto const is_unstated = !connection.holder() && is_asked_lately;
-			if (is_unstated)
+			else if (answered_without)
 			{
-				reached.seen = {*connection.asked_at(), routing::port_evidence::none, routing::start_not_stated()};
+				reached.seen.asked_at = connection.asked_at().value_or(time_point());
+				reached.seen.statement = routing::start_not_stated();
 			}
 			auto const is_last = tried == max_connections_tried || now >= ends_at;
-			auto const is_unasked =
-				!needs_holder && !connection.holder() && (is_last || this->has_late_question(entry.id));
-			if (connection.holder() || !routing::states_start(entry) || is_unstated || is_unasked)
+			auto const goes_unasked = !holder_is_needed && (is_last || this->has_late_question(entry.id));
+			if (is_known || answered_without || goes_unasked)
 			{
-				if (connection.holder() || !needs_holder || !routing::states_start(entry))
+				if (is_known || !holder_is_needed)
 				{
 					reached.connection.emplace(std::move(connection));
 				}
@@ -91,13 +93,13 @@
 			this->run_in_background("holder_question", this->ask_holder(server, question));
 			if (!question->is_over)
 			{
-				question->answered.expires_after(ends_at - monotonic_now());
+				question->answered.expires_after(std::min(this->longest_answer_wait(*server), ends_at - now));
 				std::ignore = co_await question->answered.async_wait(wait_token);
 			}
 			if (!question->is_over)
 			{
 				this->late_questions[entry.id] = question;
-				if (needs_holder)
+				if (holder_is_needed)
 				{
 					co_return reached;
 				}
@@ -105,18 +107,17 @@
 			}
 			reached.seen = question->seen;
 			auto& asked = question->connection;
-			auto const is_other = std::holds_alternative<routing::other_process>(reached.seen.statement);
-			if (is_other)
-			{
-				co_return reached;
-			}
-			if (asked->is_reusable() && (asked.holder() || !needs_holder))
+			if (std::holds_alternative<routing::other_process>(reached.seen.statement))
 			{
-				reached.connection.emplace(std::move(asked));
+				asked->close();
 				co_return reached;
 			}
 			if (asked->is_reusable())
 			{
+				if (asked.holder() || !holder_is_needed)
+				{
+					reached.connection.emplace(std::move(asked));
+				}
 				co_return reached;
 			}
 		}
@@ -126,29 +127,35 @@
 	asio::awaitable<void> forwarder::ask_holder(
 		routing::server_pointer server, std::shared_ptr<holder_question> question)
 	{
-		auto& connection = question->connection;
-		auto const asked_at = monotonic_now();
+		question->seen = co_await this->ask_start_on(server, question->connection);
+		question->is_over = true;
+		question->answered.cancel();
+	}
+
+	asio::awaitable<routing::process_evidence> forwarder::ask_start_on(
+		routing::server_pointer server, pooled_connection& connection)
+	{
+		routing::process_evidence seen;
+		seen.asked_at = monotonic_now();
+		auto const port = connection->local_port();
 		auto message = this->protocol.write_report_request(server->entry.id);
 		auto const answer = co_await this->call_on(server, connection, std::move(message), report_timeout);
 		this->totals->count_send("report", answer ? "served" : "failed");
-		question->seen.asked_at = asked_at;
 		if (answer)
 		{
-			question->seen.statement = this->read_start(server, *answer, asked_at);
-			auto const stated = question->seen.stated();
-			connection.note_statement(stated, asked_at);
-			if (stated && *stated == server->entry.started)
-			{
-				routing::directory::note_start_confirmed(*server, asked_at);
-			}
+			seen.statement = this->read_start(server, *answer, seen.asked_at);
+			connection.note_statement(seen.stated(), seen.asked_at, monotonic_now());
+		}
+		if (seen.stated() == server->entry.started)
+		{
+			routing::directory::note_start_confirmed(*server, seen.asked_at);
 		}
 		this->log(make_event("connection_holder",
 			{{"server", server->entry.id.str()}, {"entry_start", std::to_string(server->entry.started.count())},
-				{"stated_start", std::to_string(question->seen.stated().value_or(incarnation()).count())},
-				{"answered", answer ? "yes" : "no"}, {"port", std::to_string(connection->local_port())},
-				{"took_ms", milliseconds_text(monotonic_now() - asked_at)}}));
-		question->is_over = true;
-		question->answered.cancel();
+				{"stated_start", std::to_string(seen.stated().value_or(incarnation()).count())},
+				{"answered", answer ? "yes" : "no"}, {"port", std::to_string(port)},
+				{"took_ms", milliseconds_text(monotonic_now() - seen.asked_at)}}));
+		co_return seen;
 	}
 
 	bool forwarder::has_late_question(server_id const& server)
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -160,7 +160,8 @@
 				}
 				if (checked.may_get_stream)
 				{
-					co_return reserved_engine{engine, std::nullopt, checked.holder};
+					auto const holder = checked.holder();
+					co_return reserved_engine{engine, std::nullopt, holder, std::move(checked.connection)};
 				}
 			}
 			co_return std::nullopt;
@@ -172,18 +173,18 @@
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
 		{
-			auto const checked = co_await this->confirm_start(state, engine);
+			auto checked = co_await this->confirm_start(state, engine);
 			if (!checked.may_get_stream)
 			{
 				continue;
 			}
-			auto reservation = co_await this->request_reservation(engine, checked.holder, needed, lifetime);
+			auto reservation = co_await this->request_reservation(state, engine, checked, needed, lifetime);
 			if (!reservation)
 			{
 				continue;
 			}
 			auto const probe_time = std::min(*longest, probe_lifetime);
-			auto const probe = co_await this->request_reservation(engine, checked.holder, margin, probe_time);
+			auto const probe = co_await this->request_reservation(state, engine, checked, margin, probe_time);
 			if (probe)
 			{
 				this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *probe));
@@ -207,7 +208,8 @@
 			{
 				continue;
 			}
-			co_return reserved_engine{engine, std::move(reservation), checked.holder};
+			auto const holder = checked.holder();
+			co_return reserved_engine{engine, std::move(reservation), holder, std::move(checked.connection)};
 		}
 		co_return std::nullopt;
 	}
@@ -232,14 +234,18 @@
 			co_return seen;
 		}
 		auto const begun_at = monotonic_now();
-		auto message = this->protocol.write_report_request(called->entry.id);
-		auto const answer = co_await this->call_server(called, std::move(message), report_timeout);
-		this->totals->count_send("report", answer ? "served" : "failed");
-		if (answer)
+		auto const limit = this->connection_limit(called->entry);
+		auto const taken = co_await this->pool.acquire(called->entry, limit, max_server_idle, report_timeout);
+		if (taken)
+		{
+			pooled_connection connection(this->pool, called->entry, taken);
+			seen = co_await this->ask_start_on(called, connection);
+		}
+		else
 		{
-			seen.statement = this->read_start(called, *answer, begun_at);
+			this->shared->reach.note_failure(called->entry.id);
 		}
-		else if (monotonic_now() - begun_at < reservation_timeout / 2)
+		if (!seen.has_answered() && monotonic_now() - begun_at < reservation_timeout / 2)
 		{
 			// It was not asked: no connection could be had.
 			seen.statement = co_await this->ask_start_directly(called);
@@ -305,7 +311,7 @@
 			return routing::start_not_stated();
 		}
 		auto const present = this->present_record(called);
-		present->note_stated_start(report->started);
+		present->note_stated_start(report->started, asked_at, monotonic_now());
 		present->last_statement = {report->started, asked_at};
 		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
 		return routing::start_stated{
@@ -330,11 +336,10 @@
 		return longest_start_wait;
 	}
 
-	bool forwarder::needs_holder(
-		request_state const& state, routing::registered_server const& entry, time_point now) const
+	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
 	{
-		return state.joiner.last_event() && routing::states_start(entry) &&
-			   this->has_several_versions(state.service, now);
+		auto const may_differ = engine.last_statement || this->has_several_versions(state.service, now);
+		return state.joiner.last_event() && routing::states_start(engine.entry) && may_differ;
 	}
 
 	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
@@ -344,7 +349,7 @@
 		{
 			terms.origin = state.origin->version;
 		}
-		terms.has_several_versions = this->has_several_versions(state.service, monotonic_now());
+		terms.is_holder_needed = this->needs_holder(state, engine, monotonic_now());
 		terms.is_start_doubtful = this->is_start_doubtful(state, engine);
 		return terms;
 	}
@@ -362,25 +367,25 @@
 		engine_connection reached;
 		if (!this->has_late_question(entry.id))
 		{
-			auto const wait = std::min(this->longest_answer_wait(*engine), state->time_left());
-			constexpr auto needs_holder = true;
-			reached = co_await this->connect_to_engine(engine, wait, needs_holder);
+			constexpr auto holder_is_needed = true;
+			reached = co_await this->connect_to_engine(engine, state->time_left(), holder_is_needed);
 		}
-		auto const has_begun = state->joiner.last_event().has_value();
-		if (reached.connection)
+		if (reached.is_unreachable || std::holds_alternative<routing::pause_wanted>(reached.seen.statement))
 		{
-			checked.holder = reached.connection->holder();
+			co_return checked;
 		}
-		auto const holder = routing::compare_holder(entry, checked.holder);
+		checked.connection = std::move(reached.connection);
+		auto const has_begun = state->joiner.last_event().has_value();
+		auto const holder = routing::compare_holder(entry, checked.holder());
 		auto const is_later = holder == routing::connection_holder::later;
 		auto const is_refuted = is_later ? has_begun || engine->start_doubted_at
-										 : routing::is_proved_replaced(entry, reached.seen) && !checked.holder;
+										 : routing::is_proved_replaced(entry, reached.seen) && !checked.connection;
 		if (is_refuted)
 		{
 			this->note_start_refuted(*state, *engine, reached.seen);
 			co_return checked;
 		}
-		if (!has_begun && !checked.holder && reached.seen.has_answered())
+		if (!has_begun && !checked.connection && reached.seen.has_answered())
 		{
 			// A new stream may begin at any version; where it began is found out after its first event.
 			state->accepted_unstated = {entry.id, reached.seen.asked_at};
@@ -421,21 +426,37 @@
 				{"entry_version", engine.entry.version.str()}}));
 	}
 
-	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
-		routing::server_pointer engine, std::optional<incarnation> holder, token_count tokens, duration lifetime)
+	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(state_pointer state,
+		routing::server_pointer engine, checked_engine& checked, token_count tokens, duration lifetime)
 	{
 		if (engine->load.paused_for(monotonic_now()) > duration{})
 		{
 			co_return std::nullopt;
 		}
-		auto const needs_holder = holder.has_value();
-		auto const wait = this->longest_answer_wait(*engine);
-		auto reached = co_await this->connect_to_engine(engine, wait, needs_holder);
+		auto const holder = checked.holder();
+		if (!checked.connection || (holder && !(*checked.connection)->is_reusable()))
+		{
+			// The answer before has closed it, or no connection whose process is known could be had.
+			auto const holder_is_needed = holder.has_value();
+			auto reached = co_await this->connect_to_engine(engine, state->time_left(), holder_is_needed);
+			checked.connection = std::move(reached.connection);
+			if (!checked.connection && !reached.is_unreachable)
+			{
+				// Nothing was asked, which says nothing about the engine.
+				co_return std::nullopt;
+			}
+		}
 		std::optional<http::response> answer;
-		if (reached.connection && (!holder || reached.connection->holder() == holder))
+		if (checked.connection && (!holder || checked.holder() == holder))
 		{
 			auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
-			answer = co_await this->call_on(engine, *reached.connection, std::move(message), reservation_timeout);
+			auto const wait = std::min(reservation_timeout, state->time_left());
+			answer = co_await this->call_on(engine, *checked.connection, std::move(message), wait);
+		}
+		if (checked.connection && !checked.holder())
+		{
+			// Another one may be known by the next call.
+			checked.connection.reset();
 		}
 		auto const now = monotonic_now();
 		if (!answer)
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -235,17 +235,23 @@
 			return this->taken.holder;
 		}
 
-		// Returns when the process was last asked for its start on this connection.
+		// Returns when the process was last asked for its start on this connection, and when it answered.
 		[[nodiscard]] std::optional<time_point> asked_at() const noexcept
 		{
 			return this->taken.asked_at;
 		}
 
+		[[nodiscard]] std::optional<time_point> answered_at() const noexcept
+		{
+			return this->taken.answered_at;
+		}
+
 		// Records what the process has stated of its start on this connection; nothing when it answered without it.
-		void note_statement(std::optional<incarnation> stated, time_point asked) noexcept
+		void note_statement(std::optional<incarnation> stated, time_point asked, time_point answered) noexcept
 		{
 			this->taken.asked_at = asked;
-			this->taken.holder = stated;
+			this->taken.answered_at = answered;
+			this->taken.holder = stated ? stated : this->taken.holder;
 		}
 
 	  private:
@@ -321,6 +327,8 @@
 		routing::server_process sent_to_process;
 		// Whether that process is known to hold the connection.
 		bool is_holder_known = false;
+		// Whether the call was last sent with the reservation that was granted for it.
+		bool is_reservation_sent = false;
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
@@ -446,6 +454,42 @@
 		}
 	};
 
+	// A decode engine with the permit to send it one stream, and the reservation of a slot and memory for it.
+	struct forwarder::reserved_engine
+	{
+		routing::server_pointer engine;
+		// Nothing when the engines of the service do not offer reservations.
+		std::optional<std::string> reservation;
+		// The start of the process that granted it, or that was asked where there is none; nothing when it is not
+		// known.
+		std::optional<incarnation> holder;
+		// The connection on which that process has stated its start. The stream is sent on it.
+		std::optional<pooled_connection> connection;
+	};
+
+	// Whether an engine may get a stream, and the connection on which its process has stated its start.
+	struct forwarder::checked_engine
+	{
+		bool may_get_stream = false;
+		std::optional<pooled_connection> connection;
+
+		[[nodiscard]] std::optional<incarnation> holder() const noexcept
+		{
+			return this->connection ? this->connection->holder() : std::nullopt;
+		}
+	};
+
+	// What was obtained for a call before it is sent.
+	struct forwarder::send_grant
+	{
+		// Whether the permit was obtained that a server with a limit requires.
+		bool has_permit = false;
+		// Start of the process that granted the call's reservation. Another one does not get it.
+		std::optional<incarnation> reserved_at = std::nullopt;
+		// The connection to send the call on; another one is taken when it has ended.
+		std::optional<pooled_connection> connection = std::nullopt;
+	};
+
 	// A connection to an engine, and what was learnt of the engine's process while it was obtained.
 	struct forwarder::engine_connection
 	{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -170,10 +170,13 @@
 			auto const present = this->present_record(placement.decode);
 			if (present != placement.decode)
 			{
-				// The process before granted the reservation.
-				reservation.reset();
-				options.reservation.reset();
-				granted.holder.reset();
+				if (granted.holder != present->entry.started)
+				{
+					// The process before granted the reservation.
+					reservation.reset();
+					options.reservation.reset();
+					granted.holder.reset();
+				}
 				placement.decode = present;
 				guard.emplace(present, own_tokens, this->needed_tokens(*state), silence);
 			}
@@ -196,11 +199,11 @@
 		silence_limits const max_silence{is_first_try ? first_event_timeout : default_timeout, default_timeout};
 		auto const sent_at = monotonic_now();
 		auto const is_first = !state->first_event_at;
-		send_grant const grant{true, granted.holder};
-		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence, grant);
+		send_grant grant{true, granted.holder, std::move(granted.connection)};
+		auto outcome = co_await this->send(state, placement.decode, std::move(options), max_silence, std::move(grant));
 		std::optional<send_failure> failure;
 		auto const* const rejected = std::get_if<send_failure>(&outcome);
-		if (reservation && !source && rejected != nullptr && *rejected == send_failure::not_run)
+		if (state->is_reservation_sent && !source && rejected != nullptr && *rejected == send_failure::not_run)
 		{
 			// The engine had granted a reservation and needed no KV cache from elsewhere. So it most likely rejects
 			// the stream because of a role change that this daemon has not heard of.
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -220,7 +220,9 @@
 			};
 			std::ignore = co_await this->wait_for_entry(state, is_known);
 		}
-		if (auto const now = monotonic_now(); !state->writer && !this->has_several_versions(state->service, now))
+		auto const states_start = state->unconfirmed_writer && state->unconfirmed_writer->last_statement;
+		if (auto const now = monotonic_now();
+			!state->writer && !states_start && !this->has_several_versions(state->service, now))
 		{
 			auto const since = now - longest_stream_life(*this->shared);
 			auto only = this->shared->versions.only_version_since(state->service, since, now);
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -29,6 +29,8 @@
 		std::optional<incarnation> holder = std::nullopt;
 		// Time at which the process was last asked on this connection.
 		std::optional<time_point> asked_at = std::nullopt;
+		// Time at which it answered that question.
+		std::optional<time_point> answered_at = std::nullopt;
 
 		[[nodiscard]] explicit operator bool() const noexcept
 		{
@@ -95,6 +97,8 @@
 			std::size_t in_use = 0;
 		};
 
+		// Closes the idle connections that are not known to be held by a process of this start or a later one.
+		static void begin_process(server_connections& connections, incarnation started);
 		[[nodiscard]] server_connection take_idle(server_id const& server, server_connections& connections,
 			duration max_idle, connection_preference preference, time_point now);
 
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -88,33 +88,9 @@
 		struct origin_search;
 		struct engine_connection;
 		struct holder_question;
-
-		// A decode engine with the permit to send it one stream, and the reservation of a slot and memory for it. There
-		// is no reservation when the engines of the service do not offer them.
-		struct reserved_engine
-		{
-			routing::server_pointer engine;
-			std::optional<std::string> reservation;
-			// Start of the process that granted it, or that was asked where there is none; nothing when it is not
-			// known.
-			std::optional<incarnation> holder;
-		};
-
-		// Whether an engine may get a stream, and the start that its process has stated.
-		struct checked_engine
-		{
-			bool may_get_stream = false;
-			std::optional<incarnation> holder;
-		};
-
-		// What was obtained for a call before it is sent.
-		struct send_grant
-		{
-			// Whether the permit was obtained that a server with a limit requires.
-			bool has_permit = false;
-			// Start of the process that granted the call's reservation. Another one does not get it.
-			std::optional<incarnation> reserved_at;
-		};
+		struct reserved_engine;
+		struct checked_engine;
+		struct send_grant;
 
 		// How long a server may be silent.
 		struct silence_limits
@@ -242,12 +218,16 @@
 			state_pointer state, std::vector<routing::server_pointer> engines, bool is_late);
 
 		// Takes a connection to an engine whose process has stated its start on it. The question is asked on each
-		// connection once; it goes on after longest_wait, and the connection is then kept for later calls.
-		// needs_holder: whether a connection whose process is not known is of no use.
+		// connection once; it goes on after the wait for it has ended, and the connection is then kept for later calls.
+		// time_left: the longest time for connecting, and for the answer. holder_is_needed: whether a connection whose
+		// process is not known is of no use.
 		[[nodiscard]] asio::awaitable<engine_connection> connect_to_engine(
-			routing::server_pointer server, duration longest_wait, bool needs_holder);
+			routing::server_pointer server, duration time_left, bool holder_is_needed);
 		[[nodiscard]] asio::awaitable<void> ask_holder(
 			routing::server_pointer server, std::shared_ptr<holder_question> question);
+		// Asks, on a connection, for the start of the process that holds it.
+		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start_on(
+			routing::server_pointer server, pooled_connection& connection);
 		// Returns whether a question on a connection to the server, for which nobody waits any more, is not answered
 		// yet.
 		[[nodiscard]] bool has_late_question(server_id const& server);
@@ -255,7 +235,7 @@
 		[[nodiscard]] duration longest_answer_wait(routing::server_record const& engine) const;
 		// Returns whether the stream may go on only over a connection whose process is known.
 		[[nodiscard]] bool needs_holder(
-			request_state const& state, routing::registered_server const& entry, time_point now) const;
+			request_state const& state, routing::server_record const& engine, time_point now) const;
 		[[nodiscard]] routing::stream_terms terms_of(
 			request_state const& state, routing::server_record const& engine) const;
 		// Sends a request of this daemon's own over a connection and reads the answer. Closes the connection when that
@@ -276,9 +256,10 @@
 		[[nodiscard]] bool is_start_doubtful(request_state const& state, routing::server_record const& engine) const;
 
 		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
-		// holder: start of the only process that may grant it; nothing when any may.
-		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
-			routing::server_pointer engine, std::optional<incarnation> holder, token_count tokens, duration lifetime);
+		// checked: the connection to ask on, if its process is known; another one of the same process takes its place
+		// when it has ended, and one is added when there was none.
+		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(state_pointer state,
+			routing::server_pointer engine, checked_engine& checked, token_count tokens, duration lifetime);
 
 		// Sends the call to a server and waits for the head of its answer. Returns not_sent when no connection is
 		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused. Obtains
--- a/packages/routing/impl/connection_holder.cpp
+++ b/packages/routing/impl/connection_holder.cpp
@@ -51,7 +51,7 @@
 			case connection_holder::unknown:
 				break;
 		}
-		auto const is_certain = !terms.origin || !terms.has_several_versions;
+		auto const is_certain = !terms.origin || !terms.is_holder_needed;
 		return is_of_origin && is_certain && !terms.is_start_doubtful;
 	}
 }
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -32,7 +32,7 @@
 			added->entry = entry;
 			if (known)
 			{
-				added->note_stated_start(known->newest_process().started);
+				added->note_stated_start(known->newest_process().started, time_point(), known->stated_start_heard_at);
 			}
 			auto const gone = this->departed.find(entry.id);
 			if (auto const before = known || gone == this->departed.end() ? known : gone->second.server)
--- a/packages/routing/include/godwittrestle/routing/connection_holder.hpp
+++ b/packages/routing/include/godwittrestle/routing/connection_holder.hpp
@@ -35,15 +35,16 @@
 	{
 		// The version at which the stream must go on; nothing for a stream that has not begun.
 		std::optional<software_version> origin;
-		// Whether the service may have, or have had, servers of several versions.
-		bool has_several_versions = false;
+		// Whether a process that is not known may be of another version than the entry: the service may have, or have
+		// had, several versions, or the server states the start of its process at other times.
+		bool is_holder_needed = false;
 		// Whether the server's process may have ended, so that a connection may lead to another one.
 		bool is_start_doubtful = false;
 	};
 
 	// Returns whether a stream may be sent over a connection to a server. A stream that has begun goes on only where
-	// the version is certain: at the process that an entry of that version names or, if the process is not known, while
-	// the service has one version only and nothing speaks against the listed process.
+	// the version is certain: at the process that an entry of that version names or, if the process is not known and
+	// need not be, while nothing speaks against the listed process.
 	[[nodiscard]] bool may_send_stream(
 		registered_server const& entry, connection_holder holder, stream_terms const& terms) noexcept;
 }
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -73,6 +73,9 @@
 		// The start that the server has stated, when it is not that of the entry: the entry of this process has not
 		// been read yet.
 		std::optional<incarnation> stated_start;
+		// Time at which that start was heard of; a question that was asked before may have been answered by an earlier
+		// process.
+		time_point stated_start_heard_at;
 
 		// What the server has stated last, whether or not it is the start of the entry.
 		std::optional<start_statement> last_statement;
@@ -92,17 +95,19 @@
 			return {this->entry.id, this->stated_start.value_or(this->entry.started)};
 		}
 
-		// Records a start that the server has stated; 0 when it stated none. One before that of the entry or of an
-		// earlier statement comes from an answer that was overtaken.
-		void note_stated_start(incarnation stated) noexcept
+		// Records a start that the server has stated. One before that of the entry or of an earlier statement comes
+		// from an answer that was overtaken; so does the entry's own start, if it was asked for before a later one was
+		// heard of.
+		void note_stated_start(incarnation stated, time_point asked_at, time_point now) noexcept
 		{
-			if (stated == this->entry.started)
+			if (stated == this->entry.started && asked_at > this->stated_start_heard_at)
 			{
 				this->stated_start.reset();
 			}
 			else if (stated > this->newest_process().started)
 			{
 				this->stated_start = stated;
+				this->stated_start_heard_at = now;
 			}
 		}
 
