--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -23,9 +23,6 @@
 		constexpr duration release_timeout = milliseconds(500);
 		// Number of servers whose limits may refuse a request before it goes to servers without a limit only.
 		constexpr int max_refused_permits = 3;
-		// Time after which a request that waits for a silent server is looked at again: another try may have become
-		// possible. Looking for other servers takes a time that grows with their number.
-		constexpr duration silence_check_interval = milliseconds(500);
 
 		std::string_view without_port(std::string_view host)
 		{
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -103,7 +103,8 @@
 				break;
 			}
 			tried.insert(peer->id);
-			auto const failure = co_await this->relay_to(state, std::move(*peer));
+			auto untried = tried.size() < most ? std::optional(tried) : std::nullopt;
+			auto const failure = co_await this->relay_to(state, std::move(*peer), std::move(untried));
 			if (!failure)
 			{
 				co_return;
@@ -119,7 +120,18 @@
 		co_await this->fail_request(state);
 	}
 
-	asio::awaitable<std::optional<send_failure>> forwarder::relay_to(state_pointer state, routing::relay_peer peer)
+	bool forwarder::has_other_peer(std::optional<std::set<instance_id>> const& tried)
+	{
+		auto const draw_number = [this]
+		{
+			return this->draw();
+		};
+		return tried &&
+			   this->shared->relays.choose(this->shared->live_daemons, *tried, draw_number, monotonic_now()).has_value();
+	}
+
+	asio::awaitable<std::optional<send_failure>> forwarder::relay_to(
+		state_pointer state, routing::relay_peer peer, std::optional<std::set<instance_id>> tried)
 	{
 		auto const target = std::make_shared<routing::server_record>();
 		target->entry.id = server_id("daemon " + peer.id.str());
@@ -162,7 +174,14 @@
 		connection->send(outgoing);
 		state->sent_to.insert(entry.id);
 		auto const wait = std::min(routing::relayed_response_timeout(*state->matched_route), state->time_left());
-		auto head = co_await this->read_own_head(connection, state->call.attempt, wait);
+		// A daemon that is only silent is given up for another one, not for nothing.
+		http::further_wait wait_on = [this, waiting = std::weak_ptr(state), tried = std::move(tried)]
+		{
+			auto const relayed = waiting.lock();
+			auto const may_be_another = !relayed || relayed->is_caller_gone || this->has_other_peer(tried);
+			return may_be_another ? duration{} : std::min(relayed->time_left(), silence_check_interval);
+		};
+		auto head = co_await this->read_own_head(connection, state->call.attempt, wait, std::move(wait_on));
 		if (auto const* const failed = std::get_if<http::upstream_failure>(&head))
 		{
 			connection->close();
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -37,6 +37,9 @@
 	// Answers up to this size are buffered until they are complete; larger ones are streamed to the caller.
 	inline constexpr std::size_t max_buffered_answer_bytes = 262'144;
 	inline constexpr duration default_timeout = seconds(60);
+	// Time after which a request that waits for a silent server or daemon is looked at again: another try may have
+	// become possible. Looking for other servers takes a time that grows with their number.
+	inline constexpr duration silence_check_interval = milliseconds(500);
 	// Waits return their error instead of throwing it.
 	inline constexpr auto wait_token = asio::as_tuple(asio::use_awaitable);
 	// A server that has sent this many events of a stream, or the whole stream, can answer the request.
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -195,9 +195,12 @@
 		// Passes the request on to daemons that reach servers, one after the other while that is allowed, and the
 		// answer, or the final failure, to the caller.
 		[[nodiscard]] asio::awaitable<void> relay(state_pointer state);
-		// Passes the request on to one daemon. Returns nothing when the caller has the whole answer or is gone.
+		// Passes the request on to one daemon. Returns nothing when the caller has the whole answer or is gone. tried:
+		// the daemons that would not be tried after this one; nothing when this is the last that may be tried.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> relay_to(
-			state_pointer state, routing::relay_peer peer);
+			state_pointer state, routing::relay_peer peer, std::optional<std::set<instance_id>> tried);
+		// Returns whether there is a daemon besides those that were tried; see relay_to().
+		[[nodiscard]] bool has_other_peer(std::optional<std::set<instance_id>> const& tried);
 		// Passes another daemon's answer on.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_relayed(
 			state_pointer state, unread_answer& answer, routing::server_pointer peer);
