--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -38,6 +38,11 @@
 			if (auto const before = known || gone == this->departed.end() ? known : gone->second.server)
 			{
 				added->load.take_over_pause(before->load);
+				if (before->entry.address == entry.address)
+				{
+					// The way to it is the same.
+					added->answers = before->answers;
+				}
 			}
 			this->remember_version(entry.id);
 			this->servers[entry.id] = added;
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwittrestle/routing/admission_queue.hpp>
+#include <godwittrestle/routing/answer_time.hpp>
 #include <godwittrestle/routing/configuration.hpp>
 #include <godwittrestle/routing/connection_holder.hpp>
 #include <godwittrestle/routing/crash_evidence.hpp>
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -10,6 +10,7 @@
 
 #include <godwittrestle/base/ids.hpp>
 #include <godwittrestle/base/units.hpp>
+#include <godwittrestle/routing/answer_time.hpp>
 #include <godwittrestle/routing/server.hpp>
 #include <godwittrestle/routing/server_health.hpp>
 #include <godwittrestle/routing/server_limit.hpp>
@@ -47,6 +48,8 @@
 		registered_server entry;
 		server_health health;
 		server_load load;
+		// How long the server takes to answer questions of this daemon's own.
+		answer_time answers;
 		// The limit that the server states for the requests of all daemons together.
 		server_limit limit;
 		// Set when the registry no longer lists the server: until this time it may still get work that no listed server
