--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -251,7 +251,7 @@
 		engine_connection reached;
 		if (is_stream)
 		{
-			auto const wait = std::min(this->longest_answer_wait(*server), state->time_left());
+			auto const wait = this->longest_answer_wait(*state, *server);
 			auto const needs_holder = this->needs_holder(*state, entry, monotonic_now());
 			reached = co_await this->connect_to_engine(server, wait, needs_holder);
 		}
@@ -500,7 +500,8 @@
 
 	asio::awaitable<void> forwarder::send_release(routing::server_pointer server, http::request message)
 	{
-		auto const answer = co_await this->call_server(server, std::move(message), release_timeout);
+		auto const timeout = std::max(release_timeout, server->answers.timeout(report_timeout));
+		auto const answer = co_await this->call_server(server, std::move(message), timeout);
 		this->totals->count_send("give_back", answer ? "served" : "broken");
 	}
 
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -96,6 +96,7 @@
 			}
 			if (!question->is_over)
 			{
+				server->answers.note_silence(now, monotonic_now());
 				this->late_questions[entry.id] = question;
 				if (needs_holder)
 				{
@@ -134,6 +135,7 @@
 		question->seen.asked_at = asked_at;
 		if (answer)
 		{
+			server->answers.note_answer(monotonic_now() - asked_at);
 			question->seen.statement = this->read_start(server, *answer, asked_at);
 			auto const stated = question->seen.stated();
 			connection.note_statement(stated, asked_at);
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -13,9 +13,12 @@
 {
 	namespace
 	{
-		constexpr duration reservation_timeout = milliseconds(200);
-		// Other engines are tried when one has not stated its start within this time.
-		constexpr duration longest_start_wait = milliseconds(200);
+		// Time to open a connection for a question outside the pool.
+		constexpr duration direct_connect_timeout = milliseconds(200);
+		// A question that was given up sooner was not asked: no connection could be had.
+		constexpr duration min_asked_time = milliseconds(100);
+		// The margin of an engine that takes longer to answer is asked for at the same time as the reservation.
+		constexpr duration slow_answer_time = milliseconds(50);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
 		// it is lost.
 		constexpr duration probe_lifetime = milliseconds(100);
@@ -32,6 +35,51 @@
 		constexpr duration start_check_pause = milliseconds(100);
 	}
 
+	// A request for a reservation. It goes on when nobody waits for the answer any more; the connection then returns to
+	// its pool.
+	struct forwarder::reservation_question
+	{
+		reservation_question(
+			asio::any_io_executor const& executor, routing::server_pointer asked, pooled_connection used)
+			: engine(std::move(asked))
+			, connection(std::move(used))
+			, answered(executor)
+		{
+		}
+
+		routing::server_pointer engine;
+		pooled_connection connection;
+		// Cancelled when the answer is there.
+		asio::steady_timer answered;
+		bool is_over = false;
+		// Whether the waiter has left.
+		bool is_abandoned = false;
+		bool has_answer = false;
+		std::optional<std::string> granted;
+	};
+
+	// The question whether an engine has memory free beyond a reservation.
+	struct forwarder::margin_probe
+	{
+		margin_probe(asio::any_io_executor const& executor, std::optional<incarnation> process, token_count wanted,
+			duration kept_for)
+			: holder(process)
+			, margin(wanted)
+			, lifetime(kept_for)
+			, answered(executor)
+		{
+		}
+
+		// Start of the only process that is asked; nothing when any may be.
+		std::optional<incarnation> holder;
+		token_count margin;
+		duration lifetime;
+		// Cancelled when the question is over.
+		asio::steady_timer answered;
+		bool is_over = false;
+		bool has_margin = false;
+	};
+
 	token_count forwarder::needed_tokens(request_state const& state) const
 	{
 		auto const& call = state.call;
@@ -90,6 +138,7 @@
 		auto const longest_wait =
 			std::chrono::duration_cast<duration>(state->matched_route->caller_patience * max_wait_fraction);
 		auto const gives_up_at = silent_since + std::min(longest_wait, state->matched_route->timeout / 2);
+		state->gives_up_at = gives_up_at;
 		auto const draw_number = [this]
 		{
 			return this->draw();
@@ -133,6 +182,7 @@
 			pause.expires_after(queue_poll_interval);
 			std::ignore = co_await pause.async_wait(wait_token);
 		}
+		state->gives_up_at.reset();
 		co_return granted;
 	}
 
@@ -167,7 +217,6 @@
 		}
 		auto const speed = this->engine_speed(*state);
 		auto const time_to_first_event = speed.prefill_time(state->call.prompt.count()) + speed.decode_start;
-		auto const lifetime = routing::reservation_lifetime(time_to_first_event, *longest);
 		auto const needed = this->needed_tokens(*state);
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
@@ -177,18 +226,31 @@
 			{
 				continue;
 			}
-			auto reservation = co_await this->request_reservation(engine, checked.holder, needed, lifetime);
+			// The engine counts the lifetime from before its answer.
+			auto const answer_time = engine->answers.expected();
+			auto const lifetime = routing::reservation_lifetime(time_to_first_event + answer_time, *longest);
+			auto const probe = std::make_shared<margin_probe>(
+				this->executor, checked.holder, margin, std::min(*longest, probe_lifetime));
+			auto const is_probed_beside = answer_time >= slow_answer_time;
+			if (is_probed_beside)
+			{
+				this->run_in_background("margin_probe", this->probe_margin(state, engine, probe));
+			}
+			auto reservation = co_await this->request_reservation(state, engine, checked.holder, needed, lifetime);
 			if (!reservation)
 			{
 				continue;
 			}
-			auto const probe_time = std::min(*longest, probe_lifetime);
-			auto const probe = co_await this->request_reservation(engine, checked.holder, margin, probe_time);
-			if (probe)
+			if (!is_probed_beside)
 			{
-				this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *probe));
+				co_await this->probe_margin(state, engine, probe);
 			}
-			auto const is_wanted = probe && !state->is_caller_gone;
+			if (!probe->is_over)
+			{
+				probe->answered.expires_after(longest_answer_wait(*state, *engine));
+				std::ignore = co_await probe->answered.async_wait(wait_token);
+			}
+			auto const is_wanted = probe->has_margin && !state->is_caller_gone;
 			// Asked for last: a permit that is not used is lost for all daemons.
 			auto is_permitted = false;
 			if (is_wanted)
@@ -239,7 +301,7 @@
 		{
 			seen.statement = this->read_start(called, *answer, begun_at);
 		}
-		else if (monotonic_now() - begun_at < reservation_timeout / 2)
+		else if (monotonic_now() - begun_at < min_asked_time)
 		{
 			// It was not asked: no connection could be had.
 			seen.statement = co_await this->ask_start_directly(called);
@@ -261,7 +323,7 @@
 			co_return stated;
 		}
 		auto const connection = std::make_shared<http::upstream>(this->executor, *where);
-		auto const is_connected = co_await connection->connect(reservation_timeout);
+		auto const is_connected = co_await connection->connect(direct_connect_timeout);
 		this->totals->count_connection();
 		if (!is_connected)
 		{
@@ -325,9 +387,13 @@
 		return is_new_sign(engine.start_doubted_at) || (has_begun && (engine.end_sign_at || !is_present));
 	}
 
-	duration forwarder::longest_answer_wait(routing::server_record const& /*engine*/) const
+	duration forwarder::longest_answer_wait(request_state const& state, routing::server_record const& engine)
 	{
-		return longest_start_wait;
+		auto const until_given_up = state.gives_up_at
+										? std::chrono::duration_cast<duration>(*state.gives_up_at - monotonic_now())
+										: report_timeout;
+		auto const wait = engine.answers.timeout(std::min(report_timeout, until_given_up));
+		return std::min(wait, state.time_left());
 	}
 
 	bool forwarder::needs_holder(
@@ -362,7 +428,7 @@
 		engine_connection reached;
 		if (!this->has_late_question(entry.id))
 		{
-			auto const wait = std::min(this->longest_answer_wait(*engine), state->time_left());
+			auto const wait = longest_answer_wait(*state, *engine);
 			constexpr auto needs_holder = true;
 			reached = co_await this->connect_to_engine(engine, wait, needs_holder);
 		}
@@ -421,7 +487,7 @@
 				{"entry_version", engine.entry.version.str()}}));
 	}
 
-	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(
+	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(state_pointer state,
 		routing::server_pointer engine, std::optional<incarnation> holder, token_count tokens, duration lifetime)
 	{
 		if (engine->load.paused_for(monotonic_now()) > duration{})
@@ -429,28 +495,85 @@
 			co_return std::nullopt;
 		}
 		auto const needs_holder = holder.has_value();
-		auto const wait = this->longest_answer_wait(*engine);
-		auto reached = co_await this->connect_to_engine(engine, wait, needs_holder);
-		std::optional<http::response> answer;
-		if (reached.connection && (!holder || reached.connection->holder() == holder))
+		auto const time_to_connect = longest_answer_wait(*state, *engine);
+		auto reached = co_await this->connect_to_engine(engine, time_to_connect, needs_holder);
+		if (!reached.connection || (holder && reached.connection->holder() != holder))
 		{
-			auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
-			answer = co_await this->call_on(engine, *reached.connection, std::move(message), reservation_timeout);
+			engine->health.note(routing::call_outcome::silent, monotonic_now());
+			this->totals->count_send("reserve", "silent");
+			co_return std::nullopt;
 		}
+		auto const question =
+			std::make_shared<reservation_question>(this->executor, engine, std::move(*reached.connection));
+		auto const asked_at = monotonic_now();
+		auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
+		this->run_in_background("reservation", this->ask_reservation(question, std::move(message)));
+		question->answered.expires_after(longest_answer_wait(*state, *engine));
+		std::ignore = co_await question->answered.async_wait(wait_token);
 		auto const now = monotonic_now();
-		if (!answer)
+		if (!question->is_over)
+		{
+			question->is_abandoned = true;
+			engine->answers.note_silence(asked_at, now);
+		}
+		if (!question->has_answer)
 		{
 			engine->health.note(routing::call_outcome::silent, now);
 			this->totals->count_send("reserve", "silent");
 			co_return std::nullopt;
 		}
-		auto reservation = answer->status == status_ok ? this->protocol.read_reservation(answer->body) : std::nullopt;
-		this->totals->count_send("reserve", reservation ? "served" : "rejected");
-		if (!reservation)
+		this->totals->count_send("reserve", question->granted ? "served" : "rejected");
+		if (!question->granted)
 		{
 			engine->load.note_full(now);
 		}
-		co_return reservation;
+		co_return question->granted;
+	}
+
+	asio::awaitable<void> forwarder::ask_reservation(
+		std::shared_ptr<reservation_question> question, http::request message)
+	{
+		auto const engine = question->engine;
+		auto const asked_at = monotonic_now();
+		auto const answer = co_await this->call_on(engine, question->connection, std::move(message), report_timeout);
+		auto const now = monotonic_now();
+		question->has_answer = answer.has_value();
+		if (answer)
+		{
+			engine->answers.note_answer(now - asked_at);
+		}
+		if (answer && answer->status == status_ok)
+		{
+			question->granted = this->protocol.read_reservation(answer->body);
+		}
+		question->connection.release();
+		if (question->is_abandoned && answer)
+		{
+			// It was slow, not silent.
+			engine->health.note(routing::call_outcome::served, now);
+			this->totals->count_send("late_reserve", question->granted ? "served" : "rejected");
+		}
+		if (question->is_abandoned && question->granted)
+		{
+			this->release_in_background(
+				engine, this->protocol.cancel_reservation(engine->entry.id, *question->granted));
+		}
+		question->is_over = true;
+		question->answered.cancel();
+	}
+
+	asio::awaitable<void> forwarder::probe_margin(
+		state_pointer state, routing::server_pointer engine, std::shared_ptr<margin_probe> probe)
+	{
+		auto const granted =
+			co_await this->request_reservation(state, engine, probe->holder, probe->margin, probe->lifetime);
+		if (granted)
+		{
+			this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *granted));
+		}
+		probe->has_margin = granted.has_value();
+		probe->is_over = true;
+		probe->answered.cancel();
 	}
 
 	std::optional<duration> forwarder::longest_reservation(request_state const& state) const
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -88,6 +88,8 @@
 		struct origin_search;
 		struct engine_connection;
 		struct holder_question;
+		struct reservation_question;
+		struct margin_probe;
 
 		// A decode engine with the permit to send it one stream, and the reservation of a slot and memory for it. There
 		// is no reservation when the engines of the service do not offer them.
@@ -251,8 +253,10 @@
 		// Returns whether a question on a connection to the server, for which nobody waits any more, is not answered
 		// yet.
 		[[nodiscard]] bool has_late_question(server_id const& server);
-		// Returns how long a stream waits for an answer of an engine before it tries another one.
-		[[nodiscard]] duration longest_answer_wait(routing::server_record const& engine) const;
+		// Returns how long a stream waits for an answer of an engine before it tries another one: what the engine's
+		// answers have taken so far, bounded by what the caller still waits.
+		[[nodiscard]] static duration longest_answer_wait(
+			request_state const& state, routing::server_record const& engine);
 		// Returns whether the stream may go on only over a connection whose process is known.
 		[[nodiscard]] bool needs_holder(
 			request_state const& state, routing::registered_server const& entry, time_point now) const;
@@ -275,10 +279,16 @@
 		// ended.
 		[[nodiscard]] bool is_start_doubtful(request_state const& state, routing::server_record const& engine) const;
 
-		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
-		// holder: start of the only process that may grant it; nothing when any may.
-		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(
+		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer in
+		// time. A later answer counts for the next time-out, and what it grants is given back. holder: start of the
+		// only process that may grant it; nothing when any may.
+		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(state_pointer state,
 			routing::server_pointer engine, std::optional<incarnation> holder, token_count tokens, duration lifetime);
+		[[nodiscard]] asio::awaitable<void> ask_reservation(
+			std::shared_ptr<reservation_question> question, http::request message);
+		// Finds out whether an engine has this much memory free, with a reservation that is given back at once.
+		[[nodiscard]] asio::awaitable<void> probe_margin(
+			state_pointer state, routing::server_pointer engine, std::shared_ptr<margin_probe> probe);
 
 		// Sends the call to a server and waits for the head of its answer. Returns not_sent when no connection is
 		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused. Obtains
