--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -257,7 +257,8 @@
 			if (!reached.connection || !(*reached.connection)->is_reusable())
 			{
 				auto const holder_is_needed = grant.reserved_at || this->needs_holder(*state, *server, monotonic_now());
-				reached = co_await this->connect_to_engine(server, state->time_left(), holder_is_needed);
+				auto const wait = longest_answer_wait(*state, *server);
+				reached = co_await this->connect_to_engine(server, state->time_left(), wait, holder_is_needed);
 			}
 		}
 		else
@@ -506,7 +507,8 @@
 
 	asio::awaitable<void> forwarder::send_release(routing::server_pointer server, http::request message)
 	{
-		auto const answer = co_await this->call_server(server, std::move(message), release_timeout);
+		auto const timeout = std::max(release_timeout, server->answers.timeout(report_timeout));
+		auto const answer = co_await this->call_server(server, std::move(message), timeout);
 		this->totals->count_send("give_back", answer ? "served" : "broken");
 	}
 
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -36,7 +36,7 @@
 	};
 
 	asio::awaitable<forwarder::engine_connection> forwarder::connect_to_engine(
-		routing::server_pointer server, duration time_left, bool holder_is_needed)
+		routing::server_pointer server, duration time_left, duration answer_wait, bool holder_is_needed)
 	{
 		engine_connection reached;
 		auto const& entry = server->entry;
@@ -93,11 +93,13 @@
 			this->run_in_background("holder_question", this->ask_holder(server, question));
 			if (!question->is_over)
 			{
-				question->answered.expires_after(std::min(this->longest_answer_wait(*server), ends_at - now));
+				question->answered.expires_after(
+					std::min(answer_wait, std::chrono::duration_cast<duration>(ends_at - now)));
 				std::ignore = co_await question->answered.async_wait(wait_token);
 			}
 			if (!question->is_over)
 			{
+				server->answers.note_silence(now, monotonic_now());
 				this->late_questions[entry.id] = question;
 				if (holder_is_needed)
 				{
@@ -143,6 +145,7 @@
 		this->totals->count_send("report", answer ? "served" : "failed");
 		if (answer)
 		{
+			server->answers.note_answer(monotonic_now() - seen.asked_at);
 			seen.statement = this->read_start(server, *answer, seen.asked_at);
 			connection.note_statement(seen.stated(), seen.asked_at, monotonic_now());
 		}
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -126,8 +126,8 @@
 		{
 			return this->draw();
 		};
-		return tried &&
-			   this->shared->relays.choose(this->shared->live_daemons, *tried, draw_number, monotonic_now()).has_value();
+		return tried && this->shared->relays.choose(this->shared->live_daemons, *tried, draw_number, monotonic_now())
+							.has_value();
 	}
 
 	asio::awaitable<std::optional<send_failure>> forwarder::relay_to(
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -13,9 +13,12 @@
 {
 	namespace
 	{
-		constexpr duration reservation_timeout = milliseconds(200);
-		// Other engines are tried when one has not stated its start within this time.
-		constexpr duration longest_start_wait = milliseconds(200);
+		// Time to open a connection for a question outside the pool.
+		constexpr duration direct_connect_timeout = milliseconds(200);
+		// A question that was given up sooner was not asked: no connection could be had.
+		constexpr duration min_asked_time = milliseconds(100);
+		// The margin of an engine that takes longer to answer is asked for at the same time as the reservation.
+		constexpr duration slow_answer_time = milliseconds(50);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
 		// it is lost.
 		constexpr duration probe_lifetime = milliseconds(100);
@@ -32,6 +35,51 @@
 		constexpr duration start_check_pause = milliseconds(100);
 	}
 
+	// A request for a reservation. It goes on when nobody waits for the answer any more; the connection then returns to
+	// its pool.
+	struct forwarder::reservation_question
+	{
+		reservation_question(
+			asio::any_io_executor const& executor, routing::server_pointer asked, pooled_connection used)
+			: engine(std::move(asked))
+			, connection(std::move(used))
+			, answered(executor)
+		{
+		}
+
+		routing::server_pointer engine;
+		pooled_connection connection;
+		// Cancelled when the answer is there.
+		asio::steady_timer answered;
+		bool is_over = false;
+		// Whether the waiter has left.
+		bool is_abandoned = false;
+		bool has_answer = false;
+		std::optional<std::string> granted;
+	};
+
+	// The question whether an engine has memory free beyond a reservation.
+	struct forwarder::margin_probe
+	{
+		margin_probe(asio::any_io_executor const& executor, std::optional<incarnation> process, token_count wanted,
+			duration kept_for)
+			: holder(process)
+			, margin(wanted)
+			, lifetime(kept_for)
+			, answered(executor)
+		{
+		}
+
+		// Start of the only process that is asked; nothing when any may be.
+		std::optional<incarnation> holder;
+		token_count margin;
+		duration lifetime;
+		// Cancelled when the question is over.
+		asio::steady_timer answered;
+		bool is_over = false;
+		bool has_margin = false;
+	};
+
 	token_count forwarder::needed_tokens(request_state const& state) const
 	{
 		auto const& call = state.call;
@@ -90,6 +138,7 @@
 		auto const longest_wait =
 			std::chrono::duration_cast<duration>(state->matched_route->caller_patience * max_wait_fraction);
 		auto const gives_up_at = silent_since + std::min(longest_wait, state->matched_route->timeout / 2);
+		state->gives_up_at = gives_up_at;
 		auto const draw_number = [this]
 		{
 			return this->draw();
@@ -133,6 +182,7 @@
 			pause.expires_after(queue_poll_interval);
 			std::ignore = co_await pause.async_wait(wait_token);
 		}
+		state->gives_up_at.reset();
 		co_return granted;
 	}
 
@@ -168,7 +218,6 @@
 		}
 		auto const speed = this->engine_speed(*state);
 		auto const time_to_first_event = speed.prefill_time(state->call.prompt.count()) + speed.decode_start;
-		auto const lifetime = routing::reservation_lifetime(time_to_first_event, *longest);
 		auto const needed = this->needed_tokens(*state);
 		auto const margin = routing::memory_margin(this->shared->observed[state->service].demand.output(), is_late);
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
@@ -178,18 +227,31 @@
 			{
 				continue;
 			}
+			// The engine counts the lifetime from before its answer.
+			auto const answer_time = engine->answers.expected();
+			auto const lifetime = routing::reservation_lifetime(time_to_first_event + answer_time, *longest);
+			auto const probe = std::make_shared<margin_probe>(
+				this->executor, checked.holder(), margin, std::min(*longest, probe_lifetime));
+			auto const is_probed_beside = answer_time >= slow_answer_time;
+			if (is_probed_beside)
+			{
+				this->run_in_background("margin_probe", this->probe_margin_beside(state, engine, probe));
+			}
 			auto reservation = co_await this->request_reservation(state, engine, checked, needed, lifetime);
 			if (!reservation)
 			{
 				continue;
 			}
-			auto const probe_time = std::min(*longest, probe_lifetime);
-			auto const probe = co_await this->request_reservation(state, engine, checked, margin, probe_time);
-			if (probe)
+			if (!is_probed_beside)
+			{
+				co_await this->probe_margin(state, engine, checked, probe);
+			}
+			if (!probe->is_over)
 			{
-				this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *probe));
+				probe->answered.expires_after(longest_answer_wait(*state, *engine));
+				std::ignore = co_await probe->answered.async_wait(wait_token);
 			}
-			auto const is_wanted = probe && !state->is_caller_gone;
+			auto const is_wanted = probe->has_margin && !state->is_caller_gone;
 			// Asked for last: a permit that is not used is lost for all daemons.
 			auto is_permitted = false;
 			if (is_wanted)
@@ -245,7 +307,7 @@
 		{
 			this->shared->reach.note_failure(called->entry.id);
 		}
-		if (!seen.has_answered() && monotonic_now() - begun_at < reservation_timeout / 2)
+		if (!seen.has_answered() && monotonic_now() - begun_at < min_asked_time)
 		{
 			// It was not asked: no connection could be had.
 			seen.statement = co_await this->ask_start_directly(called);
@@ -267,7 +329,7 @@
 			co_return stated;
 		}
 		auto const connection = std::make_shared<http::upstream>(this->executor, *where);
-		auto const is_connected = co_await connection->connect(reservation_timeout);
+		auto const is_connected = co_await connection->connect(direct_connect_timeout);
 		this->totals->count_connection();
 		if (!is_connected)
 		{
@@ -331,9 +393,13 @@
 		return is_new_sign(engine.start_doubted_at) || (has_begun && (engine.end_sign_at || !is_present));
 	}
 
-	duration forwarder::longest_answer_wait(routing::server_record const& /*engine*/) const
+	duration forwarder::longest_answer_wait(request_state const& state, routing::server_record const& engine)
 	{
-		return longest_start_wait;
+		auto const until_given_up = state.gives_up_at
+										? std::chrono::duration_cast<duration>(*state.gives_up_at - monotonic_now())
+										: report_timeout;
+		auto const wait = engine.answers.timeout(std::min(report_timeout, until_given_up));
+		return std::min(wait, state.time_left());
 	}
 
 	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
@@ -367,8 +433,9 @@
 		engine_connection reached;
 		if (!this->has_late_question(entry.id))
 		{
+			auto const wait = longest_answer_wait(*state, *engine);
 			constexpr auto holder_is_needed = true;
-			reached = co_await this->connect_to_engine(engine, state->time_left(), holder_is_needed);
+			reached = co_await this->connect_to_engine(engine, state->time_left(), wait, holder_is_needed);
 		}
 		if (reached.is_unreachable || std::holds_alternative<routing::pause_wanted>(reached.seen.statement))
 		{
@@ -434,44 +501,126 @@
 			co_return std::nullopt;
 		}
 		auto const holder = checked.holder();
+		auto is_unreachable = false;
 		if (!checked.connection || (holder && !(*checked.connection)->is_reusable()))
 		{
 			// The answer before has closed it, or no connection whose process is known could be had.
 			auto const holder_is_needed = holder.has_value();
-			auto reached = co_await this->connect_to_engine(engine, state->time_left(), holder_is_needed);
+			auto const wait = longest_answer_wait(*state, *engine);
+			auto reached = co_await this->connect_to_engine(engine, state->time_left(), wait, holder_is_needed);
 			checked.connection = std::move(reached.connection);
-			if (!checked.connection && !reached.is_unreachable)
+			is_unreachable = reached.is_unreachable;
+		}
+		if (!checked.connection || (holder && checked.holder() != holder))
+		{
+			// If it was not asked, that says nothing about the engine.
+			if (is_unreachable)
 			{
-				// Nothing was asked, which says nothing about the engine.
-				co_return std::nullopt;
+				engine->health.note(routing::call_outcome::silent, monotonic_now());
+				this->totals->count_send("reserve", "silent");
 			}
+			co_return std::nullopt;
 		}
-		std::optional<http::response> answer;
-		if (checked.connection && (!holder || checked.holder() == holder))
+		auto const question =
+			std::make_shared<reservation_question>(this->executor, engine, std::move(*checked.connection));
+		checked.connection.reset();
+		auto const asked_at = monotonic_now();
+		auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
+		this->run_in_background("reservation", this->ask_reservation(question, std::move(message)));
+		if (!question->is_over)
 		{
-			auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
-			auto const wait = std::min(reservation_timeout, state->time_left());
-			answer = co_await this->call_on(engine, *checked.connection, std::move(message), wait);
+			question->answered.expires_after(longest_answer_wait(*state, *engine));
+			std::ignore = co_await question->answered.async_wait(wait_token);
 		}
-		if (checked.connection && !checked.holder())
+		auto const now = monotonic_now();
+		if (question->is_over && question->connection.holder())
 		{
-			// Another one may be known by the next call.
-			checked.connection.reset();
+			checked.connection.emplace(std::move(question->connection));
 		}
-		auto const now = monotonic_now();
-		if (!answer)
+		if (!question->is_over)
+		{
+			question->is_abandoned = true;
+			engine->answers.note_silence(asked_at, now);
+		}
+		if (!question->has_answer)
 		{
 			engine->health.note(routing::call_outcome::silent, now);
 			this->totals->count_send("reserve", "silent");
 			co_return std::nullopt;
 		}
-		auto reservation = answer->status == status_ok ? this->protocol.read_reservation(answer->body) : std::nullopt;
-		this->totals->count_send("reserve", reservation ? "served" : "rejected");
-		if (!reservation)
+		this->totals->count_send("reserve", question->granted ? "served" : "rejected");
+		if (!question->granted)
 		{
 			engine->load.note_full(now);
 		}
-		co_return reservation;
+		co_return question->granted;
+	}
+
+	asio::awaitable<void> forwarder::ask_reservation(
+		std::shared_ptr<reservation_question> question, http::request message)
+	{
+		auto const engine = question->engine;
+		auto const asked_at = monotonic_now();
+		auto const answer = co_await this->call_on(engine, question->connection, std::move(message), report_timeout);
+		auto const now = monotonic_now();
+		question->has_answer = answer.has_value();
+		if (answer)
+		{
+			engine->answers.note_answer(now - asked_at);
+		}
+		if (answer && answer->status == status_ok)
+		{
+			question->granted = this->protocol.read_reservation(answer->body);
+		}
+		if (question->is_abandoned || !question->connection.holder())
+		{
+			question->connection.release();
+		}
+		if (question->is_abandoned && answer)
+		{
+			// It was slow, not silent.
+			engine->health.note(routing::call_outcome::served, now);
+			this->totals->count_send("late_reserve", question->granted ? "served" : "rejected");
+		}
+		if (question->is_abandoned && question->granted)
+		{
+			this->release_in_background(
+				engine, this->protocol.cancel_reservation(engine->entry.id, *question->granted));
+		}
+		question->is_over = true;
+		question->answered.cancel();
+	}
+
+	asio::awaitable<void> forwarder::probe_margin(state_pointer state, routing::server_pointer engine,
+		checked_engine& checked, std::shared_ptr<margin_probe> probe)
+	{
+		auto const granted = co_await this->request_reservation(state, engine, checked, probe->margin, probe->lifetime);
+		if (granted)
+		{
+			this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *granted));
+		}
+		probe->has_margin = granted.has_value();
+		probe->is_over = true;
+		probe->answered.cancel();
+	}
+
+	asio::awaitable<void> forwarder::probe_margin_beside(
+		state_pointer state, routing::server_pointer engine, std::shared_ptr<margin_probe> probe)
+	{
+		checked_engine checked;
+		if (probe->holder)
+		{
+			auto const wait = longest_answer_wait(*state, *engine);
+			constexpr auto holder_is_needed = true;
+			auto reached = co_await this->connect_to_engine(engine, state->time_left(), wait, holder_is_needed);
+			checked.connection = std::move(reached.connection);
+		}
+		if (checked.holder() == probe->holder)
+		{
+			co_await this->probe_margin(state, engine, checked, probe);
+		}
+		probe->is_over = true;
+		probe->answered.cancel();
 	}
 
 	std::optional<duration> forwarder::longest_reservation(request_state const& state) const
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -91,6 +91,8 @@
 		struct reserved_engine;
 		struct checked_engine;
 		struct send_grant;
+		struct reservation_question;
+		struct margin_probe;
 
 		// How long a server may be silent.
 		struct silence_limits
@@ -222,10 +224,10 @@
 
 		// Takes a connection to an engine whose process has stated its start on it. The question is asked on each
 		// connection once; it goes on after the wait for it has ended, and the connection is then kept for later calls.
-		// time_left: the longest time for connecting, and for the answer. holder_is_needed: whether a connection whose
-		// process is not known is of no use.
+		// time_left: the longest time for all of it. answer_wait: the longest wait for an answer. holder_is_needed:
+		// whether a connection whose process is not known is of no use.
 		[[nodiscard]] asio::awaitable<engine_connection> connect_to_engine(
-			routing::server_pointer server, duration time_left, bool holder_is_needed);
+			routing::server_pointer server, duration time_left, duration answer_wait, bool holder_is_needed);
 		[[nodiscard]] asio::awaitable<void> ask_holder(
 			routing::server_pointer server, std::shared_ptr<holder_question> question);
 		// Asks, on a connection, for the start of the process that holds it.
@@ -234,8 +236,10 @@
 		// Returns whether a question on a connection to the server, for which nobody waits any more, is not answered
 		// yet.
 		[[nodiscard]] bool has_late_question(server_id const& server);
-		// Returns how long a stream waits for an answer of an engine before it tries another one.
-		[[nodiscard]] duration longest_answer_wait(routing::server_record const& engine) const;
+		// Returns how long a stream waits for an answer of an engine before it tries another one: what the engine's
+		// answers have taken so far, bounded by what the caller still waits.
+		[[nodiscard]] static duration longest_answer_wait(
+			request_state const& state, routing::server_record const& engine);
 		// Returns whether the stream may go on only over a connection whose process is known.
 		[[nodiscard]] bool needs_holder(
 			request_state const& state, routing::server_record const& engine, time_point now) const;
@@ -258,11 +262,21 @@
 		// ended.
 		[[nodiscard]] bool is_start_doubtful(request_state const& state, routing::server_record const& engine) const;
 
-		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer.
-		// checked: the connection to ask on, if its process is known; another one of the same process takes its place
-		// when it has ended, and one is added when there was none.
+		// Asks one engine for a reservation. Returns its name; nothing when the engine refuses or does not answer in
+		// time. A later answer counts for the next time-out, and what it grants is given back. checked: the connection
+		// to ask on, if its process is known; another one of the same process takes its place when it has ended, and
+		// one is added when there was none.
 		[[nodiscard]] asio::awaitable<std::optional<std::string>> request_reservation(state_pointer state,
 			routing::server_pointer engine, checked_engine& checked, token_count tokens, duration lifetime);
+		[[nodiscard]] asio::awaitable<void> ask_reservation(
+			std::shared_ptr<reservation_question> question, http::request message);
+		// Finds out whether an engine has this much memory free, with a reservation that is given back at once.
+		// checked: as for request_reservation().
+		[[nodiscard]] asio::awaitable<void> probe_margin(state_pointer state, routing::server_pointer engine,
+			checked_engine& checked, std::shared_ptr<margin_probe> probe);
+		// Does the same beside the reservation, on another connection.
+		[[nodiscard]] asio::awaitable<void> probe_margin_beside(
+			state_pointer state, routing::server_pointer engine, std::shared_ptr<margin_probe> probe);
 
 		// Sends the call to a server and waits for the head of its answer. Returns not_sent when no connection is
 		// available, the caller has disconnected, its deadline has passed, or the server is leaving or paused. Obtains
