--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -32,6 +32,8 @@
 		// Cancelled when the answer is there.
 		asio::steady_timer answered;
 		bool is_over = false;
+		// Whether the waiter has left.
+		bool is_abandoned = false;
 		routing::process_evidence seen;
 	};
 
@@ -101,6 +103,8 @@
 			{
 				server->answers.note_silence(now, monotonic_now());
 				this->late_questions[entry.id] = question;
+				question->is_abandoned = true;
+				reached.is_late = true;
 				if (holder_is_needed)
 				{
 					co_return reached;
@@ -130,6 +134,11 @@
 		routing::server_pointer server, std::shared_ptr<holder_question> question)
 	{
 		question->seen = co_await this->ask_start_on(server, question->connection);
+		if (question->is_abandoned && question->seen.has_answered())
+		{
+			// It was slow, not silent.
+			server->health.note(routing::call_outcome::served, monotonic_now());
+		}
 		question->is_over = true;
 		question->answered.cancel();
 	}
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -223,7 +223,12 @@
 		for (auto const& engine : engines | std::views::take(max_engines_tried))
 		{
 			auto checked = co_await this->confirm_start(state, engine);
-			if (!checked.may_get_stream)
+			if (checked.is_silent)
+			{
+				engine->health.note(routing::call_outcome::silent, monotonic_now());
+				this->totals->count_send("reserve", "silent");
+			}
+			if (checked.is_silent || !checked.may_get_stream)
 			{
 				continue;
 			}
@@ -437,6 +442,7 @@
 			constexpr auto holder_is_needed = true;
 			reached = co_await this->connect_to_engine(engine, state->time_left(), wait, holder_is_needed);
 		}
+		checked.is_silent = reached.is_unreachable || reached.is_late;
 		if (reached.is_unreachable || std::holds_alternative<routing::pause_wanted>(reached.seen.statement))
 		{
 			co_return checked;
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -476,6 +476,8 @@
 	struct forwarder::checked_engine
 	{
 		bool may_get_stream = false;
+		// Whether the engine could not be reached, or did not answer in time.
+		bool is_silent = false;
 		std::optional<pooled_connection> connection;
 
 		[[nodiscard]] std::optional<incarnation> holder() const noexcept
@@ -503,6 +505,8 @@
 		routing::process_evidence seen;
 		// Whether connecting failed.
 		bool is_unreachable = false;
+		// Whether the engine did not answer in time.
+		bool is_late = false;
 	};
 
 	// The head of a server's answer and the connection from which the body is still to be read.
