--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -95,13 +95,41 @@
 		asio::post(this->thread.context(),
 			[&]
 			{
-				++this->breaks;
-				this->running.clear();
-				auto const port = this->listener->port();
-				this->listener->stop();
-				this->version = new_version;
-				++this->starts;
-				this->listen(port);
+				this->replace_process(new_version);
+				done.set_value();
+			});
+		done.get_future().wait();
+	}
+
+	void streaming_server::replace_process(std::string const& new_version)
+	{
+		++this->breaks;
+		this->running.clear();
+		auto const port = this->listener->port();
+		this->listener->stop();
+		this->version = new_version;
+		++this->starts;
+		this->listen(port);
+	}
+
+	void streaming_server::restart_at_next_report(std::string new_version)
+	{
+		std::scoped_lock const lock(this->mutex);
+		this->version_after_report = std::move(new_version);
+	}
+
+	bool streaming_server::has_restarted_at_report() const
+	{
+		return this->was_ended_by_report;
+	}
+
+	void streaming_server::close_after_answers()
+	{
+		std::promise<void> done;
+		asio::post(this->thread.context(),
+			[&]
+			{
+				this->listener->drain();
 				done.set_value();
 			});
 		done.get_future().wait();
@@ -142,6 +170,16 @@
 			http::response answer;
 			answer.status = this->is_reporting ? answer.status : not_found;
 			answer.body = fmt::format("{};{}", this->starts, fmt::join(this->running, ","));
+			std::string next_version;
+			{
+				std::scoped_lock const lock(this->mutex);
+				next_version = std::exchange(this->version_after_report, {});
+			}
+			if (!next_version.empty())
+			{
+				this->was_ended_by_report = true;
+				this->replace_process(next_version);
+			}
 			std::ignore = co_await http_exchange.reply(std::move(answer));
 			co_return;
 		}
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -51,6 +51,16 @@
 		// entry() returned before is then wrong.
 		void restart(std::string const& new_version);
 
+		// Lets the next question for the report end the process that answers it, as restart() does: when the answer
+		// leaves, a process with another version listens at the address, and the connection closes after the answer.
+		void restart_at_next_report(std::string new_version);
+
+		// Returns whether a question for the report has ended a process.
+		[[nodiscard]] bool has_restarted_at_report() const;
+
+		// Closes each connection after its next answer from now on, and says so in the answer.
+		void close_after_answers();
+
 		// Returns how often each attempt began to run.
 		[[nodiscard]] std::map<std::string, int> run_counts() const;
 
@@ -58,6 +68,9 @@
 		[[nodiscard]] boost::asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] boost::asio::awaitable<void> stream(http::request const& message, http::exchange& http_exchange);
 
+		// Ends the process and starts one of another version. Must be called on the server's thread.
+		void replace_process(std::string const& new_version);
+
 		// Listens at the port; 0 for any.
 		void listen(unsigned short port);
 
@@ -72,6 +85,9 @@
 		std::set<std::string> running;
 		mutable std::mutex mutex;
 		std::map<std::string, int> runs;
+		// Version of the process that follows the one that answers the next question for its report; empty for none.
+		std::string version_after_report;
+		std::atomic<bool> was_ended_by_report = false;
 		daemon::io_thread thread;
 		std::unique_ptr<http::server> listener;
 	};
