--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -164,7 +164,9 @@
 				auto engines =
 					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
 				auto const is_late = !waiting.has_begun && now > waiting.start_deadline;
+				stream_queue.note_try(ticket, now);
 				granted = co_await this->try_reserve(state, std::move(engines), is_late);
+				stream_queue.note_try_end(ticket);
 			}
 			if (granted && has_waited)
 			{
--- a/packages/routing/impl/admission_queue.cpp
+++ b/packages/routing/impl/admission_queue.cpp
@@ -10,6 +10,14 @@
 	namespace
 	{
 		constexpr int grant_average_length = 6;
+		// Time for which a stream that asks engines for memory is the only one that does.
+		constexpr duration longest_exclusive_try = milliseconds(50);
+
+		// Returns whether a stream has asked for so long that others need not wait for it.
+		bool is_try_slow(waiting_stream const& stream, time_point now)
+		{
+			return stream.trying_since && now - *stream.trying_since >= longest_exclusive_try;
+		}
 
 		bool is_late_at(waiting_stream const& stream, time_point now)
 		{
@@ -41,6 +49,16 @@
 		this->waiting.at(ticket).bound_to = std::move(origin);
 	}
 
+	void admission_queue::note_try(queue_ticket ticket, time_point now)
+	{
+		this->waiting.at(ticket).trying_since = now;
+	}
+
+	void admission_queue::note_try_end(queue_ticket ticket)
+	{
+		this->waiting.at(ticket).trying_since.reset();
+	}
+
 	std::set<software_version> admission_queue::awaited_versions(service_id const& service) const
 	{
 		std::set<software_version> versions;
@@ -103,7 +121,8 @@
 				auto const& [each, stream] = item;
 				auto const competes = stream.bound_to == own.bound_to;
 				auto const is_before = competes && std::tuple_cat(rank(stream, now), std::tuple(each)) < own_rank;
-				return is_before && (!passes || stream.has_begun || stream.needed <= own.needed);
+				auto const is_in_the_way = !passes || stream.has_begun || stream.needed <= own.needed;
+				return is_before && is_in_the_way && !is_try_slow(stream, now);
 			});
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/admission_queue.hpp
+++ b/packages/routing/include/godwittrestle/routing/admission_queue.hpp
@@ -29,6 +29,8 @@
 		// The only engines that may serve the stream, when others of the service have another software version. Such a
 		// stream competes with those bound to the same version; it neither waits for others nor holds them up.
 		std::optional<stream_origin> bound_to;
+		// Time since which the stream asks engines for memory; nothing while it does not.
+		std::optional<time_point> trying_since;
 	};
 
 	// Orders the streams that wait for memory while the decode engines are full. Streams whose engine failed go first,
@@ -45,12 +47,17 @@
 		// Sets the only engines that may serve a stream, or that any may.
 		void bind(queue_ticket ticket, std::optional<stream_origin> origin);
 
+		// Records that a stream begins to ask engines for memory, and that it has ended.
+		void note_try(queue_ticket ticket, time_point now);
+		void note_try_end(queue_ticket ticket);
+
 		// Returns the versions of a service that streams bound to them are waiting for. Other streams leave the memory
 		// of these engines to them.
 		[[nodiscard]] std::set<software_version> awaited_versions(service_id const& service) const;
 
 		// Returns whether a stream may try to reserve memory: it is first in the order, or it can begin in time and all
-		// streams before it need more memory and have not begun yet.
+		// streams before it need more memory and have not begun yet. A stream that has asked for a while holds nobody
+		// up: the engines that it asks are slow to answer, which does not mean that they are full.
 		[[nodiscard]] bool may_reserve(queue_ticket ticket, time_point now) const;
 
 		// Records that a waiting stream got its memory.
--- a/tests/unit/admission_queue.test.cpp
+++ b/tests/unit/admission_queue.test.cpp
@@ -169,3 +169,20 @@
 	queue.bind(first_bound, std::nullopt);
 	REQUIRE_FALSE(queue.may_reserve(new_stream, at_ms(100)));
 }
+
+// Guards against a queue that moves at the pace of far engines, which answer each question late (LOST).
+TEST_CASE("a stream that asks slow engines for long holds nobody up", "[queue]")
+{
+	routing::admission_queue queue;
+	auto const first = queue.enter({at_ms(700), 1, at_ms(0)});
+	auto const second = queue.enter({at_ms(800), 1, at_ms(100)});
+	queue.note_try(first, at_ms(100));
+	REQUIRE_FALSE(queue.may_reserve(second, at_ms(110)));
+	REQUIRE(queue.may_reserve(second, at_ms(200)));
+	// The order holds among those that do not ask.
+	auto const third = queue.enter({at_ms(900), 1, at_ms(150)});
+	REQUIRE_FALSE(queue.may_reserve(third, at_ms(200)));
+	queue.note_try_end(first);
+	REQUIRE_FALSE(queue.may_reserve(second, at_ms(200)));
+	REQUIRE(queue.may_reserve(first, at_ms(200)));
+}
