--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -246,6 +246,7 @@
 		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming &&
 							   options.part == call_part::whole && routing::states_start(entry);
 		engine_connection reached;
+		auto const granted_on = grant.connection ? grant.connection->get() : nullptr;
 		if (is_stream)
 		{
 			reached.connection = std::move(grant.connection);
@@ -302,12 +303,15 @@
 			connection->close();
 			co_return send_failure::not_sent;
 		}
-		if (options.reservation && grant.reserved_at && pooled.holder() != grant.reserved_at)
+		auto const is_on_granted = granted_on && connection == granted_on;
+		auto const is_of_granter = grant.reserved_at ? pooled.holder() == grant.reserved_at : is_on_granted;
+		if (is_stream && options.reservation && !is_of_granter)
 		{
-			// Another process granted it.
-			this->log_event(*state, "reservation_dropped",
-				{{"server", entry.id.str()}, {"reserved_at", std::to_string(grant.reserved_at->count())},
+			this->log_event(*state, "stream_reservation_dropped",
+				{{"server", entry.id.str()},
+					{"reserved_at", grant.reserved_at ? std::to_string(grant.reserved_at->count()) : "unknown"},
 					{"holder", std::string(routing::to_string(holder))}});
+			this->release_in_background(server, this->protocol.cancel_reservation(entry.id, *options.reservation));
 			options.reservation.reset();
 		}
 		state->is_reservation_sent = options.reservation.has_value();
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -162,7 +162,7 @@
 		{
 			routing::directory::note_start_confirmed(*server, seen.asked_at);
 		}
-		this->log(make_event("connection_holder",
+		this->log(make_event("server_connection_holder",
 			{{"server", server->entry.id.str()}, {"entry_start", std::to_string(server->entry.started.count())},
 				{"stated_start", std::to_string(seen.stated().value_or(incarnation()).count())},
 				{"answered", answer ? "yes" : "no"}, {"port", std::to_string(port)},
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -249,6 +249,7 @@
 			{
 				continue;
 			}
+			auto const granted_on = checked.connection ? checked.connection->get() : nullptr;
 			if (!is_probed_beside)
 			{
 				co_await this->probe_margin(state, engine, checked, probe);
@@ -278,6 +279,11 @@
 				continue;
 			}
 			auto const holder = checked.holder();
+			if (!holder && checked.connection && checked.connection->get() != granted_on)
+			{
+				// That may be another process than the one that granted the reservation.
+				checked.connection.reset();
+			}
 			co_return reserved_engine{engine, std::move(reservation), holder, std::move(checked.connection)};
 		}
 		co_return std::nullopt;
@@ -510,7 +516,7 @@
 		}
 		auto const holder = checked.holder();
 		auto is_unreachable = false;
-		if (!checked.connection || (holder && !(*checked.connection)->is_reusable()))
+		if (!checked.connection || !(*checked.connection)->is_reusable())
 		{
 			// The answer before has closed it, or no connection whose process is known could be had.
 			auto const holder_is_needed = holder.has_value();
@@ -541,7 +547,7 @@
 			std::ignore = co_await question->answered.async_wait(wait_token);
 		}
 		auto const now = monotonic_now();
-		if (question->is_over && question->connection.holder())
+		if (question->is_over)
 		{
 			checked.connection.emplace(std::move(question->connection));
 		}
@@ -580,7 +586,7 @@
 		{
 			question->granted = this->protocol.read_reservation(answer->body);
 		}
-		if (question->is_abandoned || !question->connection.holder())
+		if (question->is_abandoned)
 		{
 			question->connection.release();
 		}
