--- a/tests/unit/answer_time.test.cpp
+++ b/tests/unit/answer_time.test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <cstdint>
 
 #include "routing_support.hpp"
 
@@ -62,7 +62,7 @@
 	routing::answer_time answers;
 	answers.note_silence(at_ms(0), at_ms(200));
 	REQUIRE(answers.timeout(longest) == 2 * shortest);
-	for (int number = 1; number < 100; ++number)
+	for (std::int64_t number = 1; number < 100; ++number)
 	{
 		answers.note_silence(at_ms(number * 1000), at_ms(number * 1000 + 400));
 	}
