--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -166,7 +166,7 @@
 			auto const preferred = std::find_if(connections.idle.rbegin(), connections.idle.rend(), is_preferred);
 			auto const taken =
 				preferred == connections.idle.rend() ? std::prev(connections.idle.end()) : std::prev(preferred.base());
-			auto const candidate = *taken;
+			auto const candidate = std::move(*taken);
 			connections.idle.erase(taken);
 			auto const& stream = candidate.connection.stream;
 			auto const age = now - candidate.since;
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -184,7 +184,7 @@
 	asio::awaitable<std::optional<http::response>> forwarder::call_on(
 		routing::server_pointer server, pooled_connection& pooled, http::request message, duration timeout)
 	{
-		auto const connection = pooled.get();
+		auto const& connection = pooled.get();
 		message.headers.push_back({"Host", server->entry.address});
 		connection->send(message);
 		auto const no_attempt = request_id();
