--- a/tests/contract/connection_holders.test.cpp
+++ b/tests/contract/connection_holders.test.cpp
@@ -340,14 +340,14 @@
 	auto const first = fixture.send_request();
 	CAPTURE(first);
 	REQUIRE(first.find(fmt::format("id: {}\n", events_per_stream)) != std::string::npos);
-	fixture.run_until([&] { return !events_named(fixture, "connection_holder").empty(); });
+	fixture.run_until([&] { return !events_named(fixture, "server_connection_holder").empty(); });
 	auto const second = fixture.send_request();
 	CAPTURE(second);
 	auto const sent = events_named(fixture, "stream_sent");
 	REQUIRE(sent.size() == 2);
 	REQUIRE(field_of(sent.front(), "holder") == "unknown");
 	REQUIRE(field_of(sent.back(), "holder") == "1");
-	REQUIRE(field_of(events_named(fixture, "connection_holder").front(), "answered") == "yes");
+	REQUIRE(field_of(events_named(fixture, "server_connection_holder").front(), "answered") == "yes");
 }
 
 // Guards against a reservation that is sent to a process which has never granted it (COUNT).
@@ -364,7 +364,7 @@
 	REQUIRE(engine.start() == 2);
 	REQUIRE(answer.find("data: done") != std::string::npos);
 	REQUIRE(std::ranges::count(engine.streams(), "of-1") == 0);
-	REQUIRE(std::ranges::count(fixture.events, "reservation_dropped", &decide::record_event::name) == 1);
+	REQUIRE(std::ranges::count(fixture.events, "stream_reservation_dropped", &decide::record_event::name) == 1);
 }
 
 TEST_CASE("a reservation is sent to the process that granted it", "[connection_holders]")
