--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -250,6 +250,12 @@
 		if (is_stream)
 		{
 			reached.connection = std::move(grant.connection);
+			if (reached.connection && is_held_by_ended_process(*server, *reached.connection))
+			{
+				// A later process was heard of since.
+				(*reached.connection)->close();
+				reached.connection.reset();
+			}
 			if (reached.connection && !(*reached.connection)->is_open_without_data())
 			{
 				reached.connection.reset();
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -61,9 +61,8 @@
 				co_return reached;
 			}
 			pooled_connection connection(this->pool, entry, taken);
-			if (connection.holder() && *connection.holder() < server->newest_process().started)
+			if (is_held_by_ended_process(*server, connection))
 			{
-				// That process has ended, and the connection with it.
 				connection->close();
 				continue;
 			}
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -264,6 +264,14 @@
 		std::shared_ptr<connection_in_use> borrower;
 	};
 
+	// Returns whether the process that holds a connection to a server has ended, so that the connection is dead though
+	// its end may not have been seen: a later process is known of the server.
+	[[nodiscard]] inline bool is_held_by_ended_process(
+		routing::server_record const& server, pooled_connection const& connection)
+	{
+		return connection.holder() && *connection.holder() < server.newest_process().started;
+	}
+
 	// Converts the failure of a connection to the failure of the call that was sent on it.
 	[[nodiscard]] inline send_failure to_send_failure(http::upstream_failure failure) noexcept
 	{
--- a/tests/contract/connection_holders.test.cpp
+++ b/tests/contract/connection_holders.test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <iterator>
 #include <memory>
@@ -12,6 +13,12 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
 #include <godwittrestle/gateway/connection_pool.hpp>
@@ -22,6 +29,7 @@
 
 using namespace godwittrestle;
 using namespace godwittrestle::testing;
+using boost::asio::ip::tcp;
 using gateway::connection_pool;
 using gateway::connection_preference;
 using gateway::server_connection;
@@ -32,6 +40,7 @@
 	constexpr duration max_idle = seconds(30);
 	constexpr duration answer_time = seconds(10);
 	constexpr std::size_t max_body_bytes = 100;
+	constexpr auto token = boost::asio::as_tuple(boost::asio::use_awaitable);
 
 	// A pool with connections to one server that answers every call.
 	struct pool_fixture
@@ -161,6 +170,82 @@
 		std::unique_ptr<http::server> listener;
 	};
 
+	// An engine whose connections stay open when its process ends, as on a path on which the end has not arrived yet.
+	// What comes on them then is lost.
+	class engine_with_unseen_ends
+	{
+	  public:
+		explicit engine_with_unseen_ends(boost::asio::io_context& loop)
+			: acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+		{
+			boost::asio::co_spawn(loop, this->accept(), boost::asio::detached);
+		}
+
+		// Returns the entry of the present process.
+		[[nodiscard]] routing::registered_server entry() const
+		{
+			routing::registered_server entry;
+			entry.id = server_id("engine");
+			entry.service = service_id("s");
+			entry.address = http::to_string({"127.0.0.1", this->acceptor.local_endpoint().port()});
+			entry.role = routing::server_role::decode;
+			entry.started = incarnation(this->starts);
+			return entry;
+		}
+
+		void replace_process() noexcept
+		{
+			++this->starts;
+		}
+
+		// Returns the number of streams that the present process has made.
+		[[nodiscard]] int streams() const noexcept
+		{
+			return this->stream_count;
+		}
+
+	  private:
+		boost::asio::awaitable<void> accept()
+		{
+			for (;;)
+			{
+				auto [error, connection] = co_await this->acceptor.async_accept(token);
+				if (error)
+				{
+					co_return;
+				}
+				boost::asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(connection), this->starts),
+					boost::asio::detached);
+			}
+		}
+
+		boost::asio::awaitable<void> serve(tcp::socket connection, std::uint64_t own_start)
+		{
+			std::array<char, 65536> received{};
+			for (;;)
+			{
+				auto const [error, size] = co_await connection.async_read_some(boost::asio::buffer(received), token);
+				if (error)
+				{
+					co_return;
+				}
+				if (own_start != this->starts)
+				{
+					continue;
+				}
+				auto const is_report = std::string_view(received.data(), size).starts_with("GET /report");
+				this->stream_count += is_report ? 0 : 1;
+				auto const answer = is_report ? http_answer("200 OK", "", fmt::format("{};", own_start))
+											  : stream_answer("id: 1\ndata: x\n\n", true);
+				std::ignore = co_await boost::asio::async_write(connection, boost::asio::buffer(answer), token);
+			}
+		}
+
+		tcp::acceptor acceptor;
+		std::uint64_t starts = 1;
+		int stream_count = 0;
+	};
+
 	// Returns the value of a field of an event; empty when it has none.
 	[[nodiscard]] std::string field_of(decide::record_event const& event, std::string_view name)
 	{
@@ -277,7 +362,6 @@
 // A server that has closed its side only would still read what is sent, and answer nothing.
 TEST_CASE("a connection that the server has half closed is not used again", "[connection_holders]")
 {
-	using boost::asio::ip::tcp;
 	boost::asio::io_context loop{1};
 	tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
 	int idle_ends = 0;
@@ -367,6 +451,37 @@
 	REQUIRE(std::ranges::count(fixture.events, "stream_reservation_dropped", &decide::record_event::name) == 1);
 }
 
+// Guards against a prefill in vain: the stream waits for it with a connection of a process that ends meanwhile.
+TEST_CASE("a stream takes another connection when the entry of a later process is read before it is sent",
+	"[connection_holders]")
+{
+	gateway_fixture fixture(make_route(routing::call_kind::streaming, 2, true));
+	engine_with_unseen_ends engine(fixture.loop);
+	int prefills = 0;
+	http::server prefill_engine(fixture.loop.get_executor(), {"127.0.0.1", 0}, {},
+		[&](http::request const& message, http::exchange& http_exchange) -> boost::asio::awaitable<void>
+		{
+			if (!message.find_header("Only-Prefill").empty())
+			{
+				++prefills;
+				engine.replace_process();
+				fixture.shared.servers.put(engine.entry());
+			}
+			http::response answer;
+			answer.headers = {{"Attempt", message.find_header("Attempt")}};
+			answer.body = "handle";
+			std::ignore = co_await http_exchange.reply(std::move(answer));
+		});
+	prefill_engine.start();
+	fixture.shared.servers.put(engine.entry());
+	fixture.add_server("p", http::to_string({"127.0.0.1", prefill_engine.port()}), routing::server_role::prefill);
+	auto const answer = fixture.send_request();
+	CAPTURE(answer);
+	REQUIRE(prefills == 1);
+	REQUIRE(answer.find("id: 1\n") != std::string::npos);
+	REQUIRE(engine.streams() == 1);
+}
+
 TEST_CASE("a reservation is sent to the process that granted it", "[connection_holders]")
 {
 	constexpr int never = 0;
