--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -1,11 +1,9 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "background_work.hpp"
 #include "forwarder_state.hpp"
 
 namespace godwittrestle::gateway
@@ -24,16 +22,12 @@
 	{
 		holder_question(asio::any_io_executor const& executor, pooled_connection asked)
 			: connection(std::move(asked))
-			, answered(executor)
+			, work(executor)
 		{
 		}
 
 		pooled_connection connection;
-		// Cancelled when the answer is there.
-		asio::steady_timer answered;
-		bool is_over = false;
-		// Whether the waiter has left.
-		bool is_abandoned = false;
+		background_work work;
 		routing::process_evidence seen;
 	};
 
@@ -92,17 +86,12 @@
 			}
 			auto const question = std::make_shared<holder_question>(this->executor, std::move(connection));
 			this->run_in_background("holder_question", this->ask_holder(server, question));
-			if (!question->is_over)
-			{
-				question->answered.expires_after(
-					std::min(answer_wait, std::chrono::duration_cast<duration>(ends_at - now)));
-				std::ignore = co_await question->answered.async_wait(wait_token);
-			}
-			if (!question->is_over)
+			auto const wait = std::min(answer_wait, std::chrono::duration_cast<duration>(ends_at - now));
+			auto const is_answered = co_await question->work.wait(wait);
+			if (!is_answered)
 			{
 				server->answers.note_silence(now, monotonic_now());
 				this->late_questions[entry.id] = question;
-				question->is_abandoned = true;
 				reached.is_late = true;
 				if (holder_is_needed)
 				{
@@ -133,13 +122,12 @@
 		routing::server_pointer server, std::shared_ptr<holder_question> question)
 	{
 		question->seen = co_await this->ask_start_on(server, question->connection);
-		if (question->is_abandoned && question->seen.has_answered())
+		if (question->work.is_abandoned() && question->seen.has_answered())
 		{
 			// It was slow, not silent.
 			server->health.note(routing::call_outcome::served, monotonic_now());
 		}
-		question->is_over = true;
-		question->answered.cancel();
+		question->work.end();
 	}
 
 	asio::awaitable<routing::process_evidence> forwarder::ask_start_on(
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -7,16 +7,13 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "background_work.hpp"
 #include "forwarder_state.hpp"
 
 namespace godwittrestle::gateway
 {
 	namespace
 	{
-		// Time to open a connection for a question outside the pool.
-		constexpr duration direct_connect_timeout = milliseconds(200);
-		// A question that was given up sooner was not asked: no connection could be had.
-		constexpr duration min_asked_time = milliseconds(100);
 		// The margin of an engine that takes longer to answer is asked for at the same time as the reservation.
 		constexpr duration slow_answer_time = milliseconds(50);
 		// Lifetime of the reservation that only checks for spare memory. It expires even when the request that cancels
@@ -31,8 +28,6 @@
 		constexpr duration discovery_time = seconds(3);
 		constexpr std::uint32_t assumed_daemons = 4;
 		constexpr std::size_t max_engines_tried = 4;
-		// An engine that was asked for its start and gave no answer is asked again after this time.
-		constexpr duration start_check_pause = milliseconds(100);
 	}
 
 	// A request for a reservation. It goes on when nobody waits for the answer any more; the connection then returns to
@@ -43,17 +38,13 @@
 			asio::any_io_executor const& executor, routing::server_pointer asked, pooled_connection used)
 			: engine(std::move(asked))
 			, connection(std::move(used))
-			, answered(executor)
+			, work(executor)
 		{
 		}
 
 		routing::server_pointer engine;
 		pooled_connection connection;
-		// Cancelled when the answer is there.
-		asio::steady_timer answered;
-		bool is_over = false;
-		// Whether the waiter has left.
-		bool is_abandoned = false;
+		background_work work;
 		bool has_answer = false;
 		std::optional<std::string> granted;
 	};
@@ -66,7 +57,7 @@
 			: holder(process)
 			, margin(wanted)
 			, lifetime(kept_for)
-			, answered(executor)
+			, work(executor)
 		{
 		}
 
@@ -74,9 +65,7 @@
 		std::optional<incarnation> holder;
 		token_count margin;
 		duration lifetime;
-		// Cancelled when the question is over.
-		asio::steady_timer answered;
-		bool is_over = false;
+		background_work work;
 		bool has_margin = false;
 	};
 
@@ -254,11 +243,8 @@
 			{
 				co_await this->probe_margin(state, engine, checked, probe);
 			}
-			if (!probe->is_over)
-			{
-				probe->answered.expires_after(longest_answer_wait(*state, *engine));
-				std::ignore = co_await probe->answered.async_wait(wait_token);
-			}
+			auto const margin_wait = longest_answer_wait(*state, *engine);
+			std::ignore = co_await probe->work.wait(margin_wait);
 			auto const is_wanted = probe->has_margin && !state->is_caller_gone;
 			// Asked for last: a permit that is not used is lost for all daemons.
 			auto is_permitted = false;
@@ -289,123 +275,6 @@
 		co_return std::nullopt;
 	}
 
-	asio::awaitable<routing::process_evidence> forwarder::ask_start(routing::server_pointer called)
-	{
-		routing::process_evidence seen;
-		auto const known = this->shared->servers.find(called->entry.id);
-		if (known && known->entry.started != called->entry.started && known->entry.started != incarnation())
-		{
-			// Its entry tells that it has started again.
-			seen.statement = routing::other_process();
-			co_return seen;
-		}
-		if (!routing::states_start(called->entry))
-		{
-			co_return seen;
-		}
-		if (called->load.paused_for(monotonic_now()) > duration{})
-		{
-			seen.statement = routing::pause_wanted();
-			co_return seen;
-		}
-		auto const begun_at = monotonic_now();
-		auto const limit = this->connection_limit(called->entry);
-		auto const taken = co_await this->pool.acquire(called->entry, limit, max_server_idle, report_timeout);
-		if (taken)
-		{
-			pooled_connection connection(this->pool, called->entry, taken);
-			seen = co_await this->ask_start_on(called, connection);
-		}
-		else
-		{
-			this->shared->reach.note_failure(called->entry.id);
-		}
-		if (!seen.has_answered() && monotonic_now() - begun_at < min_asked_time)
-		{
-			// It was not asked: no connection could be had.
-			seen.statement = co_await this->ask_start_directly(called);
-		}
-		if (!this->shared->view.has_run_since(begun_at, monotonic_now()))
-		{
-			// This process was stopped meanwhile, and the answer may be as old as that.
-			seen.statement = routing::no_statement();
-		}
-		co_return seen;
-	}
-
-	asio::awaitable<routing::process_statement> forwarder::ask_start_directly(routing::server_pointer called)
-	{
-		routing::process_statement stated;
-		auto const where = http::parse_endpoint(called->entry.address, called->entry.id.str());
-		if (!where)
-		{
-			co_return stated;
-		}
-		auto const connection = std::make_shared<http::upstream>(this->executor, *where);
-		auto const is_connected = co_await connection->connect(direct_connect_timeout);
-		this->totals->count_connection();
-		if (!is_connected)
-		{
-			co_return stated;
-		}
-		auto message = this->protocol.write_report_request(called->entry.id);
-		message.headers.push_back({"Host", called->entry.address});
-		auto const asked_at = monotonic_now();
-		connection->send(message);
-		auto head = co_await connection->read_head(report_timeout);
-		auto is_read = false;
-		if (auto* const answer = std::get_if<http::response>(&head))
-		{
-			auto const metadata = this->protocol.read_answer(*answer);
-			this->record_server_state(*called, metadata);
-			this->record_limit(*called, metadata, answer->status, std::nullopt);
-			auto body = co_await connection->read_rest(report_timeout, max_small_body_bytes);
-			if (auto* const text = std::get_if<std::string>(&body))
-			{
-				answer->body = std::move(*text);
-				stated = this->read_start(called, *answer, asked_at);
-				is_read = true;
-			}
-		}
-		this->totals->count_send("report", is_read ? "served" : "failed");
-		connection->close();
-		co_return stated;
-	}
-
-	routing::process_statement forwarder::read_start(
-		routing::server_pointer const& called, http::response const& answer, time_point asked_at) const
-	{
-		auto const metadata = this->protocol.read_answer(answer);
-		if (metadata.is_misdirected && !metadata.server.empty() && metadata.server != called->entry.id)
-		{
-			return routing::other_process();
-		}
-		auto const report = answer.status == status_ok ? this->protocol.read_report(answer.body) : std::nullopt;
-		if (!report || report->started == incarnation())
-		{
-			return routing::start_not_stated();
-		}
-		auto const present = this->present_record(called);
-		present->note_stated_start(report->started, asked_at, monotonic_now());
-		present->last_statement = {report->started, asked_at};
-		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
-		return routing::start_stated{
-			report->started, std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end())};
-	}
-
-	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine) const
-	{
-		auto const has_begun = state.joiner.last_event().has_value();
-		auto const is_present = this->shared->servers.find(engine.entry.id).get() == &engine;
-		auto const is_new_sign = [&](std::optional<time_point> sign)
-		{
-			auto const was_asked =
-				!has_begun && state.accepted_unstated && state.accepted_unstated->server == engine.entry.id;
-			return sign && !(was_asked && *sign <= state.accepted_unstated->asked_at);
-		};
-		return is_new_sign(engine.start_doubted_at) || (has_begun && (engine.end_sign_at || !is_present));
-	}
-
 	duration forwarder::longest_answer_wait(request_state const& state, routing::server_record const& engine)
 	{
 		auto const until_given_up = state.gives_up_at
@@ -415,98 +284,6 @@
 		return std::min(wait, state.time_left());
 	}
 
-	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
-	{
-		auto const may_differ = engine.last_statement || this->has_several_versions(state.service, now);
-		return state.joiner.last_event() && routing::states_start(engine.entry) && may_differ;
-	}
-
-	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
-	{
-		routing::stream_terms terms;
-		if (state.joiner.last_event() && state.origin)
-		{
-			terms.origin = state.origin->version;
-		}
-		terms.is_holder_needed = this->needs_holder(state, engine, monotonic_now());
-		terms.is_start_doubtful = this->is_start_doubtful(state, engine);
-		return terms;
-	}
-
-	asio::awaitable<forwarder::checked_engine> forwarder::confirm_start(
-		state_pointer state, routing::server_pointer engine)
-	{
-		checked_engine checked;
-		auto const& entry = engine->entry;
-		if (!routing::states_start(entry))
-		{
-			checked.may_get_stream = true;
-			co_return checked;
-		}
-		engine_connection reached;
-		if (!this->has_late_question(entry.id))
-		{
-			auto const wait = longest_answer_wait(*state, *engine);
-			constexpr auto holder_is_needed = true;
-			reached = co_await this->connect_to_engine(engine, state->time_left(), wait, holder_is_needed);
-		}
-		checked.is_silent = reached.is_unreachable || reached.is_late;
-		if (reached.is_unreachable || std::holds_alternative<routing::pause_wanted>(reached.seen.statement))
-		{
-			co_return checked;
-		}
-		checked.connection = std::move(reached.connection);
-		auto const has_begun = state->joiner.last_event().has_value();
-		auto const holder = routing::compare_holder(entry, checked.holder());
-		auto const is_later = holder == routing::connection_holder::later;
-		auto const is_refuted = is_later ? has_begun || engine->start_doubted_at
-										 : routing::is_proved_replaced(entry, reached.seen) && !checked.connection;
-		if (is_refuted)
-		{
-			this->note_start_refuted(*state, *engine, reached.seen);
-			co_return checked;
-		}
-		if (!has_begun && !checked.connection && reached.seen.has_answered())
-		{
-			// A new stream may begin at any version; where it began is found out after its first event.
-			state->accepted_unstated = {entry.id, reached.seen.asked_at};
-		}
-		checked.may_get_stream = routing::may_send_stream(entry, holder, this->terms_of(*state, *engine));
-		if (!checked.may_get_stream)
-		{
-			this->log_event(*state, "server_start_unknown",
-				{{"server", entry.id.str()}, {"entry_start", std::to_string(entry.started.count())},
-					{"holder", std::string(routing::to_string(holder))},
-					{"answered", reached.seen.has_answered() ? "yes" : "no"}, {"begun", has_begun ? "yes" : "no"}});
-		}
-		if (!checked.may_get_stream && engine->start_doubted_at && !reached.seen.has_answered())
-		{
-			engine->load.note_full_until(monotonic_now() + start_check_pause);
-		}
-		co_return checked;
-	}
-
-	void forwarder::note_start_refuted(
-		request_state& state, routing::server_record& engine, routing::process_evidence const& seen)
-	{
-		if (!routing::is_proved_replaced(engine.entry, seen))
-		{
-			// Its port is refused, which may change at once.
-			if (engine.start_doubted_at)
-			{
-				engine.load.note_full_until(monotonic_now() + start_check_pause);
-			}
-			return;
-		}
-		// While the registry can be read, new streams may begin there: its entry will be written soon.
-		engine.is_replaced = engine.is_replaced || engine.start_doubted_at.has_value();
-		state.excluded.insert(engine.entry.id);
-		this->log(make_event("server_start_differs",
-			{{"server", engine.entry.id.str()}, {"entry_start", std::to_string(engine.entry.started.count())},
-				{"stated_start", std::to_string(seen.stated().value_or(incarnation()).count())},
-				{"entry_version", engine.entry.version.str()}}));
-	}
-
 	asio::awaitable<std::optional<std::string>> forwarder::request_reservation(state_pointer state,
 		routing::server_pointer engine, checked_engine& checked, token_count tokens, duration lifetime)
 	{
@@ -541,19 +318,15 @@
 		auto const asked_at = monotonic_now();
 		auto message = this->protocol.reserve(engine->entry.id, tokens, lifetime);
 		this->run_in_background("reservation", this->ask_reservation(question, std::move(message)));
-		if (!question->is_over)
-		{
-			question->answered.expires_after(longest_answer_wait(*state, *engine));
-			std::ignore = co_await question->answered.async_wait(wait_token);
-		}
+		auto const wait = longest_answer_wait(*state, *engine);
+		auto const is_over = co_await question->work.wait(wait);
 		auto const now = monotonic_now();
-		if (question->is_over)
+		if (is_over)
 		{
 			checked.connection.emplace(std::move(question->connection));
 		}
-		if (!question->is_over)
+		else
 		{
-			question->is_abandoned = true;
 			engine->answers.note_silence(asked_at, now);
 		}
 		if (!question->has_answer)
@@ -586,23 +359,22 @@
 		{
 			question->granted = this->protocol.read_reservation(answer->body);
 		}
-		if (question->is_abandoned)
+		if (question->work.is_abandoned())
 		{
 			question->connection.release();
 		}
-		if (question->is_abandoned && answer)
+		if (question->work.is_abandoned() && answer)
 		{
 			// It was slow, not silent.
 			engine->health.note(routing::call_outcome::served, now);
 			this->totals->count_send("late_reserve", question->granted ? "served" : "rejected");
 		}
-		if (question->is_abandoned && question->granted)
+		if (question->work.is_abandoned() && question->granted)
 		{
 			this->release_in_background(
 				engine, this->protocol.cancel_reservation(engine->entry.id, *question->granted));
 		}
-		question->is_over = true;
-		question->answered.cancel();
+		question->work.end();
 	}
 
 	asio::awaitable<void> forwarder::probe_margin(state_pointer state, routing::server_pointer engine,
@@ -614,8 +386,7 @@
 			this->release_in_background(engine, this->protocol.cancel_reservation(engine->entry.id, *granted));
 		}
 		probe->has_margin = granted.has_value();
-		probe->is_over = true;
-		probe->answered.cancel();
+		probe->work.end();
 	}
 
 	asio::awaitable<void> forwarder::probe_margin_beside(
@@ -633,8 +404,7 @@
 		{
 			co_await this->probe_margin(state, engine, checked, probe);
 		}
-		probe->is_over = true;
-		probe->answered.cancel();
+		probe->work.end();
 	}
 
 	std::optional<duration> forwarder::longest_reservation(request_state const& state) const
