--- a/tests/contract/stream_connections.test.cpp
+++ b/tests/contract/stream_connections.test.cpp
@@ -9,6 +9,7 @@
 
 #include "daemon_group.hpp"
 #include "open_stream.hpp"
+#include "stream_answers.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
 
@@ -20,30 +21,6 @@
 {
 	using std::chrono::milliseconds;
 
-	constexpr int events_asked = 60;
-	// Time within which a daemon has applied what was published.
-	constexpr milliseconds settle_time{250};
-	// Time within which daemons have found each other and told each other what they know.
-	constexpr milliseconds meeting_time{1500};
-	constexpr duration route_timeout = seconds(14);
-
-	routing::route make_long_route()
-	{
-		auto route = make_route(routing::call_kind::streaming, 3, true);
-		route.timeout = route_timeout;
-		return route;
-	}
-
-	bool holds(std::string const& answer, std::string const& version)
-	{
-		return answer.find("data: " + version + "\n") != std::string::npos;
-	}
-
-	bool is_complete(std::string const& answer, int events = events_asked)
-	{
-		return answer.find(fmt::format("id: {}\n", events)) != std::string::npos;
-	}
-
 	// A stream that began at a server of version v1. The second server has an entry of that version too; its process
 	// is followed by one of version v1.1 when it has answered the next question for its start. A third server of
 	// version v1.1 is in service as well.
--- a/tests/contract/stream_processes.test.cpp
+++ b/tests/contract/stream_processes.test.cpp
@@ -13,6 +13,7 @@
 #include "daemon_group.hpp"
 #include "open_stream.hpp"
 #include "slow_prefill_server.hpp"
+#include "stream_answers.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
 
@@ -22,35 +23,13 @@
 // Streams that begin at a server's new process while its entry still is that of the process before.
 namespace
 {
-	constexpr int events_asked = 60;
 	constexpr std::chrono::milliseconds prefill_time{300};
-	// Time within which a daemon has applied what was published or read a server's report.
-	constexpr std::chrono::milliseconds settle_time{250};
-	// Time within which daemons have found each other.
-	constexpr std::chrono::milliseconds meeting_time{1500};
 
 	void sleep(std::chrono::milliseconds time)
 	{
 		std::this_thread::sleep_for(time);
 	}
 
-	routing::route make_long_route()
-	{
-		auto route = make_route(routing::call_kind::streaming, 3, true);
-		route.timeout = seconds(14);
-		return route;
-	}
-
-	bool holds(std::string const& answer, std::string const& version)
-	{
-		return answer.find("data: " + version + "\n") != std::string::npos;
-	}
-
-	bool is_complete(std::string const& answer)
-	{
-		return answer.find(fmt::format("id: {}\n", events_asked)) != std::string::npos;
-	}
-
 	// A server whose process is replaced by one of version v1.1 under its id, and others of both versions that may take
 	// its streams over. No daemon has had a connection to the server, and it is the only decode engine that is listed
 	// until list_all(), so streams begin there.
--- a/tests/contract/unstated_starts.test.cpp
+++ b/tests/contract/unstated_starts.test.cpp
@@ -9,6 +9,7 @@
 
 #include "daemon_group.hpp"
 #include "open_stream.hpp"
+#include "stream_answers.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
 
@@ -20,11 +21,6 @@
 {
 	using std::chrono::milliseconds;
 
-	constexpr int events_asked = 60;
-	// Time within which a daemon has applied what was published or read a server's report.
-	constexpr milliseconds settle_time{250};
-	// Time within which daemons have found each other and told each other what they know.
-	constexpr milliseconds meeting_time{1500};
 	constexpr duration route_timeout = seconds(14);
 	// The timeout of a route whose streams are so short that a daemon soon knows all versions of their time.
 	constexpr duration short_route_timeout = milliseconds(1500);
@@ -33,23 +29,6 @@
 	// Time after which a daemon that has not read the registry does not know that its view is complete.
 	constexpr milliseconds old_view_time{4800};
 
-	routing::route make_route_with(duration timeout)
-	{
-		auto route = make_route(routing::call_kind::streaming, 3, true);
-		route.timeout = timeout;
-		return route;
-	}
-
-	bool holds(std::string const& answer, std::string const& version)
-	{
-		return answer.find("data: " + version + "\n") != std::string::npos;
-	}
-
-	bool is_complete(std::string const& answer, int events = events_asked)
-	{
-		return answer.find(fmt::format("id: {}\n", events)) != std::string::npos;
-	}
-
 	// A stream that began at a server of version v1, and a second server whose entry is of that version. Servers of
 	// version v1.1 are in service too.
 	class stream_with_second_server
@@ -80,7 +59,7 @@
 		std::optional<open_stream> stream;
 
 	  public:
-		daemon_group daemons{1, make_route_with(route_timeout), {this->first_entry}};
+		daemon_group daemons{1, make_long_route(route_timeout), {this->first_entry}};
 	};
 }
 
@@ -155,7 +134,7 @@
 	streaming_server old_server("old", "v1");
 	streaming_server newer("newer", "v1.1");
 	auto const replaced_entry = replaced.entry();
-	daemon_group daemons(2, make_route_with(short_route_timeout), {replaced_entry, old_server.entry()});
+	daemon_group daemons(2, make_long_route(short_route_timeout), {replaced_entry, old_server.entry()});
 	std::this_thread::sleep_for(history_time);
 	replaced.restart("v1.1");
 	replaced.set_reporting(false);
@@ -181,7 +160,7 @@
 	streaming_server replaced("replaced", "v1");
 	streaming_server old_server("old", "v1");
 	auto const old_entries = std::vector{replaced.entry(), old_server.entry()};
-	daemon_group daemons(2, make_route_with(short_route_timeout), old_entries);
+	daemon_group daemons(2, make_long_route(short_route_timeout), old_entries);
 	std::this_thread::sleep_for(history_time);
 	daemons.publish_to(0, {old_entries.front()});
 	daemons.publish_to(1, old_entries);
@@ -212,7 +191,7 @@
 {
 	streaming_server old_server("old", "v1");
 	streaming_server newer("newer", "v1.1");
-	daemon_group daemons(2, make_route_with(short_route_timeout), {old_server.entry()});
+	daemon_group daemons(2, make_long_route(short_route_timeout), {old_server.entry()});
 	std::this_thread::sleep_for(old_view_time);
 	daemons.publish_to(0, {old_server.entry(), newer.entry()});
 	std::this_thread::sleep_for(settle_time);
@@ -226,7 +205,7 @@
 TEST_CASE("a daemon whose view is old takes the only version that others know too", "[old_view]")
 {
 	streaming_server old_server("old", "v1");
-	daemon_group daemons(2, make_route_with(short_route_timeout), {old_server.entry()});
+	daemon_group daemons(2, make_long_route(short_route_timeout), {old_server.entry()});
 	std::this_thread::sleep_for(old_view_time);
 	auto const answer = send_to_daemon(daemons.addresses()[1], "POST",
 		{{"Attempt", "t2"}, {"Resumes", "t1"}, {"Last-Event-Id", "20"}, {"Events", "30"}});
