--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -302,7 +302,13 @@
 		auto const listed = this->shared->servers.find(entry.id);
 		auto const is_leaving = server->is_leaving() || (listed && listed->is_leaving());
 		auto const holder = routing::compare_holder(entry, pooled.holder());
-		auto const may_be_sent = !is_stream || routing::may_send_stream(entry, holder, this->terms_of(*state, *server));
+		// Another stream with the same prompt may have been sent meanwhile. The version of a later process than the
+		// entry's is not known.
+		auto const wanted = this->wanted_origin(*state, monotonic_now());
+		auto const is_wanted =
+			!wanted || (holder != routing::connection_holder::later && entry.version == wanted->version);
+		auto const may_be_sent =
+			!is_stream || (is_wanted && routing::may_send_stream(entry, holder, this->terms_of(*state, *server)));
 		if (state->is_caller_gone || state->is_out_of_time() || !may_be_sent || is_leaving ||
 			server->load.paused_for(monotonic_now()) > duration{})
 		{
@@ -342,6 +348,7 @@
 			if (state->matched_route->kind == routing::call_kind::streaming)
 			{
 				this->log_stream_sent(*state, *present, pooled);
+				this->note_prompt_version(*state, *present, sent_at);
 			}
 		}
 		if (server->limit.rate())
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -84,9 +84,9 @@
 		request.service = state.service;
 		request.data_centre = this->shared->data_centre;
 		request.excluded = state.excluded;
-		if (state.origin)
+		if (auto const wanted = this->wanted_origin(state, monotonic_now()))
 		{
-			request.version = state.origin->version;
+			request.version = wanted->version;
 		}
 		else
 		{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -49,6 +49,7 @@
 		};
 		while (!this->must_refuse_before_stop(*state))
 		{
+			co_await this->settle_prompt_version(state);
 			auto granted = co_await this->wait_for_reservation(state);
 			if (!granted)
 			{
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
+#include <godwittrestle/base/digest.hpp>
+
 #include "forwarder_state.hpp"
 
 namespace godwittrestle::gateway
@@ -23,6 +25,20 @@
 		// Longest wait for the entry of a process that began a stream.
 		constexpr duration max_entry_wait = milliseconds(1500);
 
+		// Returns the least that an engine has generated that began a stream: a token for each event that the caller
+		// has. Nothing is known where the events are not numbered from 1.
+		token_count least_generated(request_metadata const& call)
+		{
+			auto const events = parse_number(call.last_event.value_or("")).value_or(0);
+			return events <= call.max_output.count() ? token_count(static_cast<std::uint32_t>(events)) : token_count();
+		}
+
+		// The key under which the version that reads a prompt is known; no caller's attempt has it.
+		fingerprint prompt_key(request_metadata const& call)
+		{
+			return fingerprint_of("prompt " + call.prompt_parts.back());
+		}
+
 		bool serves(routing::route const& matched, service_id const& service)
 		{
 			return std::ranges::find(matched.targets, service, &routing::weighted_service::service) !=
@@ -57,7 +73,8 @@
 			std::ignore = co_await this->wait_for_entry(state, has_entry);
 		}
 		if (!state->origin && !this->apply_known_origin(*state, monotonic_now()) &&
-			!this->apply_only_version(*state, monotonic_now()) && !this->apply_held_prompt(*state, monotonic_now()))
+			!this->apply_only_version(*state, monotonic_now()) &&
+			!this->apply_generated_prompt(*state, monotonic_now()))
 		{
 			if (this->lacks_origin(*state))
 			{
@@ -121,25 +138,31 @@
 		return true;
 	}
 
-	bool forwarder::apply_held_prompt(request_state& state, time_point now)
+	bool forwarder::apply_generated_prompt(request_state& state, time_point now)
 	{
-		auto const* const known = this->shared->origins.find(fingerprint_of(state.call.resumes));
-		if (known != nullptr || !this->is_view_complete(state, now))
+		auto const& call = state.call;
+		auto const* const known = this->shared->origins.find(fingerprint_of(call.resumes));
+		if (known != nullptr || call.prompt_parts.empty() || !state.have_others_answered)
 		{
 			return false;
 		}
-		auto holder =
-			state.call.prompt_parts.empty()
-				? std::nullopt
-				: this->shared->origins.only_holder(fingerprint_of(state.call.prompt_parts.back()), state.service);
-		if (holder)
+		if (this->shared->origins.find(prompt_key(call)) != nullptr)
 		{
-			this->totals->count_taken_up_stream("held_prompt");
-			this->log_event(state, "stream_origin_held",
-				{{"resumes", state.call.resumes.str()}, {"service", state.service.str()}, {"version", holder->str()}});
-			state.origin = routing::stream_origin{state.service, std::move(*holder)};
+			// Another stream with this prompt has begun since this daemon started.
+			return false;
+		}
+		routing::unrecorded_stream const stream{
+			state.service, fingerprint_of(call.prompt_parts.back()), call.last_part, least_generated(call)};
+		auto writer = this->shared->holders.only_writer(stream);
+		if (writer)
+		{
+			this->totals->count_taken_up_stream("generated_prompt");
+			this->log_event(state, "stream_origin_generated",
+				{{"resumes", call.resumes.str()}, {"service", state.service.str()}, {"version", writer->str()},
+					{"generated", std::to_string(stream.generated.count())}});
+			state.origin = routing::stream_origin{state.service, std::move(*writer)};
 		}
-		return holder.has_value();
+		return writer.has_value();
 	}
 
 	bool forwarder::is_view_complete(request_state const& state, time_point now) const
@@ -243,18 +266,68 @@
 			   this->shared->servers.has_unlisted_process(service);
 	}
 
+	void forwarder::note_prompt_version(
+		request_state const& state, routing::server_record const& server, time_point now)
+	{
+		if (state.joiner.last_event() || state.call.prompt_parts.empty())
+		{
+			return;
+		}
+		// The process may be a later one than the entry's; its version is learnt when its entry is read.
+		auto const version = state.is_holder_known ? this->shared->servers.version_of(state.sent_to_process)
+												   : std::optional(server.entry.version);
+		routing::known_stream reader{
+			{state.service, version.value_or(software_version())}, now, this->shared->own_id, state.sent_to_process};
+		reader.is_version_known = version.has_value();
+		this->shared->origins.note(prompt_key(state.call), reader);
+		this->origins->tell_due(now);
+	}
+
+	asio::awaitable<void> forwarder::settle_prompt_version(state_pointer state)
+	{
+		if (state->origin || state->joiner.last_event() || state->call.prompt_parts.empty())
+		{
+			co_return;
+		}
+		std::function<bool()> is_known = [this, state]
+		{
+			auto const* const known = this->shared->origins.find(prompt_key(state->call));
+			return known == nullptr || known->is_version_known;
+		};
+		std::ignore = co_await this->wait_for_entry(state, is_known);
+	}
+
+	std::optional<routing::stream_origin> forwarder::wanted_origin(request_state const& state, time_point now) const
+	{
+		if (state.origin || state.joiner.last_event() || state.call.prompt_parts.empty())
+		{
+			return state.origin;
+		}
+		auto const* const known = this->shared->origins.find(prompt_key(state.call));
+		auto const& part = state.call.prompt_parts.back();
+		if (known != nullptr && !known->is_version_known)
+		{
+			return std::nullopt;
+		}
+		auto wanted = known == nullptr ? this->shared->holders.only_keeper(state.service, fingerprint_of(part))
+									   : std::optional(known->origin);
+		auto const may_serve = wanted && wanted->service == state.service && this->has_engines(state, wanted, now);
+		return may_serve ? wanted : std::nullopt;
+	}
+
 	std::optional<routing::stream_origin> forwarder::bound_origin(request_state const& state, time_point now) const
 	{
-		if (!state.origin)
+		auto const wanted = this->wanted_origin(state, now);
+		if (!wanted)
 		{
 			return std::nullopt;
 		}
 		auto const engines = this->shared->servers.candidates(state.service, routing::server_role::decode, now);
 		auto const is_of_origin = [&](routing::server_pointer const& each)
 		{
-			return each->entry.version == state.origin->version;
+			return each->entry.version == wanted->version;
 		};
-		return std::ranges::all_of(engines, is_of_origin) ? std::nullopt : state.origin;
+		return std::ranges::all_of(engines, is_of_origin) ? std::nullopt : wanted;
 	}
 
 	bool forwarder::has_engines(
--- a/packages/gateway/impl/stream_origin_exchange.cpp
+++ b/packages/gateway/impl/stream_origin_exchange.cpp
@@ -119,6 +119,7 @@
 		auto const before = now - kept_lives * longest_stream_life(*this->shared);
 		this->shared->origins.expire(before);
 		this->shared->versions.expire(before);
+		this->shared->holders.expire(before);
 	}
 
 	std::optional<std::uint64_t> stream_origin_exchange::ask(
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -125,8 +125,9 @@
 		// service during a stream's longest life. Returns false when there were several, or when this daemon may lack
 		// servers that other daemons know, which have not been asked.
 		[[nodiscard]] bool apply_only_version(request_state& state, time_point now);
-		// Sets the origin of a stream that is taken up to the only version whose engines hold its prompt.
-		[[nodiscard]] bool apply_held_prompt(request_state& state, time_point now);
+		// Sets the origin of a stream that is taken up, and of which no daemon has a record, to the only version whose
+		// engines have generated it.
+		[[nodiscard]] bool apply_generated_prompt(request_state& state, time_point now);
 		// Returns whether this daemon would know if others knew of further versions: it has read the registry, or they
 		// have said what they know.
 		[[nodiscard]] bool is_view_complete(request_state const& state, time_point now) const;
@@ -134,9 +135,14 @@
 		[[nodiscard]] static duration longest_settle_wait(request_state const& state);
 		// Asks other daemons about the stream, and waits until one knows it, all have replied, or the timeout.
 		[[nodiscard]] asio::awaitable<void> ask_for_origin(state_pointer state);
-		// Asks one engine what it runs and holds, and adds it to the search.
+		// Asks one engine what it runs and keeps, and adds it to the search.
 		[[nodiscard]] asio::awaitable<void> read_contents(
 			routing::server_pointer engine, std::shared_ptr<origin_search> search);
+		// Asks an engine which parts of prompts it keeps. Returns nothing when it did not say, or is not known to be
+		// the process of its entry.
+		[[nodiscard]] asio::awaitable<std::optional<memory_list>> read_memory(routing::server_pointer engine);
+		// Records where the streams began that engines were found to run. Returns their number.
+		std::size_t note_runs(service_id const& service, origin_search const& search);
 		// Asks the engines of a service.
 		[[nodiscard]] asio::awaitable<void> search_origins(service_id service);
 		// Records that a server has made an event of the stream that was passed on. The stream's origin is recorded at
@@ -169,6 +175,15 @@
 		// Returns whether several software versions of a service were in service during a stream's longest life, or may
 		// have been: a process is known whose entry was not read yet, or this daemon's view of the servers is old.
 		[[nodiscard]] bool has_several_versions(service_id const& service, time_point now) const;
+		// Records at which version a new stream's prompt is read, so that other tries of the request and other requests
+		// of its session go there too.
+		void note_prompt_version(request_state const& state, routing::server_record const& server, time_point now);
+		// Waits for the entry of the process that an earlier stream with a new stream's prompt was sent to.
+		[[nodiscard]] asio::awaitable<void> settle_prompt_version(state_pointer state);
+		// Returns the origin of a stream that has begun; of a new one, that of earlier streams with its prompt as long
+		// as an engine of that version may serve it.
+		[[nodiscard]] std::optional<routing::stream_origin> wanted_origin(
+			request_state const& state, time_point now) const;
 		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
 		[[nodiscard]] std::optional<routing::stream_origin> bound_origin(
 			request_state const& state, time_point now) const;
--- a/packages/gateway/include/godwittrestle/gateway/protocols.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/protocols.hpp
@@ -44,6 +44,8 @@
 		// Ids of the parts of the prompt, in order. Requests share parts; the last part belongs to this request or to
 		// its session.
 		std::vector<std::string> prompt_parts;
+		// Tokens of the last part.
+		token_count last_part;
 	};
 
 	// Where a decode engine fetches the KV cache of a prefilled prompt.
@@ -127,6 +129,23 @@
 		incarnation started;
 	};
 
+	// A part of a prompt that an engine keeps, and the tokens that it keeps of it; see routing::kept_part.
+	struct listed_part
+	{
+		std::string id;
+		token_count tokens;
+
+		[[nodiscard]] bool operator==(listed_part const&) const = default;
+	};
+
+	// What an engine says that it keeps of prompts.
+	struct memory_list
+	{
+		std::vector<listed_part> parts;
+		// Whether each element of the list could be read.
+		bool is_whole = true;
+	};
+
 	// An order to an engine to change its role.
 	struct role_order
 	{
@@ -159,8 +178,8 @@
 		std::function<std::optional<engine_report>(std::string_view body)> read_report;
 		// Returns the request for the list of the prompt parts whose KV cache an engine holds.
 		std::function<http::request(server_id const& server)> write_memory_request;
-		// Reads the ids of these parts; nothing when the body is no such list.
-		std::function<std::optional<std::vector<std::string>>(std::string_view body)> read_memory;
+		// Reads that list; nothing when the body is none.
+		std::function<std::optional<memory_list>(std::string_view body)> read_memory;
 		std::function<http::request(role_order const& order)> write_order;
 		// Returns the header that tells a caller how long to wait before a retry.
 		std::function<http::header(duration)> retry_after;
@@ -206,6 +225,26 @@
 		std::optional<std::string> next_page;
 	};
 
+	// A past change of a server's entry.
+	struct past_change
+	{
+		server_id server;
+		// The entry as it was written; nothing when it was removed.
+		std::optional<routing::registered_server> entry;
+		// How often the server had written its entry by then; 0 when the entry does not say.
+		std::uint64_t heartbeats = 0;
+	};
+
+	// Changes that the registry still keeps, in their order.
+	struct registry_past
+	{
+		registry_status status = registry_status::malformed;
+		registry_position position;
+		std::vector<past_change> changes;
+		// Whether each change could be read.
+		bool is_whole = true;
+	};
+
 	// The registry's wire format.
 	struct registry_protocol
 	{
@@ -215,6 +254,8 @@
 		std::function<http::request(registry_revision after, duration wait)> watch;
 		std::function<registry_reply(http::response const&)> read_list;
 		std::function<registry_reply(http::response const&)> read_changes;
+		// Reads an answer to a watch for past changes.
+		std::function<registry_past(http::response const&)> read_past;
 		// Parses the text of a configuration that another daemon has sent.
 		std::function<result<routing::configuration>(std::string const& text)> read_configuration;
 	};
--- a/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/shared_state.hpp
@@ -32,6 +32,8 @@
 		// Where streams began, and which software versions were in service.
 		routing::stream_origins origins;
 		routing::version_history versions;
+		// What engines keep of the prompts of streams that began before this daemon started.
+		routing::prompt_holders holders;
 		// Longest timeout of the routes that stream.
 		duration longest_stream{};
 		std::map<service_id, routing::service_observations> observed;
--- a/packages/routing/impl/stream_origins.cpp
+++ b/packages/routing/impl/stream_origins.cpp
@@ -115,32 +115,10 @@
 		return found == this->records.end() ? nullptr : &found->second.stream;
 	}
 
-	void stream_origins::note_held_part(fingerprint part, stream_origin const& holder, time_point now)
-	{
-		if (this->held_parts.size() < max_held_parts || this->held_parts.contains(part))
-		{
-			auto& held = this->held_parts[part];
-			held.holders.insert(holder);
-			held.noted_at = now;
-		}
-	}
-
-	std::optional<software_version> stream_origins::only_holder(fingerprint part, service_id const& service) const
-	{
-		auto const found = this->held_parts.find(part);
-		if (found == this->held_parts.end() || found->second.holders.size() != 1 ||
-			found->second.holders.begin()->service != service)
-		{
-			return std::nullopt;
-		}
-		return found->second.holders.begin()->version;
-	}
-
 	void stream_origins::expire(time_point before)
 	{
 		std::erase_if(this->records, [&](auto const& item) { return item.second.stream.begun_at < before; });
 		std::erase_if(this->unversioned, [&](fingerprint attempt) { return !this->records.contains(attempt); });
-		std::erase_if(this->held_parts, [&](auto const& item) { return item.second.noted_at < before; });
 	}
 
 	void stream_origins::drop_oldest()
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -15,6 +15,7 @@
 #include <godwittrestle/routing/placement.hpp>
 #include <godwittrestle/routing/pool_balance.hpp>
 #include <godwittrestle/routing/process_evidence.hpp>
+#include <godwittrestle/routing/prompt_holders.hpp>
 #include <godwittrestle/routing/registry_view.hpp>
 #include <godwittrestle/routing/relay_peers.hpp>
 #include <godwittrestle/routing/request_identity.hpp>
--- a/packages/routing/include/godwittrestle/routing/stream_origins.hpp
+++ b/packages/routing/include/godwittrestle/routing/stream_origins.hpp
@@ -61,7 +61,6 @@
 	  public:
 		// Records kept at most. Each is about 200 bytes; the oldest ones give way.
 		static constexpr std::size_t max_records = 16'384;
-		static constexpr std::size_t max_held_parts = 16'384;
 		// Daemons that keep each record besides the one that began the stream. A smaller fleet keeps all records.
 		static constexpr std::size_t keepers_of_large_fleet = 3;
 		static constexpr std::size_t max_small_fleet = 8;
@@ -90,14 +89,7 @@
 		// Returns what is known of a stream; null when nothing is.
 		[[nodiscard]] known_stream const* find(fingerprint attempt) const;
 
-		// Records that an engine holds the KV cache of a prompt part at a time.
-		void note_held_part(fingerprint part, stream_origin const& holder, time_point now);
-
-		// Returns the version of the engines that hold a prompt part; nothing when no engine of the service does, or
-		// engines of several versions do.
-		[[nodiscard]] std::optional<software_version> only_holder(fingerprint part, service_id const& service) const;
-
-		// Forgets the streams that began, and the prompt parts that were noted, before a time.
+		// Forgets the streams that began before a time.
 		void expire(time_point before);
 
 		// Returns the daemons that keep the record of an attempt. others: the other live daemons.
@@ -132,15 +124,8 @@
 		// Counts the changes of the fleet, so that keepers are only looked for again after a change.
 		void note_fleet(std::vector<fleet_member> const& others);
 
-		struct held_part
-		{
-			std::set<stream_origin> holders;
-			time_point noted_at;
-		};
-
 		instance_id own_id;
 		rank_function rank;
-		std::map<fingerprint, held_part> held_parts;
 		std::map<fingerprint, record> records;
 		// The records whose version is not known.
 		std::set<fingerprint> unversioned;
