An entry counts no more once another names its address and a later start

New streams were refused as wrong_server after up to 2.3 s, their tries spent on entries of processes that had ended.

Cause: an entry was refuted only by a 421 to a call that was sent, and only at the daemon that sent it. Nothing compared the entries of one address, though an address belongs to one process and entries state their start.

Change: the directory keeps the server with the latest start at each address. A server whose address is named by an entry of a later start is no candidate, and counts in no pool and no pause, while that entry stands. Each daemon reads both entries, so no message is needed. An entry without a start, or of the same start, decides nothing, and one that a 421 has refuted refutes no other, so a clock that was set back hides a server only until then or until the older entry lapses.

The tests failed before: three failed assertions in two tests of tests/unit/directory.test.cpp ({ "ended", "present" } == { "present" }, and the case of a server of another service). Since: [directory] 16 of 16; unit tests without [limits], [fleet_limits] and [fault_schedules] 237 of 237; contract tests [connection_holders], [stream_processes], [version_elsewhere], [version_back] pass. Not run: the other contract tests, the soak. Not in this change: 421 answers to questions for the report and to reservations.

--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -47,6 +47,7 @@
 			this->remember_version(entry.id);
 			this->servers[entry.id] = added;
 			this->departed.erase(entry.id);
+			this->note_address(added);
 			return true;
 		}
 		auto const is_changed = known->entry != entry || known->missing_until.has_value();
@@ -54,6 +55,39 @@
 		return is_changed;
 	}
 
+	void directory::note_address(server_pointer const& added)
+	{
+		auto const& entry = added->entry;
+		if (entry.started == incarnation())
+		{
+			return;
+		}
+		auto& latest = this->latest_at[entry.address];
+		auto const known = latest.lock();
+		auto const is_listed = known && this->find(known->entry.id) == known && !known->is_replaced;
+		if (is_listed && known->entry.started > entry.started)
+		{
+			added->follower = known;
+			return;
+		}
+		if (is_listed && known->entry.started < entry.started)
+		{
+			known->follower = added;
+		}
+		latest = added;
+	}
+
+	bool directory::is_gone(server_record const& known) const
+	{
+		// Each follower has a later start than the one before.
+		auto is_followed = false;
+		for (auto next = known.follower.lock(); next && !is_followed; next = next->follower.lock())
+		{
+			is_followed = !next->is_replaced && this->find(next->entry.id) == next;
+		}
+		return known.is_replaced || is_followed;
+	}
+
 	void directory::remember_version(server_id const& id)
 	{
 		auto const gone = this->departed.find(id);
@@ -174,6 +208,7 @@
 		auto const revived = gone->second.server;
 		this->departed.erase(gone);
 		this->servers[entry.id] = revived;
+		this->note_address(revived);
 		return revived;
 	}
 
@@ -266,6 +301,7 @@
 			server->missing_until = now;
 			this->departed[server->entry.id] = {server, now + this->terms.memory_time};
 		}
+		std::erase_if(this->latest_at, [](auto const& item) { return item.second.expired(); });
 		return gone;
 	}
 
@@ -276,7 +312,7 @@
 		for (auto const& known : this->servers | std::views::values)
 		{
 			if (known->entry.service != service || known->entry.role != role || known->is_leaving() ||
-				known->is_replaced || known->is_changing_role(now))
+				known->is_changing_role(now) || this->is_gone(*known))
 			{
 				continue;
 			}
@@ -297,7 +333,7 @@
 		pool_sizes sizes;
 		for (auto const& known : this->servers | std::views::values)
 		{
-			if (known->entry.service != service || !known->is_ready() || known->is_replaced)
+			if (known->entry.service != service || !known->is_ready() || this->is_gone(*known))
 			{
 				continue;
 			}
@@ -313,7 +349,7 @@
 		std::optional<duration> shortest;
 		for (auto const& known : this->servers | std::views::values)
 		{
-			if (known->entry.service == service && known->is_ready() && !known->is_replaced)
+			if (known->entry.service == service && known->is_ready() && !this->is_gone(*known))
 			{
 				auto const pause = std::max(known->load.paused_for(now), known->limit.refused_for(now));
 				shortest = std::min(shortest.value_or(pause), pause);
@@ -328,7 +364,7 @@
 		for (auto const& known : this->servers | std::views::values)
 		{
 			if (known->entry.service != service || known->entry.role == server_role::prefill || !known->is_ready() ||
-				known->is_replaced || known->load.paused_for(now) > duration{})
+				known->load.paused_for(now) > duration{} || this->is_gone(*known))
 			{
 				continue;
 			}
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -86,6 +86,10 @@
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
 
+		// The server whose entry names the same address and a later start. An address belongs to one process, so this
+		// server is gone while that entry stands.
+		std::weak_ptr<server_record const> follower;
+
 		// Set when the server announced in an answer that it is leaving, even if the registry does not show that yet.
 		bool has_announced_leaving = false;
 
@@ -227,7 +231,8 @@
 		std::vector<server_pointer> expire(time_point now);
 
 		// Returns the servers of a service and role that may get work: the ready ones, or those with missing entries
-		// when none is ready. Servers that are leaving, replaced or changing their role are left out.
+		// when none is ready. Servers that are leaving, replaced, followed by another one at their address or changing
+		// their role are left out.
 		[[nodiscard]] std::vector<server_pointer> candidates(
 			service_id const& service, server_role role, time_point now) const;
 
@@ -270,6 +275,10 @@
 		// Returns the record of an entry's server: the present one, or that of a departed server that is the same
 		// incarnation, which is then a server of the directory again. Null when there is none.
 		[[nodiscard]] server_pointer find_or_revive(registered_server const& entry);
+		// Compares a record that has come in with the latest process that is known at its address.
+		void note_address(server_pointer const& added);
+		// Returns whether another process is known to have the server's address now.
+		[[nodiscard]] bool is_gone(server_record const& known) const;
 		// Keeps the version of the process that the server had until now.
 		void remember_version(server_id const& id);
 		// Applies an entry of a copy to the server's record and counts it.
@@ -289,6 +298,8 @@
 
 		directory_settings terms;
 		std::map<server_id, server_pointer> servers;
+		// The server at each address whose entry states the latest start.
+		std::map<std::string, std::weak_ptr<server_record>> latest_at;
 		std::map<server_process, past_process> past_processes;
 		std::map<server_id, departed_server> departed;
 		bool is_registry_lost = false;
--- a/tests/unit/directory.test.cpp
+++ b/tests/unit/directory.test.cpp
@@ -1,5 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "routing_support.hpp"
 
 using namespace godwittrestle;
@@ -416,3 +422,120 @@
 	known.note_stated_start(incarnation(1), at_ms(25), at_ms(30));
 	REQUIRE(known.newest_process().started == incarnation(1));
 }
+
+namespace
+{
+	// Two entries of one address: that of a server that has ended and that of the one that has followed it under
+	// another id.
+	struct shared_address
+	{
+		[[nodiscard]] std::vector<std::string> candidates(service_id const& service = service_id("summaries")) const
+		{
+			std::vector<std::string> ids;
+			std::ranges::transform(this->servers.candidates(service, server_role::decode, at_ms(1)),
+				std::back_inserter(ids), [](routing::server_pointer const& each) { return each->entry.id.str(); });
+			return ids;
+		}
+
+		static routing::registered_server make(std::string id, std::uint64_t started)
+		{
+			auto entry = make_server(std::move(id), server_role::decode);
+			entry.started = incarnation(started);
+			return entry;
+		}
+
+		routing::directory servers;
+		routing::registered_server ended = make("ended", 10);
+		routing::registered_server present = make("present", 20);
+	};
+
+	using names = std::vector<std::string>;
+}
+
+// Guards against streams that are refused since their tries go to entries of servers that have ended (LOST).
+TEST_CASE("an entry counts no more once another one names its address and a later start", "[directory]")
+{
+	shared_address system;
+	auto& servers = system.servers;
+	auto const is_present_read_first = GENERATE(false, true);
+	servers.put(is_present_read_first ? system.present : system.ended);
+	servers.put(is_present_read_first ? system.ended : system.present);
+	REQUIRE(system.candidates() == names{"present"});
+	REQUIRE(servers.pools(service_id("summaries"), at_ms(1)).decode == 1);
+	SECTION("pings of the present one change nothing")
+	{
+		servers.put(system.present);
+		REQUIRE(system.candidates() == names{"present"});
+	}
+	SECTION("an entry that is written again unchanged does not count either")
+	{
+		servers.put(system.ended);
+		REQUIRE(system.candidates() == names{"present"});
+	}
+	SECTION("a new start of the server counts")
+	{
+		system.ended.started = incarnation(30);
+		servers.put(system.ended);
+		REQUIRE(system.candidates() == names{"ended"});
+	}
+	SECTION("another address counts")
+	{
+		system.ended.address = "10.0.0.2:80";
+		servers.put(system.ended);
+		REQUIRE(system.candidates() == names{"ended", "present"});
+	}
+	SECTION("a third server follows both, also when the second one is gone")
+	{
+		servers.put(shared_address::make("third", 30));
+		REQUIRE(system.candidates() == names{"third"});
+		servers.remove(system.present.id, at_ms(2));
+		REQUIRE(servers.expire(at_ms(5'000)).size() == 1);
+		REQUIRE(system.candidates() == names{"third"});
+	}
+	SECTION("a present one that is leaving has not given the address back")
+	{
+		system.present.leaving = true;
+		servers.put(system.present);
+		REQUIRE(system.candidates().empty());
+	}
+	SECTION("an entry that comes back as it was does not count")
+	{
+		servers.remove(system.ended.id, at_ms(2));
+		REQUIRE(servers.expire(at_ms(5'000)).size() == 1);
+		servers.put(system.ended);
+		REQUIRE(system.candidates() == names{"present"});
+	}
+}
+
+TEST_CASE("an address that a server of another service has now refutes the entry of before", "[directory]")
+{
+	shared_address system;
+	system.servers.put(system.ended);
+	system.present.service = service_id("drafts");
+	system.servers.put(system.present);
+	REQUIRE(system.candidates().empty());
+	REQUIRE(system.candidates(service_id("drafts")) == names{"present"});
+}
+
+TEST_CASE("entries of one address both count while their order is not known", "[directory]")
+{
+	shared_address system;
+	auto const started = GENERATE(0, 10);
+	system.present.started = incarnation(static_cast<std::uint64_t>(started));
+	system.servers.put(system.ended);
+	system.servers.put(system.present);
+	REQUIRE(system.candidates() == names{"ended", "present"});
+}
+
+// A host whose clock was set back writes an earlier start; the address itself tells who is there.
+TEST_CASE("an entry that was refuted at its address refutes no other", "[directory]")
+{
+	shared_address system;
+	system.servers.put(system.ended);
+	system.servers.put(system.present);
+	system.servers.find(system.present.id)->is_replaced = true;
+	REQUIRE(system.candidates() == names{"ended"});
+	system.servers.remove(system.present.id, at_ms(2));
+	REQUIRE(system.servers.expire(at_ms(5'000)).size() == 1);
+	REQUIRE(system.candidates() == names{"ended"});
+}
