--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -244,7 +244,8 @@
 		}
 		state->attempted_servers.push_back(entry.id.str());
 		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming &&
-							   options.part == call_part::whole && routing::states_start(entry);
+							   options.part == call_part::whole &&
+							   routing::states_start(routing::as_stream_server(entry));
 		engine_connection reached;
 		auto const granted_on = grant.connection ? grant.connection->get() : nullptr;
 		if (is_stream)
@@ -301,7 +302,7 @@
 		auto const present = this->present_record(server);
 		auto const listed = this->shared->servers.find(entry.id);
 		auto const is_leaving = server->is_leaving() || (listed && listed->is_leaving());
-		auto const holder = routing::compare_holder(entry, pooled.holder());
+		auto const holder = routing::compare_holder(routing::as_stream_server(entry), pooled.holder());
 		// Another stream with the same prompt may have been sent meanwhile. The version of a later process than the
 		// entry's is not known.
 		auto const wanted = this->wanted_origin(*state, monotonic_now());
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -149,7 +149,8 @@
 		auto const asked = this->present_record(server);
 		auto const longest_wait = std::min(state->time_left(), longest_end_wait);
 		auto const seen = co_await this->end_check.ask_start(asked, ended_at, longest_wait);
-		auto called = server->entry;
+		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming;
+		auto called = is_stream ? routing::as_stream_server(server->entry) : server->entry;
 		auto const is_writer_known = state->writer && state->writer_send == state->sends;
 		called.started = is_writer_known ? state->writer->started : state->sent_to_process.started;
 		auto const process = routing::judge_process(called, seen);
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -62,7 +62,7 @@
 			}
 			auto const now = monotonic_now();
 			auto const answered_at = connection.answered_at();
-			auto const is_known = connection.holder() || !routing::states_start(entry);
+			auto const is_known = connection.holder() || !routing::states_start(routing::as_stream_server(entry));
 			auto const answered_without = !is_known && answered_at && now - *answered_at < holder_question_pause;
 			if (connection.holder())
 			{
--- a/packages/gateway/impl/forwarder_origin_search.cpp
+++ b/packages/gateway/impl/forwarder_origin_search.cpp
@@ -47,7 +47,8 @@
 		for (auto const& server : this->shared->servers.all() | std::views::values)
 		{
 			auto const is_engine = server->entry.role != routing::server_role::plain;
-			if (is_engine && !this->shared->versions.only_version_since(server->entry.service, since, now))
+			auto const has_streams = is_engine || this->shared->routes->streams_to(server->entry.service);
+			if (has_streams && !this->shared->versions.only_version_since(server->entry.service, since, now))
 			{
 				services.insert(server->entry.service);
 			}
@@ -61,7 +62,7 @@
 	asio::awaitable<void> forwarder::search_origins(service_id service)
 	{
 		auto const begun_at = monotonic_now();
-		auto engines = this->shared->servers.candidates(service, routing::server_role::decode, begun_at);
+		auto engines = this->shared->servers.stream_servers(service, begun_at);
 		std::ranges::sort(engines, std::ranges::greater{}, [this](routing::server_pointer const& each)
 			{ return decide::rank(each->entry.id.str(), this->shared->own_id.str()); });
 		for (auto const& engine : engines | std::views::drop(max_engines_searched))
@@ -162,13 +163,13 @@
 		auto memory_request = this->protocol.write_memory_request(entry.id);
 		auto const text = co_await this->fetch(engine, std::move(memory_request), contents_timeout);
 		auto memory = text ? this->protocol.read_memory(*text) : std::nullopt;
-		if (memory && routing::states_start(entry))
+		if (memory && routing::states_start(routing::as_stream_server(entry)))
 		{
 			// The list names no start: the process that wrote it is the one that was asked before only if it still is
 			// that one afterwards.
 			auto const now = monotonic_now();
 			auto const seen = co_await this->end_check.ask_start(engine, now, contents_timeout);
-			if (routing::judge_start(entry, seen) != routing::process_state::same)
+			if (routing::judge_start(routing::as_stream_server(entry), seen) != routing::process_state::same)
 			{
 				memory.reset();
 			}
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -190,7 +190,9 @@
 		state_pointer state, std::vector<routing::server_pointer> engines, bool is_late)
 	{
 		auto const longest = this->longest_reservation(*state);
-		if (!longest)
+		// Servers without a stage grant no reservations.
+		auto const are_plain = !engines.empty() && engines.front()->entry.role == routing::server_role::plain;
+		if (!longest || are_plain)
 		{
 			for (auto const& engine : engines)
 			{
--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -28,7 +28,7 @@
 			seen.statement = routing::other_process();
 			co_return seen;
 		}
-		if (!routing::states_start(called->entry))
+		if (!this->can_ask_start(called->entry))
 		{
 			co_return seen;
 		}
@@ -62,6 +62,12 @@
 		co_return seen;
 	}
 
+	bool forwarder::can_ask_start(routing::registered_server const& entry) const
+	{
+		auto const is_asked_by_streams = this->shared->routes->streams_to(entry.service);
+		return routing::states_start(is_asked_by_streams ? routing::as_stream_server(entry) : entry);
+	}
+
 	asio::awaitable<routing::process_statement> forwarder::ask_start_directly(routing::server_pointer called)
 	{
 		routing::process_statement stated;
@@ -138,7 +144,8 @@
 	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
 	{
 		auto const may_differ = engine.last_statement || this->has_several_versions(state.service, now);
-		return state.joiner.last_event() && routing::states_start(engine.entry) && may_differ;
+		return state.joiner.last_event() && routing::states_start(routing::as_stream_server(engine.entry)) &&
+			   may_differ;
 	}
 
 	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
@@ -157,14 +164,13 @@
 		state_pointer state, routing::server_pointer engine)
 	{
 		checked_engine checked;
-		auto const& entry = engine->entry;
-		if (!routing::states_start(entry))
+		if (!routing::states_start(routing::as_stream_server(engine->entry)))
 		{
 			checked.may_get_stream = true;
 			co_return checked;
 		}
 		engine_connection reached;
-		if (!this->has_late_question(entry.id))
+		if (!this->has_late_question(engine->entry.id))
 		{
 			auto const wait = longest_answer_wait(*state, *engine);
 			constexpr auto holder_is_needed = true;
@@ -177,6 +183,7 @@
 		}
 		checked.connection = std::move(reached.connection);
 		auto const has_begun = state->joiner.last_event().has_value();
+		auto const entry = routing::as_stream_server(engine->entry);
 		auto const holder = routing::compare_holder(entry, checked.holder());
 		auto const is_later = holder == routing::connection_holder::later;
 		auto const is_refuted = is_later ? has_begun || engine->start_doubted_at
@@ -209,7 +216,7 @@
 	void forwarder::note_start_refuted(
 		request_state& state, routing::server_record& engine, routing::process_evidence const& seen)
 	{
-		if (!routing::is_proved_replaced(engine.entry, seen))
+		if (!routing::is_proved_replaced(routing::as_stream_server(engine.entry), seen))
 		{
 			// Its port is refused, which may change at once.
 			if (engine.start_doubted_at)
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -73,8 +73,7 @@
 			std::ignore = co_await this->wait_for_entry(state, has_entry);
 		}
 		if (!state->origin && !this->apply_known_origin(*state, monotonic_now()) &&
-			!this->apply_only_version(*state, monotonic_now()) &&
-			!this->apply_generated_prompt(*state, monotonic_now()))
+			!this->apply_only_version(*state, monotonic_now()) && !this->apply_generated_prompt(*state))
 		{
 			if (this->lacks_origin(*state))
 			{
@@ -138,7 +137,7 @@
 		return true;
 	}
 
-	bool forwarder::apply_generated_prompt(request_state& state, time_point now)
+	bool forwarder::apply_generated_prompt(request_state& state)
 	{
 		auto const& call = state.call;
 		auto const* const known = this->shared->origins.find(fingerprint_of(call.resumes));
@@ -322,7 +321,7 @@
 		{
 			return std::nullopt;
 		}
-		auto const engines = this->shared->servers.candidates(state.service, routing::server_role::decode, now);
+		auto const engines = this->shared->servers.stream_servers(state.service, now);
 		auto const is_of_origin = [&](routing::server_pointer const& each)
 		{
 			return each->entry.version == wanted->version;
@@ -333,7 +332,7 @@
 	bool forwarder::has_engines(
 		request_state const& state, std::optional<routing::stream_origin> const& bound_to, time_point now) const
 	{
-		auto const engines = this->shared->servers.candidates(state.service, routing::server_role::decode, now);
+		auto const engines = this->shared->servers.stream_servers(state.service, now);
 		return std::ranges::any_of(engines,
 			[&](routing::server_pointer const& each)
 			{
--- a/packages/gateway/impl/forwarder_writers.cpp
+++ b/packages/gateway/impl/forwarder_writers.cpp
@@ -33,7 +33,7 @@
 			return;
 		}
 		state->writer_send = state->sends;
-		if (state->origin || !routing::states_start(server->entry))
+		if (state->origin || !routing::states_start(routing::as_stream_server(server->entry)))
 		{
 			routing::stream_origin const of_entry{state->service, server->entry.version};
 			this->record_origin(*state, {state->origin.value_or(of_entry), now, this->shared->own_id});
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -127,7 +127,7 @@
 		[[nodiscard]] bool apply_only_version(request_state& state, time_point now);
 		// Sets the origin of a stream that is taken up, and of which no daemon has a record, to the only version whose
 		// engines have generated it.
-		[[nodiscard]] bool apply_generated_prompt(request_state& state, time_point now);
+		[[nodiscard]] bool apply_generated_prompt(request_state& state);
 		// Returns whether this daemon would know if others knew of further versions: it has read the registry, or they
 		// have said what they know.
 		[[nodiscard]] bool is_view_complete(request_state const& state, time_point now) const;
@@ -184,10 +184,12 @@
 		// as an engine of that version may serve it.
 		[[nodiscard]] std::optional<routing::stream_origin> wanted_origin(
 			request_state const& state, time_point now) const;
-		// Returns the origin to which the stream is bound; nothing while all decode engines have its version.
+		// Returns the origin to which the stream is bound; nothing while all servers that may get streams have its
+		// version.
 		[[nodiscard]] std::optional<routing::stream_origin> bound_origin(
 			request_state const& state, time_point now) const;
-		// Returns whether there is a decode engine that may serve the stream now or later. bound_to: see bound_origin.
+		// Returns whether there is a server (directory::stream_servers) that may serve the stream now or later.
+		// bound_to: see bound_origin.
 		[[nodiscard]] bool has_engines(
 			request_state const& state, std::optional<routing::stream_origin> const& bound_to, time_point now) const;
 		// Returns whether another daemon may and can serve the request.
@@ -339,6 +341,9 @@
 			state_pointer state, unread_answer& answer, routing::server_pointer server);
 		// Asks a server for its start, if it states one. called: its record when the call in question was sent.
 		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start(routing::server_pointer called);
+		// Returns whether a server can be asked for its start. A plain server is asked if streams are led to its
+		// service.
+		[[nodiscard]] bool can_ask_start(routing::registered_server const& entry) const;
 		// Asks on a connection of its own, which counts for no limit of this daemon: the one that has ended has left
 		// its place at the server.
 		[[nodiscard]] asio::awaitable<routing::process_statement> ask_start_directly(routing::server_pointer called);
--- a/packages/routing/impl/configuration.cpp
+++ b/packages/routing/impl/configuration.cpp
@@ -67,6 +67,16 @@
 		return longest;
 	}
 
+	bool route_table::streams_to(service_id const& service) const
+	{
+		return std::ranges::any_of(this->config.routes,
+			[&](route const& each)
+			{
+				auto const found = std::ranges::find(each.targets, service, &weighted_service::service);
+				return each.kind == call_kind::streaming && found != each.targets.end();
+			});
+	}
+
 	service_id const& choose_service(route const& chosen, double draw)
 	{
 		auto const add = [](std::uint64_t sum, weighted_service const& each)
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -328,6 +328,16 @@
 		return ready.empty() ? missing : ready;
 	}
 
+	std::vector<server_pointer> directory::stream_servers(service_id const& service, time_point now) const
+	{
+		auto const is_engine = [&](server_pointer const& each)
+		{
+			return each->entry.service == service && each->entry.role != server_role::plain;
+		};
+		auto const has_engines = std::ranges::any_of(this->servers | std::views::values, is_engine);
+		return this->candidates(service, has_engines ? server_role::decode : server_role::plain, now);
+	}
+
 	pool_sizes directory::pools(service_id const& service, time_point now) const
 	{
 		pool_sizes sizes;
--- a/packages/routing/impl/placement.cpp
+++ b/packages/routing/impl/placement.cpp
@@ -106,7 +106,7 @@
 			server_pointer engine;
 		};
 
-		auto candidates = servers.candidates(request.service, server_role::decode, now);
+		auto candidates = servers.stream_servers(request.service, now);
 		std::erase_if(candidates,
 			[&](server_pointer const& each)
 			{
--- a/packages/routing/impl/process_evidence.cpp
+++ b/packages/routing/impl/process_evidence.cpp
@@ -33,6 +33,12 @@
 		return server.role != server_role::plain && server.started != incarnation();
 	}
 
+	registered_server as_stream_server(registered_server entry)
+	{
+		entry.role = entry.role == server_role::plain ? server_role::decode : entry.role;
+		return entry;
+	}
+
 	bool is_proved_replaced(registered_server const& called, process_evidence const& seen) noexcept
 	{
 		auto const stated = seen.stated();
--- a/packages/routing/include/godwittrestle/routing/configuration.hpp
+++ b/packages/routing/include/godwittrestle/routing/configuration.hpp
@@ -131,6 +131,9 @@
 		// Returns the longest timeout of the routes that stream; zero when there are none.
 		[[nodiscard]] duration longest_stream() const;
 
+		// Returns whether a route that streams leads to the service.
+		[[nodiscard]] bool streams_to(service_id const& service) const;
+
 		[[nodiscard]] platform_version version() const noexcept
 		{
 			return this->config.version;
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -236,6 +236,10 @@
 		[[nodiscard]] std::vector<server_pointer> candidates(
 			service_id const& service, server_role role, time_point now) const;
 
+		// Returns the servers of a service that may get streams: its decode engines or, of a service that lists no
+		// engine of either stage, its plain servers. See candidates().
+		[[nodiscard]] std::vector<server_pointer> stream_servers(service_id const& service, time_point now) const;
+
 		// Returns how many ready engines of a service prefill and how many decode. Engines that are changing their role
 		// count with the new role.
 		[[nodiscard]] pool_sizes pools(service_id const& service, time_point now) const;
--- a/packages/routing/include/godwittrestle/routing/placement.hpp
+++ b/packages/routing/include/godwittrestle/routing/placement.hpp
@@ -60,10 +60,11 @@
 	[[nodiscard]] server_pointer place_call(
 		directory const& servers, placement_request const& request, random_draw const& draw, time_point now);
 
-	// Returns the decode engines that a stream may use, those with the least committed memory first. Engines that
-	// reported no free memory a moment ago, or that lack enough of it by what this daemon knows of its own and other
-	// daemons' streams, are left out: an engine that accepts streams which do not all fit preempts some later, and
-	// their prompts have to be prefilled again. An engine without committed memory fits any stream.
+	// Returns the decode engines, or the servers that stand for them (directory::stream_servers), that a stream may
+	// use, those with the least committed memory first. Engines that reported no free memory a moment ago, or that lack
+	// enough of it by what this daemon knows of its own and other daemons' streams, are left out: an engine that
+	// accepts streams which do not all fit preempts some later, and their prompts have to be prefilled again. An engine
+	// without committed memory fits any stream.
 	[[nodiscard]] std::vector<server_pointer> rank_decode_engines(
 		directory const& servers, placement_request const& request, random_draw const& draw, time_point now);
 
--- a/packages/routing/include/godwittrestle/routing/process_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/process_evidence.hpp
@@ -83,6 +83,10 @@
 	// Returns whether a server can be asked for its start: engines state it, and the entry must state one to compare.
 	[[nodiscard]] bool states_start(registered_server const& server) noexcept;
 
+	// Returns a server's entry as streams see it: a server without a stage serves them as a decode engine does, and
+	// they ask it for its start.
+	[[nodiscard]] registered_server as_stream_server(registered_server entry);
+
 	// Returns whether it is proved that another process has taken the place of the one that the entry names.
 	[[nodiscard]] bool is_proved_replaced(registered_server const& called, process_evidence const& seen) noexcept;
 
--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -62,9 +62,10 @@
 		}
 	}
 
-	streaming_server::streaming_server(std::string given_id, std::string given_version)
+	streaming_server::streaming_server(std::string given_id, std::string given_version, routing::server_role given_role)
 		: id(std::move(given_id))
 		, version(std::move(given_version))
+		, role(given_role)
 	{
 		this->listen(0);
 		this->thread.start();
@@ -142,8 +143,7 @@
 
 	routing::registered_server streaming_server::entry() const
 	{
-		auto entry =
-			make_server(this->id, http::to_string({"127.0.0.1", this->listener->port()}), routing::server_role::decode);
+		auto entry = make_server(this->id, http::to_string({"127.0.0.1", this->listener->port()}), this->role);
 		entry.version = software_version(this->version);
 		entry.started = incarnation(this->starts);
 		return entry;
@@ -230,12 +230,13 @@
 		this->running.erase(attempt);
 	}
 
-	server_list make_servers(std::size_t count, std::string const& version)
+	server_list make_servers(std::size_t count, std::string const& version, routing::server_role role)
 	{
 		server_list servers;
 		for (std::size_t number = 0; number < count; ++number)
 		{
-			servers.push_back(std::make_unique<streaming_server>(fmt::format("{}-s{}", version, number), version));
+			servers.push_back(
+				std::make_unique<streaming_server>(fmt::format("{}-s{}", version, number), version, role));
 		}
 		return servers;
 	}
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -27,7 +27,8 @@
 	class streaming_server
 	{
 	  public:
-		streaming_server(std::string id, std::string version);
+		// role: what the server's entry states; a plain server is one without a stage.
+		streaming_server(std::string id, std::string version, routing::server_role role = routing::server_role::decode);
 		~streaming_server();
 
 		streaming_server(streaming_server const&) = delete;
@@ -76,6 +77,7 @@
 
 		std::string id;
 		std::string version;
+		routing::server_role role;
 		// Number of starts, which the server states as its start.
 		std::uint64_t starts = 1;
 		std::atomic<unsigned> breaks = 0;
@@ -95,7 +97,8 @@
 	using server_list = std::vector<std::unique_ptr<streaming_server>>;
 
 	// Starts servers of one version.
-	[[nodiscard]] server_list make_servers(std::size_t count, std::string const& version);
+	[[nodiscard]] server_list make_servers(
+		std::size_t count, std::string const& version, routing::server_role role = routing::server_role::decode);
 
 	// Returns the registry entries of servers.
 	[[nodiscard]] std::vector<routing::registered_server> entries_of(server_list const& servers);
--- a/tests/unit/placement.test.cpp
+++ b/tests/unit/placement.test.cpp
@@ -209,6 +209,26 @@
 	}
 }
 
+TEST_CASE("a stream goes to plain servers only when its service lists no engine of either stage", "[placement]")
+{
+	routing::directory servers;
+	servers.put(make_server("a", server_role::plain));
+	servers.put(make_server("b", server_role::plain));
+	servers.put(make_server("elsewhere", server_role::decode, "other"));
+	auto const request = make_request();
+	auto const engines = routing::rank_decode_engines(servers, request, constant_draw(), at_ms(1));
+	REQUIRE(engines.size() == 2);
+	auto const placed =
+		routing::place_prefill(servers, request, engines.front(), make_speed(), constant_draw(), at_ms(1));
+	REQUIRE_FALSE(placed.prefill);
+	servers.put(make_server("p", server_role::prefill));
+	REQUIRE(routing::rank_decode_engines(servers, request, constant_draw(), at_ms(1)).empty());
+	servers.put(make_server("d", server_role::decode));
+	auto const decode = routing::rank_decode_engines(servers, request, constant_draw(), at_ms(1));
+	REQUIRE(decode.size() == 1);
+	REQUIRE(decode.front()->entry.id == server_id("d"));
+}
+
 TEST_CASE("a stream that has begun is placed only on engines of its software version", "[placement]")
 {
 	auto servers = make_engines();
