--- a/packages/gateway/impl/forwarder_origin_search.cpp
+++ b/packages/gateway/impl/forwarder_origin_search.cpp
@@ -47,7 +47,8 @@
 		for (auto const& server : this->shared->servers.all() | std::views::values)
 		{
 			auto const is_engine = server->entry.role != routing::server_role::plain;
-			auto const has_streams = is_engine || this->shared->routes->streams_to(server->entry.service);
+			auto const& routes = this->shared->routes;
+			auto const has_streams = is_engine || (routes && routes->streams_to(server->entry.service));
 			if (has_streams && !this->shared->versions.only_version_since(server->entry.service, since, now))
 			{
 				services.insert(server->entry.service);
@@ -65,9 +66,9 @@
 		auto engines = this->shared->servers.stream_servers(service, begun_at);
 		std::ranges::sort(engines, std::ranges::greater{}, [this](routing::server_pointer const& each)
 			{ return decide::rank(each->entry.id.str(), this->shared->own_id.str()); });
-		for (auto const& engine : engines | std::views::drop(max_engines_searched))
+		for (auto const& engine : engines)
 		{
-			this->shared->holders.note_unlisted({service, engine->entry.version}, begun_at);
+			this->shared->holders.note_unlisted(engine->entry.id, {service, engine->entry.version}, begun_at);
 		}
 		engines.resize(std::min(engines.size(), max_engines_searched));
 		auto const search = std::make_shared<origin_search>();
@@ -147,12 +148,12 @@
 			std::vector<routing::kept_part> kept;
 			std::ranges::transform(memory->parts, std::back_inserter(kept),
 				[](listed_part const& each) { return routing::kept_part{fingerprint_of(each.id), each.tokens}; });
-			this->shared->holders.note_listed(holder, kept, now);
+			this->shared->holders.note_listed(entry.id, holder, kept, now);
 		}
 		if (!memory || !memory->is_whole)
 		{
 			++search->unlisted;
-			this->shared->holders.note_unlisted(holder, now);
+			this->shared->holders.note_unlisted(entry.id, holder, now);
 		}
 		--search->unanswered;
 	}
--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -64,7 +64,8 @@
 
 	bool forwarder::can_ask_start(routing::registered_server const& entry) const
 	{
-		auto const is_asked_by_streams = this->shared->routes->streams_to(entry.service);
+		auto const& routes = this->shared->routes;
+		auto const is_asked_by_streams = routes && routes->streams_to(entry.service);
 		return routing::states_start(is_asked_by_streams ? routing::as_stream_server(entry) : entry);
 	}
 
--- a/packages/gateway/impl/forwarder_versions.cpp
+++ b/packages/gateway/impl/forwarder_versions.cpp
@@ -284,7 +284,8 @@
 
 	asio::awaitable<void> forwarder::settle_prompt_version(state_pointer state)
 	{
-		if (state->origin || state->joiner.last_event() || state->call.prompt_parts.empty())
+		auto const is_new = !state->origin && !state->joiner.last_event() && !state->call.prompt_parts.empty();
+		if (!is_new || !this->has_several_versions(state->service, monotonic_now()))
 		{
 			co_return;
 		}
@@ -302,6 +303,11 @@
 		{
 			return state.origin;
 		}
+		if (now >= state.first_event_deadline() || !this->has_several_versions(state.service, now))
+		{
+			// A stream that would be late takes any engine.
+			return std::nullopt;
+		}
 		auto const* const known = this->shared->origins.find(prompt_key(state.call));
 		auto const& part = state.call.prompt_parts.back();
 		if (known != nullptr && !known->is_version_known)
@@ -316,17 +322,16 @@
 
 	std::optional<routing::stream_origin> forwarder::bound_origin(request_state const& state, time_point now) const
 	{
-		auto const wanted = this->wanted_origin(state, now);
-		if (!wanted)
+		if (!state.origin)
 		{
 			return std::nullopt;
 		}
 		auto const engines = this->shared->servers.stream_servers(state.service, now);
 		auto const is_of_origin = [&](routing::server_pointer const& each)
 		{
-			return each->entry.version == wanted->version;
+			return each->entry.version == state.origin->version;
 		};
-		return std::ranges::all_of(engines, is_of_origin) ? std::nullopt : wanted;
+		return std::ranges::all_of(engines, is_of_origin) ? std::nullopt : state.origin;
 	}
 
 	bool forwarder::has_engines(
--- a/packages/routing/impl/prompt_holders.cpp
+++ b/packages/routing/impl/prompt_holders.cpp
@@ -5,13 +5,15 @@
 
 namespace godwittrestle::routing
 {
-	void prompt_holders::note_listed(stream_origin const& holder, std::vector<kept_part> const& kept, time_point now)
+	void prompt_holders::note_listed(
+		server_id const& engine, stream_origin const& holder, std::vector<kept_part> const& kept, time_point now)
 	{
 		if (this->parts.size() + kept.size() > max_parts)
 		{
-			this->note_unlisted(holder, now);
+			this->note_unlisted(engine, holder, now);
 			return;
 		}
+		this->unlisted.erase(engine);
 		for (auto const& each : kept)
 		{
 			auto& holders = this->parts[each.part];
@@ -21,9 +23,9 @@
 		}
 	}
 
-	void prompt_holders::note_unlisted(stream_origin const& engine, time_point now)
+	void prompt_holders::note_unlisted(server_id const& engine, stream_origin const& origin, time_point now)
 	{
-		this->unlisted[engine] = now;
+		this->unlisted[engine] = {origin, now};
 	}
 
 	std::optional<software_version> prompt_holders::only_writer(unrecorded_stream const& stream) const
@@ -47,8 +49,8 @@
 			return std::nullopt;
 		}
 		auto const& writer = *writers.begin();
-		auto const is_other_unlisted = std::ranges::any_of(this->unlisted,
-			[&](auto const& item) { return item.first.service == stream.service && item.first.version != writer; });
+		auto const is_other_unlisted = std::ranges::any_of(this->unlisted, [&](auto const& item)
+			{ return item.second.origin.service == stream.service && item.second.origin.version != writer; });
 		return is_other_unlisted ? std::nullopt : std::optional(writer);
 	}
 
@@ -66,6 +68,6 @@
 	void prompt_holders::expire(time_point before)
 	{
 		std::erase_if(this->parts, [&](auto const& item) { return item.second.noted_at < before; });
-		std::erase_if(this->unlisted, [&](auto const& item) { return item.second < before; });
+		std::erase_if(this->unlisted, [&](auto const& item) { return item.second.noted_at < before; });
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/prompt_holders.hpp
+++ b/packages/routing/include/godwittrestle/routing/prompt_holders.hpp
@@ -41,10 +41,11 @@
 		static constexpr std::size_t max_parts = 16'384;
 
 		// Records what an engine of a service's version keeps.
-		void note_listed(stream_origin const& holder, std::vector<kept_part> const& parts, time_point now);
+		void note_listed(
+			server_id const& engine, stream_origin const& holder, std::vector<kept_part> const& parts, time_point now);
 
-		// Records that an engine of a version was not asked what it keeps, or did not say.
-		void note_unlisted(stream_origin const& engine, time_point now);
+		// Records that it is not known what an engine of a version keeps: it was not asked, or did not say yet.
+		void note_unlisted(server_id const& engine, stream_origin const& origin, time_point now);
 
 		// Returns the only version whose engines have generated a stream; nothing when none or several have, or when an
 		// engine of another version did not say what it keeps.
@@ -65,7 +66,13 @@
 			time_point noted_at;
 		};
 
+		struct unlisted_engine
+		{
+			stream_origin origin;
+			time_point noted_at;
+		};
+
 		std::map<fingerprint, part_holders> parts;
-		std::map<stream_origin, time_point> unlisted;
+		std::map<server_id, unlisted_engine> unlisted;
 	};
 }
--- a/tests/unit/prompt_holders.test.cpp
+++ b/tests/unit/prompt_holders.test.cpp
@@ -18,6 +18,8 @@
 	service_id const digests{"digests"};
 	stream_origin const old_origin{digests, software_version("v1")};
 	stream_origin const new_origin{digests, software_version("v1.1")};
+	server_id const old_engine{"s1"};
+	server_id const new_engine{"s2"};
 	fingerprint const part(5);
 	constexpr token_count part_tokens{800};
 	constexpr token_count some_events{12};
@@ -33,12 +35,12 @@
 TEST_CASE("an engine that only keeps a prompt has not begun its stream", "[prompt_holders]")
 {
 	prompt_holders holders;
-	holders.note_listed(new_origin, generated(0), at_ms(0));
+	holders.note_listed(new_engine, new_origin, generated(0), at_ms(0));
 	REQUIRE_FALSE(holders.only_writer(taken_up));
 	// It has generated less than the caller has.
-	holders.note_listed(new_origin, generated(11), at_ms(0));
+	holders.note_listed(new_engine, new_origin, generated(11), at_ms(0));
 	REQUIRE_FALSE(holders.only_writer(taken_up));
-	holders.note_listed(old_origin, generated(12), at_ms(0));
+	holders.note_listed(old_engine, old_origin, generated(12), at_ms(0));
 	REQUIRE(holders.only_writer(taken_up) == old_origin.version);
 	// Where events are not numbered from 1, some token shows that it has generated.
 	auto const without_count = unrecorded_stream{digests, part, part_tokens, token_count()};
@@ -48,8 +50,8 @@
 TEST_CASE("nothing is known when engines of several versions have generated the stream", "[prompt_holders]")
 {
 	prompt_holders holders;
-	holders.note_listed(old_origin, generated(40), at_ms(0));
-	holders.note_listed(new_origin, generated(40), at_ms(0));
+	holders.note_listed(old_engine, old_origin, generated(40), at_ms(0));
+	holders.note_listed(new_engine, new_origin, generated(40), at_ms(0));
 	REQUIRE_FALSE(holders.only_writer(taken_up));
 	REQUIRE_FALSE(prompt_holders().only_writer(taken_up));
 	auto const elsewhere = unrecorded_stream{service_id("other"), part, part_tokens, some_events};
@@ -59,11 +61,14 @@
 TEST_CASE("an engine of another version that does not say what it keeps may have begun the stream", "[prompt_holders]")
 {
 	prompt_holders holders;
-	holders.note_listed(old_origin, generated(40), at_ms(0));
-	holders.note_unlisted(old_origin, at_ms(0));
+	holders.note_listed(old_engine, old_origin, generated(40), at_ms(0));
+	holders.note_unlisted(server_id("s3"), old_origin, at_ms(0));
 	REQUIRE(holders.only_writer(taken_up) == old_origin.version);
-	holders.note_unlisted(new_origin, at_ms(10));
+	holders.note_unlisted(new_engine, new_origin, at_ms(10));
 	REQUIRE_FALSE(holders.only_writer(taken_up));
+	// It says so later.
+	holders.note_listed(new_engine, new_origin, {}, at_ms(10));
+	REQUIRE(holders.only_writer(taken_up) == old_origin.version);
 	holders.expire(at_ms(11));
 	REQUIRE_FALSE(holders.only_writer(taken_up));
 }
@@ -71,13 +76,13 @@
 TEST_CASE("an engine whose list is too long counts as one that did not say what it keeps", "[prompt_holders]")
 {
 	prompt_holders holders;
-	holders.note_listed(old_origin, generated(40), at_ms(0));
+	holders.note_listed(old_engine, old_origin, generated(40), at_ms(0));
 	std::vector<kept_part> many;
 	for (std::uint64_t number = 100; many.size() <= prompt_holders::max_parts; ++number)
 	{
 		many.push_back({fingerprint(number), token_count(1)});
 	}
-	holders.note_listed(new_origin, many, at_ms(0));
+	holders.note_listed(new_engine, new_origin, many, at_ms(0));
 	REQUIRE_FALSE(holders.only_writer(taken_up));
 }
 
@@ -176,12 +181,12 @@
 				break;
 			case event::old_asked:
 			case event::new_asked:
-				now.holders.note_listed(
-					origin, engine.keeps_part ? generated(engine.generated) : std::vector<kept_part>(), at_ms(0));
+				now.holders.note_listed(is_of_new(next) ? new_engine : old_engine, origin,
+					engine.keeps_part ? generated(engine.generated) : std::vector<kept_part>(), at_ms(0));
 				break;
 			case event::old_silent:
 			case event::new_silent:
-				now.holders.note_unlisted(origin, at_ms(0));
+				now.holders.note_unlisted(is_of_new(next) ? new_engine : old_engine, origin, at_ms(0));
 				break;
 		}
 	}
