--- a/packages/daemon/impl/telemetry.cpp
+++ b/packages/daemon/impl/telemetry.cpp
@@ -23,7 +23,7 @@
 		{
 			return name.starts_with("daemon_") || name.starts_with("config") || name.starts_with("cell_") ||
 				   name.starts_with("server_") || name.starts_with("orphan_") || name == "ready" || name == "leaving" ||
-				   name == "left" || name == "woke_up" || name == "answer_whole" || name.starts_with("request_") ||
+				   name == "left" || name == "woke_up" || name.starts_with("answer_") || name.starts_with("request_") ||
 				   name.starts_with("registry_") || name.starts_with("settings_") || name.starts_with("servers_") ||
 				   name.starts_with("stream_") || name.starts_with("peer_") || name == "started" || name == "stopped" ||
 				   name == "draining" || name == "requests_ended" || name == "drained";
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -22,8 +22,6 @@
 	{
 		constexpr unsigned first_server_error = 500;
 		constexpr duration rejected_decode_pause = milliseconds(300);
-		// Longest wait for the word of a server whose answer has ended with its connection.
-		constexpr duration longest_end_wait = milliseconds(1500);
 
 		routing::call_outcome to_call_outcome(send_failure failure) noexcept
 		{
@@ -45,15 +43,6 @@
 			return routing::call_outcome::broken;
 		}
 
-		// Returns a server's entry as it is judged at the end of an answer. One that states its start now, or has
-		// before, is held to it, whatever its role: without a statement, another process may be at its address.
-		routing::registered_server to_judged_entry(
-			routing::server_record const& server, bool is_stream, routing::process_evidence const& seen)
-		{
-			auto const states_start = is_stream || server.last_statement || seen.stated();
-			return states_start ? routing::as_stream_server(server.entry) : server.entry;
-		}
-
 		// Returns the log fields that tell which versions' events a stream holds, and which stream it takes up.
 		std::vector<decide::event_field> stream_fields(
 			std::vector<software_version> const& versions, request_metadata const& call)
@@ -82,6 +71,10 @@
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
 				connection->close();
+				if (*failure == http::upstream_failure::broken)
+				{
+					this->note_answer_broken(*state, *server, monotonic_now());
+				}
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
 			}
 			auto& text = std::get<std::string>(piece);
@@ -92,6 +85,7 @@
 				auto const is_whole = co_await this->is_whole(state, answer, server);
 				if (!is_whole)
 				{
+					this->note_answer_broken(*state, *server, monotonic_now());
 					co_return send_failure::broken;
 				}
 			}
@@ -145,41 +139,6 @@
 		co_return std::nullopt;
 	}
 
-	asio::awaitable<bool> forwarder::is_whole(
-		state_pointer state, unread_answer& answer, routing::server_pointer server)
-	{
-		if (!state->wants_answer() || !answer.connection->ends_with_connection())
-		{
-			co_return true;
-		}
-		if (state->is_relayed_on)
-		{
-			// Daemons send a length or chunks, so this is no answer of theirs.
-			co_return false;
-		}
-		auto const ended_at = monotonic_now();
-		// The connection has ended, so it takes no place of the one that asks.
-		answer.connection.release();
-		auto const asked = this->present_record(server);
-		auto const longest_wait = std::min(state->time_left(), longest_end_wait);
-		auto const seen = co_await this->end_check.ask_start(asked, ended_at, longest_wait);
-		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming;
-		auto called = to_judged_entry(*this->present_record(server), is_stream, seen);
-		auto const is_writer_known = state->writer && state->writer_send == state->sends;
-		called.started = is_writer_known ? state->writer->started : state->sent_to_process.started;
-		auto const process = routing::judge_process(called, seen);
-		if (process == routing::process_state::ended && !this->shared->reach.is_doubtful())
-		{
-			this->shared->servers.note_end_sign(server->entry.id, ended_at);
-		}
-		this->log_event(*state, "answer_ended_with_connection",
-			{{"server", server->entry.id.str()}, {"process", std::string(routing::to_string(process))},
-				{"events", std::to_string(state->joiner.events() - state->events_before_send)},
-				{"last_event", state->joiner.last_event().value_or("")},
-				{"asked_ms", milliseconds_text(monotonic_now() - ended_at)}});
-		co_return process == routing::process_state::same;
-	}
-
 	void forwarder::record_server_state(routing::server_record& server, answer_metadata const& metadata)
 	{
 		server.load.note_heard(monotonic_now());
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -215,6 +215,8 @@
 		std::optional<time_point> first_event_at;
 		time_point last_event_at;
 		duration longest_gap{};
+		// Time from the last bytes of the answer, once they were passed on, to its end.
+		duration end_delay{};
 		// Address of the engine that prefilled the prompt. It may still hold the KV cache when the stream is resumed on
 		// another decode engine.
 		std::optional<std::string> prompt_cache_address;
@@ -301,6 +303,13 @@
 			return this->sent_at && this->joiner.events() < this->events_before_send + min_events_of_answer;
 		}
 
+		// Returns the mean time between the events that were passed on; zero when it is not known.
+		[[nodiscard]] duration mean_gap() const noexcept
+		{
+			auto const gaps = static_cast<duration::rep>(this->joiner.events()) - 1;
+			return gaps > 0 && this->first_event_at ? (this->last_event_at - *this->first_event_at) / gaps : duration{};
+		}
+
 		void note_event(time_point now)
 		{
 			if (this->first_event_at)
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -359,10 +359,16 @@
 			auto const left = std::max(duration{}, max_silence.before_move - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
 			auto wait_on = this->wait_unless_moved(state, server, max_silence, progress_at);
+			auto const waits_since = monotonic_now();
 			auto piece = co_await connection->read_piece(wait, std::move(wait_on));
+			state->end_delay = monotonic_now() - waits_since;
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
 				connection->close();
+				if (*failure == http::upstream_failure::broken)
+				{
+					this->note_answer_broken(*state, *server, monotonic_now());
+				}
 				this->note_unheard(*state, server->entry.id);
 				state->joiner.restart();
 				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
@@ -385,6 +391,7 @@
 			if (is_broken)
 			{
 				connection->close();
+				this->note_answer_broken(*state, *server, monotonic_now());
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -383,6 +383,8 @@
 		// lives on.
 		[[nodiscard]] asio::awaitable<bool> is_whole(
 			state_pointer state, unread_answer& answer, routing::server_pointer server);
+		// Records that a server has broken an answer off, unless its caller is gone.
+		void note_answer_broken(request_state const& state, routing::server_record const& server, time_point now);
 		// Asks a server for its start, if it states one. called: its record when the call in question was sent.
 		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_start(routing::server_pointer called);
 		// Returns whether a server can be asked for its start: its entry states one, and a configuration names its
--- a/packages/routing/impl/process_evidence.cpp
+++ b/packages/routing/impl/process_evidence.cpp
@@ -14,6 +14,12 @@
 		return stated == nullptr ? std::nullopt : std::optional(stated->start);
 	}
 
+	bool process_evidence::names_run(request_id const& attempt) const
+	{
+		auto const* const stated = std::get_if<start_stated>(&this->statement);
+		return stated != nullptr && stated->running && stated->running->contains(attempt);
+	}
+
 	std::string_view to_string(process_state state) noexcept
 	{
 		switch (state)
@@ -71,7 +77,6 @@
 		{
 			return std::nullopt;
 		}
-		auto const is_running = stated->running && stated->running->contains(attempt);
-		return stated->start == sent_to || is_running ? std::optional(stated->start) : std::nullopt;
+		return stated->start == sent_to || seen.names_run(attempt) ? std::optional(stated->start) : std::nullopt;
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -73,6 +73,9 @@
 		// entry's start. Unlike start_doubted_at it concerns only streams that have begun, so it is kept at all times.
 		std::optional<time_point> end_sign_at;
 
+		// Time at which an answer of the server was last broken off.
+		std::optional<time_point> answer_broken_at;
+
 		// The start that the server has stated, when it is not that of the entry: the entry of this process has not
 		// been read yet.
 		std::optional<incarnation> stated_start;
--- a/packages/routing/include/godwittrestle/routing/process_evidence.hpp
+++ b/packages/routing/include/godwittrestle/routing/process_evidence.hpp
@@ -67,6 +67,9 @@
 
 		// Returns the start that was stated; nothing when none was.
 		[[nodiscard]] std::optional<incarnation> stated() const noexcept;
+
+		// Returns whether the process named a caller's attempt among those that it runs.
+		[[nodiscard]] bool names_run(request_id const& attempt) const;
 	};
 
 	// What has become of the process that a call was sent to.
