--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -82,8 +82,8 @@
 			body += text;
 			if (is_end)
 			{
-				auto const is_whole = co_await this->is_whole(state, answer, server);
-				if (!is_whole)
+				auto const end = co_await this->settle_end(state, answer, server, std::nullopt);
+				if (!end.is_whole)
 				{
 					this->note_answer_broken(*state, *server, monotonic_now());
 					co_return send_failure::broken;
--- a/packages/gateway/impl/forwarder_relays.cpp
+++ b/packages/gateway/impl/forwarder_relays.cpp
@@ -222,7 +222,8 @@
 		if (status == status_ok && state->matched_route->kind == routing::call_kind::streaming)
 		{
 			load_guard const guard(peer, token_count{}, token_count{});
-			co_return co_await this->forward_events(state, answer, peer, guard.id());
+			silence_limits const first_silence{default_timeout, default_timeout};
+			co_return co_await this->forward_events(state, answer, peer, guard.id(), first_silence);
 		}
 		co_return co_await this->forward_answer(state, answer, peer);
 	}
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -216,7 +216,8 @@
 			// Two statements, because GCC 12 runs the wrong branch of a conditional expression that contains co_await.
 			if (answer->head.status == status_ok)
 			{
-				failure = co_await this->forward_events(state, *answer, placement.decode, guard->id());
+				silence_limits const first_silence{default_timeout, default_timeout};
+				failure = co_await this->forward_events(state, *answer, placement.decode, guard->id(), first_silence);
 			}
 			else
 			{
@@ -338,12 +339,11 @@
 		co_return kv_source{server->entry.address, std::move(*handle)};
 	}
 
-	asio::awaitable<std::optional<send_failure>> forwarder::forward_events(
-		state_pointer state, unread_answer& answer, routing::server_pointer server, call_id call)
+	asio::awaitable<std::optional<send_failure>> forwarder::forward_events(state_pointer state, unread_answer& answer,
+		routing::server_pointer server, call_id call, silence_limits max_silence)
 	{
 		auto const is_repeatable = state->matched_route->is_repeatable();
 		auto const connection = answer.connection.get();
-		silence_limits max_silence{default_timeout, default_timeout};
 		// Only complete events count as progress of the stream.
 		auto progress_at = monotonic_now();
 		while (true)
@@ -385,8 +385,13 @@
 			auto is_broken = !passed_on || is_empty_without_length || state->joiner.is_overlong();
 			if (is_end && !is_broken)
 			{
-				auto const is_whole = co_await this->is_whole(state, answer, server);
-				is_broken = !is_whole;
+				this->note_end_habit(*state);
+				auto const end = co_await this->settle_end(state, answer, server, call);
+				if (end.has_gone_on)
+				{
+					co_return end.failure;
+				}
+				is_broken = !end.is_whole;
 			}
 			if (is_broken)
 			{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -104,6 +104,15 @@
 		struct reservation_question;
 		struct margin_probe;
 
+		// What was found out at the end of an answer.
+		struct end_outcome
+		{
+			bool is_whole = false;
+			// Whether the stream has gone on: it was passed on to its end, or to the failure.
+			bool has_gone_on = false;
+			std::optional<routing::send_failure> failure;
+		};
+
 		// How long a server may be silent.
 		struct silence_limits
 		{
@@ -372,17 +381,29 @@
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> run_stream(
 			state_pointer state, routing::stream_placement placement, reserved_engine granted);
 		// Passes the events of a stream on as they arrive. Returns the failure when the stream ends early or stalls.
-		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_events(
-			state_pointer state, unread_answer& answer, routing::server_pointer server, call_id call);
+		// max_silence: before the first of these events.
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_events(state_pointer state,
+			unread_answer& answer, routing::server_pointer server, call_id call, silence_limits max_silence);
 		// Passes an answer on. A large one is streamed, whatever its status. A smaller one is passed on when it is
 		// complete; if its status is an error of the server, server_error is returned instead.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> forward_answer(
 			state_pointer state, unread_answer& answer, routing::server_pointer server);
-		// Returns whether an answer that has been read to its end is whole. One that has neither a length nor chunks
-		// ends with its connection, also when its server is killed, so it is whole only if the process that wrote it
-		// lives on.
-		[[nodiscard]] asio::awaitable<bool> is_whole(
-			state_pointer state, unread_answer& answer, routing::server_pointer server);
+		// Finds out whether an answer that has been read to its end is whole. One that has neither a length nor chunks
+		// ends with its connection, also when its server is killed or breaks it off. call: of a stream, which may go on
+		// then; nothing for other answers.
+		[[nodiscard]] asio::awaitable<end_outcome> settle_end(
+			state_pointer state, unread_answer& answer, routing::server_pointer server, std::optional<call_id> call);
+		// Asks the server of such an answer for its start, and returns what is seen of the end.
+		[[nodiscard]] asio::awaitable<routing::answer_end> look_at_end(
+			state_pointer state, routing::server_pointer server, time_point ended_at);
+		// Lets a stream go on at the process that has ended it, and passes on what follows its last event. Does nothing
+		// when that process can't be reached, or this part of the retry budget is spent.
+		[[nodiscard]] asio::awaitable<end_outcome> let_go_on(
+			state_pointer state, routing::server_pointer server, call_id call, double budget_part);
+		// Returns whether a server still names the attempt among those that it runs when it is asked after a while.
+		[[nodiscard]] asio::awaitable<bool> is_still_run(state_pointer state, routing::server_pointer server);
+		// Records how long after its last event a stream has ended.
+		void note_end_habit(request_state const& state);
 		// Records that a server has broken an answer off, unless its caller is gone.
 		void note_answer_broken(request_state const& state, routing::server_record const& server, time_point now);
 		// Asks a server for its start, if it states one. called: its record when the call in question was sent.
--- a/packages/routing/impl/retry_budget.cpp
+++ b/packages/routing/impl/retry_budget.cpp
@@ -26,13 +26,18 @@
 	}
 
 	bool retry_budget::has_left(retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
+	{
+		return this->is_within(usable_budget_part, terms, daemons, now);
+	}
+
+	bool retry_budget::is_within(double part, retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
 	{
 		this->drop_expired(terms.window, now);
 		auto const requests = std::accumulate(this->periods.begin(), this->periods.end(), std::uint64_t{0},
 			[](std::uint64_t sum, request_period const& each) { return sum + each.requests; });
 		auto const from_requests = terms.ratio * static_cast<double>(requests);
 		auto const slack_share = terms.slack / std::max(1U, daemons);
-		return static_cast<double>(this->retries.size()) + 1 <= usable_budget_part * (from_requests + slack_share);
+		return static_cast<double>(this->retries.size()) + 1 <= part * (from_requests + slack_share);
 	}
 
 	bool retry_budget::try_spend(retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
@@ -45,6 +50,17 @@
 		return true;
 	}
 
+	bool retry_budget::try_spend_part(
+		double part, retry_budget_settings const& terms, std::uint32_t daemons, time_point now)
+	{
+		auto const is_left = this->is_within(part * usable_budget_part, terms, daemons, now);
+		if (is_left)
+		{
+			this->charge(now);
+		}
+		return is_left;
+	}
+
 	void retry_budget::charge(time_point now)
 	{
 		this->retries.push_back(now);
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -2,6 +2,7 @@
 
 #include <godwittrestle/routing/account.hpp>
 #include <godwittrestle/routing/admission_queue.hpp>
+#include <godwittrestle/routing/answer_end.hpp>
 #include <godwittrestle/routing/answer_time.hpp>
 #include <godwittrestle/routing/configuration.hpp>
 #include <godwittrestle/routing/connection_holder.hpp>
--- a/packages/routing/include/godwittrestle/routing/retry_budget.hpp
+++ b/packages/routing/include/godwittrestle/routing/retry_budget.hpp
@@ -33,6 +33,11 @@
 		// Spends one retry. Returns false when none is left. daemons: number of daemons that share the slack.
 		[[nodiscard]] bool try_spend(retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
 
+		// Spends one retry for a send that may be left out. Returns false when this part of the budget is spent; the
+		// rest is for sends that have failed.
+		[[nodiscard]] bool try_spend_part(
+			double part, retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
+
 		// Returns whether a retry is left.
 		[[nodiscard]] bool has_left(retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
 
@@ -53,6 +58,9 @@
 			std::uint64_t requests = 0;
 		};
 
+		// Returns whether one more retry stays within a part of the budget.
+		[[nodiscard]] bool is_within(
+			double part, retry_budget_settings const& terms, std::uint32_t daemons, time_point now);
 		void drop_expired(duration window, time_point now);
 
 		std::deque<request_period> periods;
--- a/packages/routing/include/godwittrestle/routing/service_observations.hpp
+++ b/packages/routing/include/godwittrestle/routing/service_observations.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwittrestle/routing/answer_end.hpp>
 #include <godwittrestle/routing/engine_speed.hpp>
 #include <godwittrestle/routing/output_estimate.hpp>
 #include <godwittrestle/routing/pool_balance.hpp>
@@ -12,5 +13,6 @@
 		stream_demand demand;
 		output_estimate outputs;
 		engine_speed_estimate speed;
+		end_habits ends;
 	};
 }
