--- a/tests/contract/daemon_group.cpp
+++ b/tests/contract/daemon_group.cpp
@@ -81,6 +81,13 @@
 		}
 	}
 
+	void daemon_group::drain(std::size_t daemon, duration termination_grace)
+	{
+		this->settings[daemon].termination_grace = termination_grace;
+		this->serving[daemon]->apply(this->settings[daemon]);
+		this->serving[daemon]->drain();
+	}
+
 	void daemon_group::publish_to(std::size_t daemon, std::vector<routing::registered_server> const& listed)
 	{
 		this->serving[daemon]->push(make_update(this->route, listed));
--- a/tests/contract/daemon_group.hpp
+++ b/tests/contract/daemon_group.hpp
@@ -20,6 +20,8 @@
 		void kill(std::vector<std::size_t> const& daemons);
 		// Starts killed daemons again at their addresses. They know nothing of before, and read the list of servers.
 		void restart(std::vector<std::size_t> const& daemons);
+		// Gives a daemon its planned stop with this time for the requests in hand. It lives on afterwards.
+		void drain(std::size_t daemon, duration termination_grace);
 		// Publishes a list of servers to one daemon only.
 		void publish_to(std::size_t daemon, std::vector<routing::registered_server> const& servers);
 		// Publishes a changed list of servers to the daemons that run, and to those that start later.
