Answers share the account of memory with bodies: callers that don't read yield

What callers saw: callers that ask for large answers or streams and don't read them fill the machine of a process. Cause: each answer had a bound (256 KB collected and written, an event of 64 KB held up to four times), all answers together had none. Change: http::memory_budget counts answers too, from the first byte read from the server until it is written. While it is spent, reads from servers wait (at most a second each), nothing is collected, and the caller that has taken nothing for longest (half a second or more) loses its connection by a reset, so that a part can't pass for the whole. What the kernel holds tells a slow caller from one that has stopped. Once the head is out, pieces of 16 KB are passed on, not of 256 KB. No new limit: the budget is the one of bodies.

--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -24,6 +24,8 @@
 		constexpr duration rejected_decode_pause = milliseconds(300);
 		// Longest wait for the word of a server whose answer has ended with its connection.
 		constexpr duration longest_end_wait = milliseconds(1500);
+		// What is collected of an answer whose head is sent before it is passed on.
+		constexpr std::size_t passed_on_piece_bytes = 16'384;
 
 		routing::call_outcome to_call_outcome(send_failure failure) noexcept
 		{
@@ -78,6 +80,7 @@
 		std::string body;
 		while (true)
 		{
+			co_await state->http_exchange->wait_for_room(body.capacity());
 			auto piece = co_await connection->read_piece(state->time_left());
 			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
@@ -99,7 +102,10 @@
 			{
 				break;
 			}
-			if (body.size() > max_buffered_answer_bytes || (is_end && state->is_head_sent))
+			// While there is no room, nothing is collected.
+			auto const has_room = state->http_exchange->hold(body.capacity());
+			auto const max_collected = state->is_head_sent ? passed_on_piece_bytes : max_buffered_answer_bytes;
+			if (body.size() > max_collected || !has_room || (is_end && state->is_head_sent))
 			{
 				auto is_accepted = true;
 				if (!std::exchange(state->is_head_sent, true))
@@ -112,6 +118,7 @@
 				}
 				if (is_accepted && !body.empty())
 				{
+					std::ignore = state->http_exchange->hold(0);
 					is_accepted = co_await state->http_exchange->write(std::exchange(body, {}));
 				}
 				if (is_accepted && is_end)
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -356,6 +356,7 @@
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
+			co_await state->http_exchange->wait_for_room(state->joiner.held_bytes());
 			auto const left = std::max(duration{}, max_silence.before_move - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
 			auto wait_on = this->wait_unless_moved(state, server, max_silence, progress_at);
@@ -371,7 +372,7 @@
 			auto const& received = std::get<std::string>(piece);
 			auto const is_end = received.empty();
 			auto const events_before = state->joiner.events();
-			auto const passed_on = is_end ? state->joiner.finish() : state->joiner.feed(received);
+			auto passed_on = is_end ? state->joiner.finish() : state->joiner.feed(received);
 			// Of a stream that goes on, nothing may have been left.
 			auto const goes_on = state->matched_route->resumable && state->joiner.last_event();
 			auto const is_empty_without_length =
@@ -388,7 +389,7 @@
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
-			auto text = *passed_on;
+			auto text = std::move(*passed_on);
 			if (text.empty() && !is_end)
 			{
 				continue;
--- a/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/stream_joiner.hpp
@@ -80,6 +80,12 @@
 			return this->pending.size() > max_event_bytes || this->bytes_without_data > max_event_bytes;
 		}
 
+		// Returns the bytes of memory that are held for the incomplete event and the last one.
+		[[nodiscard]] std::size_t held_bytes() const noexcept
+		{
+			return this->pending.capacity() + this->last_text.capacity();
+		}
+
 		// Returns the number of events with data that were passed on. Comments and blank lines do not count.
 		[[nodiscard]] std::uint64_t events() const noexcept
 		{
--- a/packages/http/impl/memory_budget.cpp
+++ b/packages/http/impl/memory_budget.cpp
@@ -44,6 +44,60 @@
 		return this->last;
 	}
 
+	holder_id memory_budget::begin_answer(std::string address, time_point now)
+	{
+		auto const id = this->begin(std::move(address), now);
+		auto& answer = this->holders.at(id);
+		answer.is_answer = true;
+		answer.is_complete = true;
+		return id;
+	}
+
+	void memory_budget::begin_wait(holder_id id, time_point now)
+	{
+		auto const found = this->holders.find(id);
+		if (found != this->holders.end())
+		{
+			found->second.is_complete = false;
+			found->second.moved_at = now;
+		}
+	}
+
+	void memory_budget::note_move(holder_id id, time_point now)
+	{
+		auto const found = this->holders.find(id);
+		if (found != this->holders.end())
+		{
+			found->second.moved_at = now;
+		}
+	}
+
+	void memory_budget::end_wait(holder_id id)
+	{
+		this->complete(id);
+	}
+
+	std::vector<yielding_request> memory_budget::make_room(time_point now)
+	{
+		std::vector<yielding_request> yielding;
+		while (!this->has_room())
+		{
+			auto const next = this->find_yielding(std::string(), now);
+			if (next == this->holders.end() || !has_stopped(next->second, now))
+			{
+				break;
+			}
+			yielding.push_back({next->first, yield_reason::stopped});
+			this->erase(next);
+		}
+		return yielding;
+	}
+
+	bool memory_budget::has_room() const noexcept
+	{
+		return this->total < this->total_limit();
+	}
+
 	std::vector<yielding_request> memory_budget::hold(holder_id id, std::size_t bytes, time_point now)
 	{
 		auto const found = this->holders.find(id);
@@ -52,7 +106,7 @@
 			return {};
 		}
 		auto& request = found->second;
-		if (bytes >= request.moved_bytes + move_bytes)
+		if (!request.is_answer && bytes >= request.moved_bytes + move_bytes)
 		{
 			request.moved_bytes = bytes;
 			request.moved_at = now;
@@ -62,11 +116,10 @@
 		share.bytes = share.bytes - request.bytes + bytes;
 		this->total = this->total - request.bytes + bytes;
 		request.bytes = bytes;
-		auto const max_total = std::max(this->limits.bytes, this->limits.request_bytes);
 		std::vector<yielding_request> yielding;
 		while (true)
 		{
-			auto const is_spent = this->total > max_total;
+			auto const is_spent = this->total > this->total_limit();
 			auto const owned = this->addresses.find(address);
 			auto const is_address_over = owned != this->addresses.end() && owned->second.bytes > this->address_limit();
 			if (!is_spent && !is_address_over)
@@ -108,6 +161,11 @@
 		return this->total;
 	}
 
+	std::size_t memory_budget::total_limit() const noexcept
+	{
+		return std::max(this->limits.bytes, this->limits.request_bytes);
+	}
+
 	std::size_t memory_budget::address_limit() const noexcept
 	{
 		auto const share = this->limits.bytes / address_share_denominator * address_share_numerator;
@@ -128,9 +186,8 @@
 		for (auto each = this->holders.begin(); each != this->holders.end(); ++each)
 		{
 			auto const& request = each->second;
-			auto const can_yield =
-				!request.is_complete && request.bytes > 0 && (address.empty() || request.address == address);
-			if (can_yield && (best == this->holders.end() || rank(each) > rank(best)))
+			auto const is_asked = address.empty() || request.address == address;
+			if (is_asked && may_yield(request, now) && (best == this->holders.end() || rank(each) > rank(best)))
 			{
 				best = each;
 			}
@@ -138,6 +195,11 @@
 		return best;
 	}
 
+	bool memory_budget::may_yield(holder const& request, time_point now) noexcept
+	{
+		return !request.is_complete && request.bytes > 0 && (!request.is_answer || has_stopped(request, now));
+	}
+
 	bool memory_budget::has_stopped(holder const& request, time_point now) noexcept
 	{
 		return now - request.moved_at >= stop_time;
--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -43,6 +43,8 @@
 		constexpr std::size_t max_buffer_bytes = 65'536;
 		// Retry-After of a request for which there is no memory.
 		constexpr duration no_memory_delay = seconds(1);
+		// Time between two looks at what callers have taken of their answers while the memory is spent.
+		constexpr duration look_interval = milliseconds(20);
 		constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 		time_point monotonic_now()
@@ -220,10 +222,7 @@
 
 			void hold(std::size_t bytes)
 			{
-				for (auto const& each : this->owner->memory.hold(this->id, bytes, monotonic_now()))
-				{
-					this->owner->arriving.at(each.id)->yield_memory(each.reason);
-				}
+				this->owner->hold_memory(this->id, bytes);
 			}
 
 			void complete()
@@ -236,6 +235,109 @@
 			holder_id id;
 		};
 
+		// The part of an answer in the account of memory.
+		class answer_part final : public answer_account
+		{
+		  public:
+			answer_part(implementation& owning_server, connection_pointer const& connection)
+				: owner(owning_server.shared_from_this())
+				, id(owner->memory.begin_answer(connection->peer_address(), monotonic_now()))
+			{
+				this->owner->answered.emplace(this->id, connection);
+			}
+
+			~answer_part() override
+			{
+				this->owner->answered.erase(this->id);
+				this->owner->memory.end(this->id);
+			}
+
+			answer_part(answer_part const&) = delete;
+			answer_part& operator=(answer_part const&) = delete;
+			answer_part(answer_part&&) = delete;
+			answer_part& operator=(answer_part&&) = delete;
+
+			void hold(std::size_t bytes) override
+			{
+				this->owner->hold_memory(this->id, bytes);
+			}
+
+			void begin_wait() override
+			{
+				this->owner->memory.begin_wait(this->id, monotonic_now());
+				this->owner->answered.at(this->id)->note_unsent();
+			}
+
+			void note_move() override
+			{
+				this->owner->memory.note_move(this->id, monotonic_now());
+				this->owner->answered.at(this->id)->note_unsent();
+			}
+
+			void end_wait() override
+			{
+				this->owner->memory.end_wait(this->id);
+			}
+
+			[[nodiscard]] bool make_room() override
+			{
+				if (!this->owner->memory.has_room() && this->owner->note_moves())
+				{
+					this->owner->yield_memory(this->owner->memory.make_room(monotonic_now()));
+				}
+				return this->owner->memory.has_room();
+			}
+
+		  private:
+			std::shared_ptr<implementation> owner;
+			holder_id id;
+		};
+
+		void hold_memory(holder_id id, std::size_t bytes)
+		{
+			if (!this->memory.has_room())
+			{
+				std::ignore = this->note_moves();
+			}
+			this->yield_memory(this->memory.hold(id, bytes, monotonic_now()));
+		}
+
+		// Tells the account which callers have taken some of their answers, unless it was told just before. Returns
+		// whether it was told.
+		bool note_moves()
+		{
+			auto const now = monotonic_now();
+			if (now - this->looked_at < look_interval)
+			{
+				return false;
+			}
+			this->looked_at = now;
+			for (auto const& [id, connection] : this->answered)
+			{
+				if (connection->has_peer_taken_bytes())
+				{
+					this->memory.note_move(id, now);
+				}
+			}
+			return true;
+		}
+
+		// Ends the reading of requests, and the connections of answers, that give up their memory.
+		void yield_memory(std::vector<yielding_request> const& yielding)
+		{
+			for (auto const& each : yielding)
+			{
+				auto const answer = this->answered.find(each.id);
+				if (answer == this->answered.end())
+				{
+					this->arriving.at(each.id)->yield_memory(each.reason);
+					continue;
+				}
+				answer->second->reset();
+				this->report_unread(unread_reason::answer_stopped, request());
+			}
+		}
+
 		static memory_limits to_memory_limits(server_limits const& limits)
 		{
 			return {limits.memory_bytes, limits.body_bytes + limits.header_bytes + max_buffer_bytes};
@@ -391,8 +493,10 @@
 
 		[[nodiscard]] std::shared_ptr<server_exchange> make_exchange(connection_pointer connection, bool keep_alive)
 		{
-			return std::make_shared<server_exchange>(std::move(connection), this->limits.write_timeout, keep_alive,
-				[self = this->shared_from_this()] { return self->is_draining; });
+			auto account = std::make_unique<answer_part>(*this, connection);
+			return std::make_shared<server_exchange>(
+				std::move(connection), this->limits.write_timeout, keep_alive,
+				[self = this->shared_from_this()] { return self->is_draining; }, std::move(account));
 		}
 
 		// Reports a request that was not read to its end, and answers one that is not valid.
@@ -544,6 +648,9 @@
 		memory_budget memory;
 		// The connections of the requests in the account of memory.
 		std::map<holder_id, connection_pointer> arriving;
+		// The connections of the answers in the account of memory.
+		std::map<holder_id, connection_pointer> answered;
+		time_point looked_at;
 		handler handle;
 		server_hooks hooks;
 		std::set<connection_pointer> open;
@@ -567,6 +674,8 @@
 				return "body_stopped";
 			case unread_reason::no_memory:
 				return "no_memory";
+			case unread_reason::answer_stopped:
+				return "answer_stopped";
 		}
 		return "malformed";
 	}
--- a/packages/http/impl/server_connection.cpp
+++ b/packages/http/impl/server_connection.cpp
@@ -6,7 +6,9 @@
 #include <tuple>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -30,6 +32,11 @@
 		constexpr std::size_t max_dropped_bytes = 16'777'216;
 		constexpr std::size_t dropped_piece_bytes = 4'096;
 		constexpr duration cancel_interval = milliseconds(10);
+		// Longest wait for room in the account of memory, and the time between two looks at it.
+		constexpr duration max_room_wait = seconds(1);
+		constexpr duration room_poll_interval = milliseconds(20);
+		// An answer with a smaller body is sent in one piece with its head.
+		constexpr std::size_t min_apart_bytes = 65'536;
 
 		using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 		using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -164,18 +171,82 @@
 		this->close();
 	}
 
+	bool server_connection::has_peer_taken_bytes()
+	{
+		auto const before = this->unsent_bytes;
+		this->note_unsent();
+		return this->unsent_bytes < before;
+	}
+
+	void server_connection::note_unsent()
+	{
+		int unsent = 0;
+		// NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): the system call has no other form.
+		auto const result = ioctl(this->tcp.socket().native_handle(), SIOCOUTQ, &unsent);
+		this->unsent_bytes = result == 0 ? unsent : 0;
+	}
+
+	void server_connection::reset()
+	{
+		error_code ignored;
+		std::ignore = this->tcp.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+		this->close();
+	}
+
 	void server_connection::close()
 	{
 		this->tcp.close();
 	}
 
 	server_exchange::server_exchange(std::shared_ptr<server_connection> opened, duration max_write_time,
-		bool peer_keeps_alive, std::function<bool()> is_server_draining)
+		bool peer_keeps_alive, std::function<bool()> is_server_draining, std::unique_ptr<answer_account> given_account)
 		: connection(std::move(opened))
 		, write_timeout(max_write_time)
 		, keep_alive(peer_keeps_alive)
 		, is_draining(std::move(is_server_draining))
+		, account(std::move(given_account))
+	{
+	}
+
+	bool server_exchange::hold(std::size_t bytes)
+	{
+		this->held_by_handler = bytes;
+		this->account->hold(bytes);
+		return this->account->make_room();
+	}
+
+	asio::awaitable<void> server_exchange::wait_for_room(std::size_t bytes)
 	{
+		auto has_room = this->hold(bytes);
+		asio::steady_timer pause(this->connection->stream().get_executor());
+		auto const give_up_at = std::chrono::steady_clock::now() + max_room_wait;
+		while (!has_room && !this->has_ended && std::chrono::steady_clock::now() < give_up_at)
+		{
+			pause.expires_after(room_poll_interval);
+			std::ignore = co_await pause.async_wait(token);
+			has_room = this->account->make_room();
+		}
+	}
+
+	template <typename Buffers>
+	asio::awaitable<bool> server_exchange::write_held(Buffers const& buffers, std::size_t held)
+	{
+		this->account->hold(this->held_by_handler + held);
+		this->account->begin_wait();
+		auto note_progress = [this, last = std::size_t()](error_code const& error, std::size_t total) mutable
+		{
+			if (std::exchange(last, total) != total)
+			{
+				this->account->note_move();
+			}
+			return asio::transfer_all()(error, total);
+		};
+		this->connection->stream().expires_after(this->write_timeout);
+		auto const [error, size] =
+			co_await asio::async_write(this->connection->stream(), buffers, std::move(note_progress), token);
+		this->account->end_wait();
+		this->account->hold(this->held_by_handler);
+		co_return !error;
 	}
 
 	asio::awaitable<bool> server_exchange::reply(response answer)
@@ -187,10 +258,27 @@
 		message.keep_alive(this->keep_alive);
 		message.prepare_payload();
 		this->has_begun_answer = true;
+		this->held_by_handler = 0;
+		this->account->hold(message.body().capacity());
 		this->connection->stream().expires_after(this->write_timeout);
-		auto const [error, size] = co_await beast::http::async_write(this->connection->stream(), message, token);
-		this->has_answered = !error;
-		co_return !error;
+		if (message.body().size() < min_apart_bytes)
+		{
+			this->account->begin_wait();
+			auto const [error, size] = co_await beast::http::async_write(this->connection->stream(), message, token);
+			this->account->end_wait();
+			this->has_answered = !error;
+			co_return !error;
+		}
+		beast::http::response_serializer<beast::http::string_body> serializer(message);
+		serializer.split(true);
+		auto const [error, size] =
+			co_await beast::http::async_write_header(this->connection->stream(), serializer, token);
+		if (!error)
+		{
+			auto const body = asio::buffer(message.body());
+			this->has_answered = co_await this->write_held(body, message.body().capacity());
+		}
+		co_return this->has_answered;
 	}
 
 	asio::awaitable<bool> server_exchange::begin_stream(response head)
@@ -210,10 +298,8 @@
 
 	asio::awaitable<bool> server_exchange::write(std::string piece)
 	{
-		this->connection->stream().expires_after(this->write_timeout);
-		auto const [error, size] =
-			co_await asio::async_write(this->connection->stream(), beast::http::make_chunk(asio::buffer(piece)), token);
-		co_return !error;
+		auto const chunk = beast::http::make_chunk(asio::buffer(piece));
+		co_return co_await this->write_held(chunk, piece.capacity());
 	}
 
 	asio::awaitable<bool> server_exchange::end_stream()
--- a/packages/http/impl/server_connection.hpp
+++ b/packages/http/impl/server_connection.hpp
@@ -17,6 +17,26 @@
 
 namespace godwittrestle::http
 {
+	// The part of an answer in the account of memory, from its creation to its destruction.
+	class answer_account
+	{
+	  public:
+		answer_account() = default;
+		answer_account(answer_account const&) = delete;
+		answer_account& operator=(answer_account const&) = delete;
+		answer_account(answer_account&&) = delete;
+		answer_account& operator=(answer_account&&) = delete;
+		virtual ~answer_account() = default;
+
+		// See memory_budget.
+		virtual void hold(std::size_t bytes) = 0;
+		virtual void begin_wait() = 0;
+		virtual void note_move() = 0;
+		virtual void end_wait() = 0;
+		// Lets those that have stopped yield when there is no room. Returns whether there is room then.
+		[[nodiscard]] virtual bool make_room() = 0;
+	};
+
 	// One accepted connection of a server. Coroutines hold it by shared pointers and callbacks by weak ones, so that
 	// none of them outlives it. Must be used on the server's executor.
 	class server_connection : public std::enable_shared_from_this<server_connection>
@@ -69,6 +89,14 @@
 		// bounded time first: otherwise the kernel would reset the connection, and the answer could be lost.
 		[[nodiscard]] asio::awaitable<void> close_after_answer();
 
+		// Returns whether the peer has acknowledged bytes since the last call of this function or of note_unsent(). The
+		// kernel takes further bytes only when much of what it holds is acknowledged, so a slow peer shows here first.
+		[[nodiscard]] bool has_peer_taken_bytes();
+		void note_unsent();
+
+		// Closes the connection and drops what the kernel holds for the peer.
+		void reset();
+
 		void close();
 
 	  private:
@@ -82,6 +110,8 @@
 		asio::steady_timer timer;
 		std::string peer;
 		std::optional<yield_reason> yield;
+		// Bytes that the kernel held for the peer at the last look.
+		int unsent_bytes = 0;
 		// Raised when the timer is set or cancelled, so that a handler that is queued already can be recognised.
 		std::uint64_t timer_number = 0;
 		bool is_idle = false;
@@ -94,12 +124,14 @@
 	  public:
 		// is_draining: called when the answer begins. If it returns true, the connection closes after the answer.
 		server_exchange(std::shared_ptr<server_connection> connection, duration write_timeout, bool keep_alive,
-			std::function<bool()> is_draining);
+			std::function<bool()> is_draining, std::unique_ptr<answer_account> account);
 
 		[[nodiscard]] asio::awaitable<bool> reply(response answer) override;
 		[[nodiscard]] asio::awaitable<bool> begin_stream(response head) override;
 		[[nodiscard]] asio::awaitable<bool> write(std::string piece) override;
 		[[nodiscard]] asio::awaitable<bool> end_stream() override;
+		[[nodiscard]] bool hold(std::size_t bytes) override;
+		[[nodiscard]] asio::awaitable<void> wait_for_room(std::size_t bytes) override;
 		[[nodiscard]] bool is_answered() const noexcept override;
 		void on_close(std::function<void()> callback) override;
 
@@ -118,6 +150,10 @@
 
 	  private:
 		void notify_close();
+		// Writes bytes that are in the account with what the handler holds until they are written. held: their size in
+		// memory.
+		template <typename Buffers>
+		[[nodiscard]] asio::awaitable<bool> write_held(Buffers const& buffers, std::size_t held);
 
 		std::shared_ptr<server_connection> connection;
 		duration write_timeout;
@@ -127,5 +163,8 @@
 		bool has_answered = false;
 		bool has_ended = false;
 		std::function<void()> close_callback;
+		std::unique_ptr<answer_account> account;
+		// What the handler holds beside what is being written.
+		std::size_t held_by_handler = 0;
 	};
 }
--- a/packages/http/include/godwittrestle/http/server.hpp
+++ b/packages/http/include/godwittrestle/http/server.hpp
@@ -38,7 +38,8 @@
 		// Time without any data, acknowledgement or keep-alive reply from the peer after which the kernel breaks
 		// the connection.
 		duration silence_timeout = seconds(3);
-		// What the bodies of all requests may hold together. A single body of body_bytes is always taken.
+		// What the bodies of all requests, and the answers that wait for their callers, may hold together. A single
+		// body of body_bytes is always taken.
 		std::size_t memory_bytes = std::numeric_limits<std::size_t>::max();
 	};
 
@@ -63,6 +64,21 @@
 		[[nodiscard]] virtual asio::awaitable<bool> write(std::string piece) = 0;
 		[[nodiscard]] virtual asio::awaitable<bool> end_stream() = 0;
 
+		// States how much of the answer the handler holds beside what it has given to the functions above, which count
+		// by themselves. Returns whether more may be read: false when all callers' requests and answers hold as much
+		// as they may.
+		[[nodiscard]] virtual bool hold(std::size_t /*bytes*/)
+		{
+			return true;
+		}
+
+		// States the same, and waits until more may be read, at most for a second. Callers that have stopped to read
+		// lose their connections meanwhile.
+		[[nodiscard]] virtual asio::awaitable<void> wait_for_room(std::size_t /*bytes*/)
+		{
+			co_return;
+		}
+
 		// Returns whether a complete answer has been sent.
 		[[nodiscard]] virtual bool is_answered() const noexcept = 0;
 
@@ -89,6 +105,8 @@
 		body_stopped,
 		// The bodies of all callers hold as much memory as they may.
 		no_memory,
+		// The request was read and its answer begun; the caller has stopped to read it, and others needed the memory.
+		answer_stopped,
 	};
 
 	[[nodiscard]] std::string_view to_string(unread_reason reason) noexcept;
@@ -139,7 +157,7 @@
 		[[nodiscard]] unsigned short port() const;
 		// Returns the number of open connections. After stop(): of those on which a request is being read or answered.
 		[[nodiscard]] std::size_t connections() const noexcept;
-		// Returns the bytes that the bodies of all requests hold.
+		// Returns the bytes that the bodies of all requests and their answers hold.
 		[[nodiscard]] std::size_t held_bytes() const noexcept;
 
 	  private:
--- a/tests/unit/memory_budget.test.cpp
+++ b/tests/unit/memory_budget.test.cpp
@@ -95,3 +95,44 @@
 	CHECK(budget.hold(added, body, at(long_pause)) ==
 		  std::vector<http::yielding_request>{{added, yield_reason::no_room}});
 }
+
+TEST_CASE("answers yield only while they wait for a caller that has stopped, the longest first", "[memory_budget]")
+{
+	http::memory_budget budget(limits);
+	std::vector<http::holder_id> answers;
+	for (auto count = 0; count < 10; ++count)
+	{
+		answers.push_back(budget.begin_answer("a", at({})));
+		CHECK(budget.hold(answers.back(), body, at({})).empty());
+	}
+	CHECK_FALSE(budget.has_room());
+	// None waits for its caller.
+	CHECK(budget.make_room(at(long_pause)).empty());
+	budget.begin_wait(answers[3], at(milliseconds(100)));
+	budget.begin_wait(answers[5], at({}));
+	budget.begin_wait(answers[7], at({}));
+	budget.end_wait(answers[7]);
+	CHECK(budget.make_room(at(milliseconds(200))).empty());
+	auto const added = budget.begin_answer("b", at(milliseconds(700)));
+	// The slow one has moved.
+	budget.note_move(answers[3], at(milliseconds(400)));
+	CHECK(budget.hold(added, body, at(milliseconds(700))) ==
+		  std::vector<http::yielding_request>{{answers[5], yield_reason::stopped}});
+	CHECK(budget.make_room(at(milliseconds(700))).empty());
+	CHECK(budget.make_room(at(long_pause)) == std::vector<http::yielding_request>{{answers[3], yield_reason::stopped}});
+	CHECK(budget.has_room());
+	CHECK(budget.held() == 9 * body);
+}
+
+TEST_CASE("a body yields to answers that move, and an answer's end frees its part", "[memory_budget]")
+{
+	http::memory_budget budget(limits);
+	auto const answer = budget.begin_answer("a", at({}));
+	CHECK(budget.hold(answer, 10 * body, at({})).empty());
+	budget.begin_wait(answer, at(long_pause));
+	auto const added = budget.begin("b", at(long_pause));
+	CHECK(budget.hold(added, body, at(long_pause)) ==
+		  std::vector<http::yielding_request>{{added, yield_reason::no_room}});
+	budget.end(answer);
+	CHECK(budget.held() == 0);
+}
