--- a/tests/contract/relaying_group.hpp
+++ b/tests/contract/relaying_group.hpp
@@ -119,6 +119,9 @@
 					}
 					return asked.size() == daemon_count - 1;
 				});
+			// Until the others ask each other which version has begun a stream.
+			await([&] { return this->is_taken_up(direct, direct + 1, number++); });
+			await([&] { return this->is_taken_up(direct + 1, direct, number++); });
 		}
 
 		[[nodiscard]] http::endpoint const& address(std::size_t daemon) const
@@ -138,6 +141,19 @@
 			return this->engines.runs(attempt).front().daemon;
 		}
 
+		// Returns whether a stream that one daemon has begun goes on at another one.
+		[[nodiscard]] bool is_taken_up(std::size_t from, std::size_t to, int number) const
+		{
+			auto const attempt = fmt::format("probe{}-", number);
+			stream_caller first(this->address(from));
+			first.ask(attempt, "");
+			first.read_to(2);
+			std::ignore = first.leave(false);
+			stream_caller second(this->address(to));
+			second.resume(attempt + "2", attempt, "1", "Events: 2\r\n");
+			return second.read().status == 200;
+		}
+
 		breaking_engines engines;
 		daemon_group daemons;
 	};
