--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -50,19 +50,22 @@
 		answer.connection.release();
 		auto seen = co_await this->look_at_end(state, server, ended_at);
 		seen.can_go_on = seen.can_go_on && call;
+		auto const deadline = ended_at + longest_end_wait;
+		// A report may be older than the end, so one that names the run says nothing yet.
+		auto const was_named = std::exchange(seen.is_still_run, false);
 		if (routing::judge_end(seen) == routing::end_judgement::unproved)
 		{
-			outcome = co_await this->let_go_on(state, server, *call, routing::budget_part(seen));
-			if (outcome.has_gone_on)
+			outcome = co_await this->let_go_on(state, server, *call, routing::budget_part(seen), deadline);
+			// An engine that has begun an answer and falls silent is generating what follows.
+			if (outcome.has_gone_on || outcome.failure == send_failure::silent)
 			{
 				co_return outcome;
 			}
 			seen.can_go_on = false;
 		}
-		if (seen.is_still_run && seen.process == routing::process_state::same)
+		if (was_named && seen.process == routing::process_state::same)
 		{
-			// What a report says of the runs may be older than the end.
-			seen.is_still_run = co_await this->is_still_run(state, server);
+			seen.is_still_run = co_await this->is_still_run(state, server, deadline);
 		}
 		outcome.is_whole = routing::judge_end(seen) == routing::end_judgement::whole;
 		co_return outcome;
@@ -86,10 +89,11 @@
 		}
 		auto const events = state->joiner.events() - state->events_before_send;
 		auto const& broken_at = this->present_record(server)->answer_broken_at;
-		seen.can_go_on = state->matched_route->resumable && state->joiner.last_event() && events > 0;
+		seen.can_go_on = state->matched_route->resumable && state->joiner.last_event() && state->joiner.may_go_on() &&
+						 events > 0 && state->is_origin_recorded;
 		seen.is_still_run = evidence.names_run(state->call.attempt);
 		seen.has_server_broken_off = broken_at && ended_at - *broken_at <= recent_break_time;
-		seen.is_unusually_late = routing::is_late_end(state->end_delay, state->mean_gap()) &&
+		seen.is_unusually_late = events > 0 && routing::is_late_end(state->end_delay, state->mean_gap()) &&
 								 this->shared->observed[state->service].ends.are_late_ends_rare();
 		this->log_event(*state, "answer_ended_with_connection",
 			{{"server", server->entry.id.str()}, {"process", std::string(routing::to_string(seen.process))},
@@ -105,17 +109,28 @@
 	}
 
 	asio::awaitable<forwarder::end_outcome> forwarder::let_go_on(
-		state_pointer state, routing::server_pointer server, call_id call, double budget_part)
+		state_pointer state, routing::server_pointer server, call_id call, double budget_part, time_point deadline)
 	{
 		end_outcome outcome;
-		auto const asked = this->present_record(server);
+		auto const listed = this->shared->servers.find(server->entry.id);
+		auto const left = std::chrono::duration_cast<duration>(deadline - monotonic_now());
+		auto const wait = std::min({state->time_left(), longest_follow_up_wait, left});
+		auto const is_writer_known = state->writer && state->writer_send == state->sends;
+		auto const writer = is_writer_known ? *state->writer : state->sent_to_process;
+		// One that leaves, or that the registry does not list any more, gets no further call.
+		auto const may_be_asked = listed && listed->is_ready() && listed->entry.started == writer.started &&
+								  writer.server == server->entry.id && wait > duration{};
+		if (!may_be_asked)
+		{
+			this->totals->count_send("follow_up", "not_sent");
+			co_return outcome;
+		}
 		auto const events_before = state->joiner.events();
-		auto const wait = std::min(state->time_left(), longest_follow_up_wait);
 		constexpr auto holder_is_needed = true;
-		auto reached = co_await this->connect_to_engine(asked, wait, wait, holder_is_needed);
-		auto const states_start = routing::states_start(routing::as_stream_server(asked->entry));
+		auto reached = co_await this->connect_to_engine(listed, wait, wait, holder_is_needed);
+		auto const states_start = routing::states_start(routing::as_stream_server(listed->entry));
 		auto const holder = reached.connection ? reached.connection->holder() : std::nullopt;
-		auto const is_writer = reached.connection && (!states_start || holder == state->sent_to_process.started);
+		auto const is_writer = reached.connection && (!states_start || holder == writer.started);
 		auto& budget = this->shared->retry_budgets[state->service];
 		if (!is_writer ||
 			!budget.try_spend_part(budget_part, this->shared->retries, this->shared->daemon_count, monotonic_now()))
@@ -128,38 +143,41 @@
 		options.last_event = state->joiner.last_event();
 		silence_limits const limits{wait, wait};
 		send_grant grant{false, holder, std::move(reached.connection)};
-		auto sent = co_await this->send(state, asked, std::move(options), limits, std::move(grant));
+		auto sent = co_await this->send(state, listed, std::move(options), limits, std::move(grant));
 		if (auto* const answer = std::get_if<unread_answer>(&sent);
 			answer != nullptr && answer->head.status == status_ok)
 		{
-			outcome.failure = co_await this->forward_events(state, *answer, asked, call, limits);
+			outcome.failure = co_await this->forward_events(state, *answer, server, call, limits);
 			outcome.has_gone_on = !outcome.failure || state->joiner.events() > events_before;
 		}
-		if (state->joiner.events() > events_before)
+		auto const events = state->joiner.events() - events_before;
+		if (events > 0)
 		{
-			this->note_answer_broken(*state, *asked, monotonic_now());
-			asked->health.note(routing::call_outcome::broken, monotonic_now());
+			this->note_answer_broken(*state, *listed, monotonic_now());
 		}
-		auto const events = state->joiner.events() - events_before;
 		this->totals->count_send("follow_up", !outcome.has_gone_on ? "failed" : events > 0 ? "served" : "nothing");
 		this->log_event(*state, "stream_end_asked",
-			{{"server", asked->entry.id.str()}, {"answered", outcome.has_gone_on ? "yes" : "no"},
+			{{"server", listed->entry.id.str()}, {"answered", outcome.has_gone_on ? "yes" : "no"},
 				{"events", std::to_string(events)}, {"last_event", state->joiner.last_event().value_or("")}});
 		co_return outcome;
 	}
 
-	asio::awaitable<bool> forwarder::is_still_run(state_pointer state, routing::server_pointer server)
+	asio::awaitable<bool> forwarder::is_still_run(
+		state_pointer state, routing::server_pointer server, time_point deadline)
 	{
 		asio::steady_timer pause(this->executor, std::min(state->time_left(), longest_report_age));
 		std::ignore = co_await pause.async_wait(wait_token);
-		auto const wait = std::min(state->time_left(), longest_follow_up_wait);
+		auto const left = std::chrono::duration_cast<duration>(deadline - monotonic_now());
+		auto const wait = std::max(duration{}, std::min(state->time_left(), left));
 		auto const seen = co_await this->end_check.ask_start(this->present_record(server), monotonic_now(), wait);
-		co_return seen.names_run(state->call.attempt);
+		// Without an answer the first report stands.
+		co_return seen.names_run(state->call.attempt) || !seen.has_answered();
 	}
 
 	void forwarder::note_end_habit(request_state const& state)
 	{
-		if (state.mean_gap() > duration{} && !state.is_relayed_on)
+		auto const has_events = state.joiner.events() > state.events_before_send;
+		if (has_events && state.mean_gap() > duration{} && !state.is_relayed_on)
 		{
 			auto const is_late = routing::is_late_end(state.end_delay, state.mean_gap());
 			this->shared->observed[state.service].ends.note_end(is_late);
--- a/packages/gateway/impl/forwarder_answers.cpp
+++ b/packages/gateway/impl/forwarder_answers.cpp
@@ -88,7 +88,6 @@
 				auto const end = co_await this->settle_end(state, answer, server, std::nullopt);
 				if (!end.is_whole)
 				{
-					this->note_answer_broken(*state, *server, monotonic_now());
 					co_return send_failure::broken;
 				}
 			}
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -384,10 +384,16 @@
 			auto const is_empty_without_length =
 				is_end && !goes_on && events_before == state->events_before_send && connection->ends_with_connection();
 			auto is_broken = !passed_on || is_empty_without_length || state->joiner.is_overlong();
-			if (is_end && !is_broken)
+			if (is_broken)
+			{
+				this->note_answer_broken(*state, *server, monotonic_now());
+			}
+			else if (is_end)
 			{
 				this->note_end_habit(*state);
-				auto const end = co_await this->settle_end(state, answer, server, call);
+				// Line ends that are still to be passed on belong before what follows.
+				auto const asked_call = passed_on->empty() ? std::optional(call) : std::nullopt;
+				auto const end = co_await this->settle_end(state, answer, server, asked_call);
 				if (end.has_gone_on)
 				{
 					co_return end.failure;
@@ -397,7 +403,6 @@
 			if (is_broken)
 			{
 				connection->close();
-				this->note_answer_broken(*state, *server, monotonic_now());
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -108,7 +108,7 @@
 		struct end_outcome
 		{
 			bool is_whole = false;
-			// Whether the stream has gone on: it was passed on to its end, or to the failure.
+			// Whether the answer to the question what follows was passed on, to its end or to the failure.
 			bool has_gone_on = false;
 			std::optional<routing::send_failure> failure;
 		};
@@ -396,13 +396,16 @@
 		// Asks the server of such an answer for its start, and returns what is seen of the end.
 		[[nodiscard]] asio::awaitable<routing::answer_end> look_at_end(
 			state_pointer state, routing::server_pointer server, time_point ended_at);
-		// Lets a stream go on at the process that has ended it, and passes on what follows its last event. Does nothing
-		// when that process can't be reached, or this part of the retry budget is spent.
+		// Asks the process that has ended a stream to let it go on, and passes on what follows its last event. Asks
+		// nobody when that process is not listed any more, leaves or can't be reached, or when this part of the retry
+		// budget is spent.
 		[[nodiscard]] asio::awaitable<end_outcome> let_go_on(
-			state_pointer state, routing::server_pointer server, call_id call, double budget_part);
-		// Returns whether a server still names the attempt among those that it runs when it is asked after a while.
-		[[nodiscard]] asio::awaitable<bool> is_still_run(state_pointer state, routing::server_pointer server);
-		// Records how long after its last event a stream has ended.
+			state_pointer state, routing::server_pointer server, call_id call, double budget_part, time_point deadline);
+		// Returns whether a server still names the attempt among those that it runs when it is asked after a while, or
+		// does not answer then.
+		[[nodiscard]] asio::awaitable<bool> is_still_run(
+			state_pointer state, routing::server_pointer server, time_point deadline);
+		// Records how long after its last event a stream has ended, unless nothing came since it was last sent.
 		void note_end_habit(request_state const& state);
 		// Records that a server has broken an answer off, unless its caller is gone.
 		void note_answer_broken(request_state const& state, routing::server_record const& server, time_point now);
--- a/tests/contract/broken_off_answers.test.cpp
+++ b/tests/contract/broken_off_answers.test.cpp
@@ -264,6 +264,22 @@
 	REQUIRE(is_complete_stream(answer));
 }
 
+TEST_CASE(
+	"a stream without length is not ended as complete when its server begins to go on and falls silent", "[broken_off]")
+{
+	living_fixture system(resumable_route(),
+		[](std::string_view call)
+		{
+			answer_script silent{{head_without_length()}};
+			silent.end_delay = std::chrono::seconds(20);
+			return goes_on_behind(call, 3) ? silent : without_length(1, 3);
+		});
+	auto const answer = system.fixture.send_request("POST", seconds(4));
+	CAPTURE(answer);
+	REQUIRE(count(answer, "data: ") == 3);
+	REQUIRE_FALSE(is_complete_stream(answer));
+}
+
 TEST_CASE("a stream that may not be resumed is not ended as complete when its server still runs it", "[broken_off]")
 {
 	auto const is_run_on = GENERATE(true, false);
@@ -326,6 +342,8 @@
 	server->answer_broken_at = daemon::monotonic_now() - since_break;
 	auto const answer = system.fixture.send_request("POST", seconds(5));
 	auto const is_told_whole = is_stream ? is_complete_stream(answer) : answer.starts_with("HTTP/1.1 200");
+	// What is only judged by that sign is no further sign.
+	REQUIRE(*server->answer_broken_at < daemon::monotonic_now() - since_break);
 	CAPTURE(since_break, is_stream, answer);
 	REQUIRE(is_told_whole == (since_break > seconds(1)));
 }
