--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -356,7 +356,10 @@
 				state->joiner.restart();
 				co_return send_failure::broken;
 			}
+			auto const before_wait = monotonic_now();
 			co_await state->http_exchange->wait_for_room(state->joiner.held_bytes());
+			// The server is not silent while nothing is read from it.
+			progress_at += monotonic_now() - before_wait;
 			auto const left = std::max(duration{}, max_silence.before_move - (monotonic_now() - progress_at));
 			auto const wait = std::min(left, state->time_left());
 			auto wait_on = this->wait_unless_moved(state, server, max_silence, progress_at);
