--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -45,6 +45,19 @@
 		// Time after its start in which a daemon that has heard of no other may not be alone.
 		constexpr duration discovery_time = milliseconds(1500);
 		constexpr unsigned not_ready = 503;
+		// Limits of the listeners for readiness and metrics, whose requests have no body.
+		constexpr std::size_t max_probe_body_bytes = 4'096;
+		constexpr std::size_t max_probe_connections = 256;
+		constexpr std::size_t max_probe_memory = 1'000'000;
+
+		http::server_limits probe_limits()
+		{
+			http::server_limits limits;
+			limits.body_bytes = max_probe_body_bytes;
+			limits.connections = max_probe_connections;
+			limits.memory_bytes = max_probe_memory;
+			return limits;
+		}
 		constexpr unsigned not_found = 404;
 
 		http::server_limits to_server_limits(routing::caller_limits const& limits, gateway_settings const& settings)
@@ -163,10 +176,10 @@
 				{
 					this->record_exception("connection", std::string(error));
 				}});
-		this->readiness = std::make_unique<http::server>(executor, this->settings.readiness_address,
-			http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
+		this->readiness = std::make_unique<http::server>(executor, this->settings.readiness_address, probe_limits(),
+			[this](http::request message, http::exchange& http_exchange)
 			{ return this->answer_readiness(std::move(message), http_exchange); });
-		this->metrics = std::make_unique<http::server>(executor, this->settings.metrics_address, http::server_limits{},
+		this->metrics = std::make_unique<http::server>(executor, this->settings.metrics_address, probe_limits(),
 			[this](http::request message, http::exchange& http_exchange)
 			{ return this->answer_metrics(std::move(message), http_exchange); });
 		this->callers->start();
