--- a/packages/daemon/impl/operator_api.cpp
+++ b/packages/daemon/impl/operator_api.cpp
@@ -91,6 +91,16 @@
 			}
 			return make_json_response(base);
 		}
+
+		// What the requests of all operators may hold together.
+		constexpr std::size_t max_operator_memory = 16'000'000;
+
+		http::server_limits operator_limits()
+		{
+			http::server_limits limits;
+			limits.memory_bytes = max_operator_memory;
+			return limits;
+		}
 	}
 
 	operator_api::operator_api(core_loop& given_core, telemetry const& given_events,
@@ -113,7 +123,7 @@
 	{
 		this->server =
 			std::make_unique<http::server>(this->thread.context().get_executor(), this->settings->operator_address,
-				http::server_limits{}, [this](http::request message, http::exchange& http_exchange)
+				operator_limits(), [this](http::request message, http::exchange& http_exchange)
 				{ return this->handle(std::move(message), http_exchange); });
 		this->server->start();
 		this->thread.start();
