--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -68,6 +68,7 @@
 			converted.header_timeout = limits.header_timeout;
 			converted.idle_timeout = limits.idle_timeout;
 			converted.memory_bytes = settings.caller_memory;
+			converted.connections = settings.caller_connections;
 			return converted;
 		}
 
--- a/packages/gateway/include/godwittrestle/gateway/settings.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,19 @@
 	// What the bodies of all callers' requests may hold together where the machine's memory is not known.
 	inline constexpr std::size_t default_caller_memory = 64'000'000;
 
+	// Callers' connections where the machine's file descriptors are not known.
+	inline constexpr std::size_t default_caller_connections = 4'096;
+
+	// Returns how many connections of callers a process with this many file descriptors takes: each may need another
+	// one to a server, and some are for everything else.
+	[[nodiscard]] constexpr std::size_t connections_of_machine(std::size_t descriptors) noexcept
+	{
+		constexpr std::size_t other_descriptors = 200;
+		constexpr std::size_t fewest_connections = 16;
+		auto const left = descriptors - std::min(descriptors, other_descriptors);
+		return std::max(fewest_connections, left / 2);
+	}
+
 	// The gateway's settings, read at its start and whenever the settings file changes. Changed retries, seeds and
 	// termination_grace are applied at once; the other settings, with all addresses, stay as they were at the start.
 	struct gateway_settings
@@ -58,6 +72,8 @@
 		duration termination_grace = seconds(8);
 		// What the bodies of all callers' requests may hold together, in bytes.
 		std::size_t caller_memory = default_caller_memory;
+		// Callers' connections that are open at once. Those above are closed as they come.
+		std::size_t caller_connections = default_caller_connections;
 		std::string log_level = "INFO";
 
 		[[nodiscard]] bool operator==(gateway_settings const&) const = default;
