--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -92,7 +92,9 @@
 		seen.can_go_on = state->matched_route->resumable && state->joiner.last_event() && state->joiner.may_go_on() &&
 						 events > 0 && state->is_origin_recorded;
 		seen.is_still_run = evidence.names_run(state->call.attempt);
-		seen.has_server_broken_off = broken_at && ended_at - *broken_at <= recent_break_time;
+		// A server that lets a stream go on and ends the answer without a further event has proved that none follows.
+		auto const is_empty_follow_up = is_stream && state->joiner.last_event() && events == 0;
+		seen.has_server_broken_off = !is_empty_follow_up && broken_at && ended_at - *broken_at <= recent_break_time;
 		seen.is_unusually_late = events > 0 && routing::is_late_end(state->end_delay, state->mean_gap()) &&
 								 this->shared->observed[state->service].ends.are_late_ends_rare();
 		this->log_event(*state, "answer_ended_with_connection",
