--- a/tests/contract/breaking_engines.cpp
+++ b/tests/contract/breaking_engines.cpp
@@ -173,6 +173,12 @@
 		return fmt::format("1;{}", fmt::join(names, ","));
 	}
 
+	void breaking_engines::note_last(std::size_t position, int event)
+	{
+		std::scoped_lock const lock(this->mutex);
+		this->all_runs[position].last = event;
+	}
+
 	asio::awaitable<bool> breaking_engines::stream(tcp::socket& socket, std::string head, std::size_t daemon)
 	{
 		auto const attempt = header_value(head, "Attempt");
@@ -200,9 +206,13 @@
 			auto const text = event_text(number);
 			auto const sent =
 				is_broken ? broken_event(text, header_value(head, "Break-How"), is_framed) : in_chunk(text, is_framed);
+			// Before the caller can have it.
+			this->note_last(position, is_broken ? number - 1 : number);
 			is_open = co_await write(socket, sent);
-			std::scoped_lock const lock(this->mutex);
-			this->all_runs[position].last = is_open && !is_broken ? number : number - 1;
+			if (!is_open)
+			{
+				this->note_last(position, number - 1);
+			}
 		}
 		if (is_open && !is_broken && is_framed)
 		{
--- a/tests/contract/breaking_engines.hpp
+++ b/tests/contract/breaking_engines.hpp
@@ -62,6 +62,8 @@
 		[[nodiscard]] boost::asio::awaitable<bool> stream(
 			boost::asio::ip::tcp::socket& socket, std::string head, std::size_t daemon);
 		[[nodiscard]] std::string report() const;
+		// Records the last event of a run that is sent in full.
+		void note_last(std::size_t position, int event);
 
 		daemon::io_thread thread;
 		std::deque<boost::asio::ip::tcp::acceptor> acceptors;
