--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -67,6 +67,10 @@
 		{
 			seen.is_still_run = co_await this->is_still_run(state, server, deadline);
 		}
+		if (seen.is_still_run)
+		{
+			this->shared->observed[state->service].ends.note_broken_off(monotonic_now());
+		}
 		outcome.is_whole = routing::judge_end(seen) == routing::end_judgement::whole;
 		co_return outcome;
 	}
@@ -95,13 +99,19 @@
 		// A server that lets a stream go on and ends the answer without a further event has proved that none follows.
 		auto const is_empty_follow_up = is_stream && state->joiner.last_event() && events == 0;
 		seen.has_server_broken_off = !is_empty_follow_up && broken_at && ended_at - *broken_at <= recent_break_time;
-		seen.is_unusually_late = events > 0 && routing::is_late_end(state->end_delay, state->mean_gap()) &&
-								 this->shared->observed[state->service].ends.are_late_ends_rare();
+		auto const& habits = this->shared->observed[state->service].ends;
+		seen.is_unusually_late =
+			events > 0 && routing::is_late_end(state->end_delay, state->mean_gap()) && habits.are_late_ends_rare();
+		seen.can_be_taken_up = state->matched_route->resumable && state->joiner.last_event();
+		// Retries that are spent come back within this time.
+		seen.has_service_broken_off =
+			!is_empty_follow_up && habits.were_broken_off(this->shared->retries.window, ended_at);
 		this->log_event(*state, "answer_ended_with_connection",
 			{{"server", server->entry.id.str()}, {"process", std::string(routing::to_string(seen.process))},
 				{"events", std::to_string(events)}, {"last_event", state->joiner.last_event().value_or("")},
 				{"delay_ms", milliseconds_text(state->end_delay)}, {"gap_ms", milliseconds_text(state->mean_gap())},
 				{"late", seen.is_unusually_late ? "yes" : "no"}, {"still_run", seen.is_still_run ? "yes" : "no"},
+				{"service_broke", seen.has_service_broken_off ? "yes" : "no"},
 				{"server_broke_ms", broken_at ? milliseconds_text(ended_at - *broken_at) : "never"},
 				{"made_tokens", std::to_string(state->generated_tokens().count())},
 				{"most_tokens", std::to_string(state->call.max_output.count())},
@@ -156,6 +166,7 @@
 		if (events > 0)
 		{
 			this->note_answer_broken(*state, *listed, monotonic_now());
+			this->shared->observed[state->service].ends.note_broken_off(monotonic_now());
 		}
 		this->totals->count_send("follow_up", !outcome.has_gone_on ? "failed" : events > 0 ? "served" : "nothing");
 		this->log_event(*state, "stream_end_asked",
--- a/packages/routing/impl/answer_end.cpp
+++ b/packages/routing/impl/answer_end.cpp
@@ -20,7 +20,8 @@
 
 		bool has_sign(answer_end const& seen) noexcept
 		{
-			return seen.is_still_run || seen.has_server_broken_off || seen.is_unusually_late;
+			return seen.is_still_run || seen.has_server_broken_off || seen.is_unusually_late ||
+				   (seen.can_be_taken_up && seen.has_service_broken_off);
 		}
 	}
 
@@ -35,6 +36,16 @@
 		this->ends = std::min(this->ends + 1, min_ends);
 	}
 
+	void end_habits::note_broken_off(time_point now) noexcept
+	{
+		this->broken_off_at = now;
+	}
+
+	bool end_habits::were_broken_off(duration within, time_point now) const noexcept
+	{
+		return this->broken_off_at && now - *this->broken_off_at <= within;
+	}
+
 	bool end_habits::are_late_ends_rare() const noexcept
 	{
 		return this->ends >= min_ends && this->late_share < rare_share;
--- a/tests/contract/broken_off_answers.test.cpp
+++ b/tests/contract/broken_off_answers.test.cpp
@@ -355,3 +355,30 @@
 	REQUIRE_FALSE(is_complete_stream(system.fixture.send_request()));
 	REQUIRE(system.fixture.shared.servers.find(server_id("a"))->answer_broken_at.has_value());
 }
+
+// Guards against a stream that is ended as complete before its last event, since no retry was left to ask what follows
+// (ORDER).
+TEST_CASE("while servers break streams off, one that can't be asked about is left to its caller", "[broken_off]")
+{
+	auto const is_shown = GENERATE(true, false);
+	living_fixture system(resumable_route(),
+		[](std::string_view call) { return goes_on_behind(call, 2) ? without_length(3, 4) : without_length(1, 2); });
+	auto& shared = system.fixture.shared;
+	if (is_shown)
+	{
+		// A stream that goes on when its server is asked shows that it was broken off.
+		REQUIRE(is_complete_stream(system.fixture.send_request()));
+	}
+	auto const now = daemon::monotonic_now();
+	while (shared.retry_budgets[service_id("s")].try_spend(shared.retries, shared.daemon_count, now))
+	{
+	}
+	auto const calls_before = system.server.calls.size();
+	// The sign of the server itself is no longer fresh.
+	shared.servers.find(server_id("a"))->answer_broken_at.reset();
+	auto const answer = system.fixture.send_request();
+	CAPTURE(is_shown, answer);
+	REQUIRE(count(answer, "data: ") == 2);
+	REQUIRE(is_complete_stream(answer) == !is_shown);
+	REQUIRE(system.server.calls.size() == calls_before + 1);
+}
--- a/tests/unit/answer_end.test.cpp
+++ b/tests/unit/answer_end.test.cpp
@@ -36,6 +36,33 @@
 	}
 }
 
+TEST_CASE("while servers break streams off, a caller that can take its stream up is asked to", "[answer_end]")
+{
+	auto const can_be_taken_up = GENERATE(true, false);
+	auto const has_service_broken_off = GENERATE(true, false);
+	answer_end seen;
+	seen.process = process_state::same;
+	seen.can_be_taken_up = can_be_taken_up;
+	seen.has_service_broken_off = has_service_broken_off;
+	auto const is_asked = can_be_taken_up && has_service_broken_off;
+	CHECK(judge_end(seen) == (is_asked ? end_judgement::broken : end_judgement::whole));
+	CHECK((budget_part(seen) == 1.0) == is_asked);
+	seen.can_go_on = true;
+	CHECK(judge_end(seen) == end_judgement::unproved);
+}
+
+TEST_CASE("servers are known to break streams off for a while after a proof", "[answer_end]")
+{
+	constexpr auto within = seconds(10);
+	time_point const proved{seconds(100)};
+	end_habits habits;
+	CHECK_FALSE(habits.were_broken_off(within, proved));
+	habits.note_broken_off(proved);
+	CHECK(habits.were_broken_off(within, proved));
+	CHECK(habits.were_broken_off(within, proved + within));
+	CHECK_FALSE(habits.were_broken_off(within, proved + within + milliseconds(1)));
+}
+
 TEST_CASE("an end is late when the next event was nearly due or a busy machine can't explain it", "[answer_end]")
 {
 	CHECK_FALSE(is_late_end(milliseconds(0), milliseconds(30)));
