--- a/packages/gateway/impl/fleet_exchange.cpp
+++ b/packages/gateway/impl/fleet_exchange.cpp
@@ -115,7 +115,7 @@
 			if (now - this->observations_sent_at >= observations_interval)
 			{
 				this->observations_sent_at = now;
-				this->add_observations(*message.mutable_gateway_notice());
+				this->add_observations(*message.mutable_gateway_notice(), now);
 			}
 			for (auto const& address : this->members.next_recipients(this->hooks.draw, now))
 			{
@@ -189,7 +189,7 @@
 		apply_crash_evidence(notice, this->shared->crashes, now);
 		log_block_changes(this->shared->crashes, this->log, now);
 		this->apply_shares(sender, notice, now);
-		this->apply_observations(notice);
+		this->apply_observations(notice, now);
 		if (notice.highest_fence() <= max_accepted_fence)
 		{
 			this->shared->highest_fence = std::max(this->shared->highest_fence, notice.highest_fence());
@@ -265,15 +265,15 @@
 		}
 	}
 
-	void fleet_exchange::add_observations(wire::GatewayNotice& notice) const
+	void fleet_exchange::add_observations(wire::GatewayNotice& notice, time_point now) const
 	{
 		for (auto const& [service, observed] : this->shared->observed)
 		{
-			*notice.add_observations() = to_wire(service, observed);
+			*notice.add_observations() = to_wire(service, observed, now);
 		}
 	}
 
-	void fleet_exchange::apply_observations(wire::GatewayNotice const& notice)
+	void fleet_exchange::apply_observations(wire::GatewayNotice const& notice, time_point now)
 	{
 		for (auto const& received : notice.observations())
 		{
@@ -282,7 +282,7 @@
 			// grow.
 			if (this->shared->routes && this->shared->routes->find_service(service) != nullptr)
 			{
-				gateway::apply_observations(received, this->shared->observed[service]);
+				gateway::apply_observations(received, this->shared->observed[service], now);
 			}
 		}
 	}
--- a/packages/gateway/impl/observation_messages.cpp
+++ b/packages/gateway/impl/observation_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 
+#include "message_time.hpp"
+
 namespace godwittrestle::gateway
 {
 	namespace
@@ -9,6 +11,8 @@
 		// Range of valid averages, in tokens or milliseconds.
 		constexpr float minimum = 0;
 		constexpr float maximum = 1e7F;
+		// Streams that were broken off longer ago are not told.
+		constexpr duration max_broken_off_age = seconds(60);
 
 		void write_average(routing::shared_average const& average, wire::Average& message)
 		{
@@ -26,7 +30,8 @@
 		}
 	}
 
-	wire::ServiceObservations to_wire(service_id const& service, routing::service_observations const& observed)
+	wire::ServiceObservations to_wire(
+		service_id const& service, routing::service_observations const& observed, time_point now)
 	{
 		wire::ServiceObservations message;
 		message.set_service(service.str());
@@ -36,10 +41,15 @@
 		write_average(observed.speed.token_ms, *message.mutable_prefill_token_ms());
 		write_average(observed.speed.overhead_ms, *message.mutable_prefill_overhead_ms());
 		write_average(observed.speed.decode_start_ms, *message.mutable_begin_ms());
+		if (observed.ends.were_broken_off(max_broken_off_age, now))
+		{
+			message.set_broken_off_age(age_of(*observed.ends.last_broken_off(), now));
+		}
 		return message;
 	}
 
-	void apply_observations(wire::ServiceObservations const& received, routing::service_observations& observed)
+	void apply_observations(
+		wire::ServiceObservations const& received, routing::service_observations& observed, time_point now)
 	{
 		take(received.prompt_tokens(), observed.demand.prompt_tokens);
 		take(received.output_tokens(), observed.demand.output_tokens);
@@ -47,5 +57,9 @@
 		take(received.prefill_token_ms(), observed.speed.token_ms);
 		take(received.prefill_overhead_ms(), observed.speed.overhead_ms);
 		take(received.begin_ms(), observed.speed.decode_start_ms);
+		if (received.has_broken_off_age())
+		{
+			observed.ends.note_broken_off(now - bounded_time(received.broken_off_age(), max_broken_off_age));
+		}
 	}
 }
--- a/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/fleet_exchange.hpp
@@ -68,8 +68,8 @@
 		// Adds the limits that have changed a moment ago; all limits while a daemon has just started.
 		void add_limits(wire::GatewayNotice& notice, time_point now) const;
 		void apply_shares(instance_id const& sender, wire::GatewayNotice const& notice, time_point now);
-		void add_observations(wire::GatewayNotice& notice) const;
-		void apply_observations(wire::GatewayNotice const& notice);
+		void add_observations(wire::GatewayNotice& notice, time_point now) const;
+		void apply_observations(wire::GatewayNotice const& notice, time_point now);
 		[[nodiscard]] wire::GatewayNotice make_notice(registry_snapshot const& registry_state, time_point now) const;
 		void query(std::string const& address, registry_snapshot const& registry_state, time_point now);
 
--- a/packages/routing/impl/answer_end.cpp
+++ b/packages/routing/impl/answer_end.cpp
@@ -36,9 +36,9 @@
 		this->ends = std::min(this->ends + 1, min_ends);
 	}
 
-	void end_habits::note_broken_off(time_point now) noexcept
+	void end_habits::note_broken_off(time_point at) noexcept
 	{
-		this->broken_off_at = now;
+		this->broken_off_at = std::max(this->broken_off_at.value_or(at), at);
 	}
 
 	bool end_habits::were_broken_off(duration within, time_point now) const noexcept
--- a/packages/routing/include/godwittrestle/routing/answer_end.hpp
+++ b/packages/routing/include/godwittrestle/routing/answer_end.hpp
@@ -21,7 +21,13 @@
 		void note_end(bool is_late) noexcept;
 
 		// Records a proof that a server which lives on has broken a stream off.
-		void note_broken_off(time_point now) noexcept;
+		void note_broken_off(time_point at) noexcept;
+
+		// Returns the time of the last such proof.
+		[[nodiscard]] std::optional<time_point> const& last_broken_off() const noexcept
+		{
+			return this->broken_off_at;
+		}
 
 		// Returns whether late ends are known to be rare, so that one speaks against its stream.
 		[[nodiscard]] bool are_late_ends_rare() const noexcept;
--- a/tests/contract/fleet_exchange.test.cpp
+++ b/tests/contract/fleet_exchange.test.cpp
@@ -181,6 +181,28 @@
 	REQUIRE_FALSE(pair.informed.shared.is_coordinator);
 }
 
+TEST_CASE("all daemons know that a server which lives on has broken a stream off", "[fleet]")
+{
+	constexpr auto window = seconds(10);
+	pair_of_peers pair;
+	routing::configuration config;
+	config.services[service_id("s")].id = service_id("s");
+	pair.other.shared.routes = std::make_shared<routing::route_table const>(config);
+	pair.exchange_round(0);
+	pair.informed.shared.observed[service_id("s")].ends.note_broken_off(at_ms(1000));
+	pair.exchange_round(2500);
+	auto const& known = pair.other.shared.observed.at(service_id("s")).ends;
+	CHECK(known.were_broken_off(window, at_ms(2500)));
+	CHECK(known.were_broken_off(window, at_ms(11'000)));
+	CHECK_FALSE(known.were_broken_off(window, at_ms(11'001)));
+	// Told back and forth, it grows old all the same.
+	pair.informed.shared.routes = pair.other.shared.routes;
+	pair.exchange_round(9000);
+	pair.exchange_round(18'000);
+	CHECK_FALSE(known.were_broken_off(window, at_ms(18'000)));
+	CHECK_FALSE(pair.informed.shared.observed.at(service_id("s")).ends.were_broken_off(window, at_ms(18'000)));
+}
+
 TEST_CASE("a daemon without observations of its own uses those of other daemons", "[fleet]")
 {
 	pair_of_peers pair;
