--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
@@ -41,6 +42,10 @@
 		constexpr std::size_t chunk_line_bytes = 32;
 		// What the buffer of a connection may hold while a body is read.
 		constexpr std::size_t max_buffer_bytes = 65'536;
+		// The empty line behind a head.
+		constexpr std::size_t head_end_bytes = 4;
+		// What the buffer may keep while the connection waits for a request.
+		constexpr std::size_t max_idle_buffer_bytes = 4'096;
 		// Retry-After of a request for which there is no memory.
 		constexpr duration no_memory_delay = seconds(1);
 		// Time between two looks at what callers have taken of their answers while the memory is spent.
@@ -101,9 +106,13 @@
 				"send a well-formed request");
 		}
 
-		unread_reason to_unread_reason(yield_reason reason)
+		unread_reason to_unread_reason(yield_reason reason, bool is_header_done)
 		{
-			return reason == yield_reason::stopped ? unread_reason::body_stopped : unread_reason::no_memory;
+			if (reason == yield_reason::no_room)
+			{
+				return unread_reason::no_memory;
+			}
+			return is_header_done ? unread_reason::body_stopped : unread_reason::header_timeout;
 		}
 
 		response make_yield_error(yield_reason reason)
@@ -448,6 +457,7 @@
 		{
 			if (connection->unparsed().size() == 0)
 			{
+				connection->shrink_buffer(max_idle_buffer_bytes);
 				auto const has_bytes = co_await connection->wait_for_bytes(this->limits.idle_timeout);
 				if (!has_bytes)
 				{
@@ -508,7 +518,8 @@
 				co_return;
 			}
 			auto const yielded = connection->yielded();
-			auto const reason = yielded ? to_unread_reason(*yielded) : to_unread_reason(error, parser.is_header_done());
+			auto const reason = yielded ? to_unread_reason(*yielded, parser.is_header_done())
+										: to_unread_reason(error, parser.is_header_done());
 			this->report_unread(reason, to_head(parser.get()));
 			// Nothing of the request is held while the answer is written and the rest is dropped.
 			std::string().swap(parser.get().body());
@@ -547,17 +558,72 @@
 			}
 		}
 
+		// The end of reading a head: its error, if any, and its size in bytes.
+		struct head_end
+		{
+			error_code error;
+			std::size_t bytes = 0;
+		};
+
+		// Reads the head of a request. part: set when the head does not arrive at once.
+		asio::awaitable<head_end> read_head(connection_pointer connection,
+			beast::http::request_parser<beast::http::string_body>& parser, std::optional<memory_part>& part)
+		{
+			auto& buffer = connection->unparsed();
+			// The buffer grows no further than a head may.
+			buffer.max_size(std::max(buffer.size(), this->limits.header_bytes + head_end_bytes));
+			head_end end;
+			while (true)
+			{
+				if (buffer.size() > 0)
+				{
+					auto const parsed = parser.put(buffer.data(), end.error);
+					buffer.consume(parsed);
+					end.bytes += parsed;
+					if (parser.is_header_done() || end.error != beast::http::error::need_more)
+					{
+						co_return end;
+					}
+					if (!part)
+					{
+						part.emplace(*this, connection);
+					}
+					part->hold(buffer.capacity());
+				}
+				if (connection->yielded())
+				{
+					end.error = make_error_code(beast::error::timeout);
+					co_return end;
+				}
+				auto const room = beast::read_size(buffer, max_buffer_bytes);
+				if (room == 0)
+				{
+					end.error = make_error_code(beast::http::error::header_limit);
+					co_return end;
+				}
+				auto const [error, size] = co_await connection->stream().async_read_some(buffer.prepare(room), token);
+				buffer.commit(size);
+				if (error)
+				{
+					auto const broken_off =
+						parser.got_some() ? beast::http::error::partial_message : beast::http::error::end_of_stream;
+					end.error = error == asio::error::eof ? make_error_code(broken_off) : error;
+					co_return end;
+				}
+			}
+		}
+
 		// Reads one request, and sends 100 Continue when the client expects it.
-		// part: set when a body follows the head.
+		// part: set when a body follows the head, or the head does not arrive at once.
 		asio::awaitable<error_code> read_request(connection_pointer opened,
 			beast::http::request_parser<beast::http::string_body>& parser, std::optional<memory_part>& part)
 		{
 			auto& connection = *opened;
 			auto& stream = connection.stream();
-			auto& buffer = connection.unparsed();
 			stream.expires_never();
 			connection.set_read_timeout(this->limits.header_timeout);
-			auto const [head_error, head_size] = co_await beast::http::async_read_header(stream, buffer, parser, token);
+			auto const [head_error, head_size] = co_await this->read_head(opened, parser, part);
+			connection.unparsed().max_size(std::numeric_limits<std::size_t>::max());
 			if (connection.end_read_timeout() && head_error)
 			{
 				co_return beast::error::timeout;
@@ -582,6 +648,7 @@
 			}
 			if (parser.is_done())
 			{
+				part.reset();
 				co_return error_code();
 			}
 			stream.expires_never();
--- a/packages/http/impl/server_connection.cpp
+++ b/packages/http/impl/server_connection.cpp
@@ -83,6 +83,15 @@
 		enable_dead_peer_detection(this->tcp.socket(), silence_timeout);
 	}
 
+	void server_connection::shrink_buffer(std::size_t kept_bytes)
+	{
+		if (this->buffer.capacity() > kept_bytes)
+		{
+			this->buffer.clear();
+			this->buffer.shrink_to_fit();
+		}
+	}
+
 	asio::awaitable<bool> server_connection::wait_for_bytes(duration idle_timeout)
 	{
 		this->is_idle = true;
--- a/packages/http/impl/server_connection.hpp
+++ b/packages/http/impl/server_connection.hpp
@@ -56,6 +56,9 @@
 			return this->buffer;
 		}
 
+		// Frees the memory of the bytes not parsed yet, of which there must be none, when it is more than this.
+		void shrink_buffer(std::size_t kept_bytes);
+
 		// Waits until bytes of a request can be read. Returns false when the connection failed or was closed by
 		// close_if_idle(), also after idle_timeout.
 		[[nodiscard]] asio::awaitable<bool> wait_for_bytes(duration idle_timeout);
