--- a/packages/daemon/impl/peer_link.cpp
+++ b/packages/daemon/impl/peer_link.cpp
@@ -19,6 +19,9 @@
 		constexpr int send_queue_messages = 1000;
 		constexpr std::int64_t max_message_bytes = 4LL * 1024 * 1024;
 		constexpr std::chrono::milliseconds poll_timeout{200};
+		// With a domain, the socket takes no connection of the protocol's first versions: they begin with no greeting,
+		// so that any bytes are parts of a message, whose number nothing bounds.
+		constexpr char const* peer_domain = "peers";
 
 		void set_common_options(zmq::socket_t& socket)
 		{
@@ -50,6 +53,10 @@
 	void peer_link::start()
 	{
 		set_common_options(this->incoming);
+		if (this->secret_key.empty())
+		{
+			this->incoming.set(zmq::sockopt::zap_domain, peer_domain);
+		}
 		this->set_curve(this->incoming, true);
 		this->incoming.bind(this->bind_address);
 		this->thread = std::thread([this] { this->run(); });
