--- a/packages/daemon/impl/settings.cpp
+++ b/packages/daemon/impl/settings.cpp
@@ -20,6 +20,7 @@
 
 		constexpr std::string_view environment_prefix = "GODWITTRESTLE_";
 		constexpr std::size_t z85_key_size = 40;
+		constexpr std::size_t bytes_per_megabyte = 1'000'000;
 		constexpr std::array<std::string_view, 6> log_levels{"TRACE", "DEBUG", "INFO", "WARN", "ERROR", "OFF"};
 
 		// A numeric setting with its default and its inclusive bounds, in the unit that its name ends with.
@@ -32,7 +33,7 @@
 			char const* help;
 		};
 
-		constexpr std::array<number_setting, 13> number_settings{{
+		constexpr std::array<number_setting, 14> number_settings{{
 			{"heartbeat-interval-ms", 500, 50, 10'000, "interval between heartbeats to another daemon"},
 			{"peer-timeout-ms", 2'000, 200, 60'000, "silence after which another daemon is considered dead"},
 			{"load-poll-interval-ms", 200, 20, 10'000, "interval at which an engine is asked for a load report"},
@@ -42,6 +43,8 @@
 			{"max-connections", 4'096, 1, 100'000, "maximum number of open connections of callers"},
 			{"max-header-bytes", 16'384, 1'024, 1'048'576, "maximum size of a request's header"},
 			{"max-body-bytes", 8'388'608, 1'024, 268'435'456, "maximum size of a request's body"},
+			{"caller-memory-mb", 32, 1, 1'000'000,
+				"memory of the requests and answers of all callers; a single request may always hold its maximum"},
 			{"read-timeout-ms", 10'000, 100, 600'000, "time for a whole request to arrive once its header has"},
 			{"idle-timeout-ms", 30'000, 100, 3'600'000, "time that a connection may stay open between requests"},
 			{"caller-silence-ms", 3'000, 1'000, 60'000, "silence after which a caller's connection is considered dead"},
@@ -221,6 +224,8 @@
 			BOOST_LEAF_ASSIGN(settings.caller_limits.connections, source.number("max-connections"));
 			BOOST_LEAF_ASSIGN(settings.caller_limits.header_bytes, source.number("max-header-bytes"));
 			BOOST_LEAF_ASSIGN(settings.caller_limits.body_bytes, source.number("max-body-bytes"));
+			BOOST_LEAF_AUTO(caller_megabytes, source.number("caller-memory-mb"));
+			settings.caller_limits.memory_bytes = caller_megabytes * bytes_per_megabyte;
 			BOOST_LEAF_ASSIGN(settings.ring_capacity, source.number("ring-capacity"));
 			BOOST_LEAF_ASSIGN(settings.timeline_events, source.number("timeline-events"));
 			settings.log_level = source.text("log-level");
