--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -42,8 +42,6 @@
 		constexpr std::size_t chunk_line_bytes = 32;
 		// What the buffer of a connection may hold while a body is read.
 		constexpr std::size_t max_buffer_bytes = 65'536;
-		// The empty line behind a head.
-		constexpr std::size_t head_end_bytes = 4;
 		// What the buffer may keep while the connection waits for a request.
 		constexpr std::size_t max_idle_buffer_bytes = 4'096;
 		// Retry-After of a request for which there is no memory.
@@ -471,6 +469,8 @@
 			auto const error = co_await this->read_request(connection, parser, part);
 			if (error)
 			{
+				// Nothing of the request is held while it is refused.
+				part.reset();
 				co_await this->refuse_unread(connection, parser, error);
 				co_return false;
 			}
@@ -521,7 +521,6 @@
 			auto const reason = yielded ? to_unread_reason(*yielded, parser.is_header_done())
 										: to_unread_reason(error, parser.is_header_done());
 			this->report_unread(reason, to_head(parser.get()));
-			// Nothing of the request is held while the answer is written and the rest is dropped.
 			std::string().swap(parser.get().body());
 			connection->unparsed().clear();
 			connection->unparsed().shrink_to_fit();
@@ -558,63 +557,79 @@
 			}
 		}
 
-		// The end of reading a head: its error, if any, and its size in bytes.
-		struct head_end
+		// What reading a head came to: its error, if any, and its size in bytes.
+		struct head_result
 		{
 			error_code error;
 			std::size_t bytes = 0;
 		};
 
 		// Reads the head of a request. part: set when the head does not arrive at once.
-		asio::awaitable<head_end> read_head(connection_pointer connection,
+		asio::awaitable<head_result> read_head(connection_pointer connection,
 			beast::http::request_parser<beast::http::string_body>& parser, std::optional<memory_part>& part)
 		{
 			auto& buffer = connection->unparsed();
-			// The buffer grows no further than a head may.
-			buffer.max_size(std::max(buffer.size(), this->limits.header_bytes + head_end_bytes));
-			head_end end;
-			while (true)
-			{
-				if (buffer.size() > 0)
+			// The buffer grows no further than a head may. The parser's own limit is reached at this size, not beyond
+			// it.
+			buffer.max_size(std::max(buffer.size(), this->limits.header_bytes + 1));
+			head_result read;
+			auto has_new_bytes = buffer.size() > 0;
+			while (!connection->yielded())
+			{
+				if (!has_new_bytes)
 				{
-					auto const parsed = parser.put(buffer.data(), end.error);
-					buffer.consume(parsed);
-					end.bytes += parsed;
-					if (parser.is_header_done() || end.error != beast::http::error::need_more)
-					{
-						co_return end;
-					}
-					if (!part)
+					read.error = co_await read_piece(*connection, parser);
+					if (read.error)
 					{
-						part.emplace(*this, connection);
+						co_return read;
 					}
-					part->hold(buffer.capacity());
+					// It may have been told to yield meanwhile.
+					has_new_bytes = true;
+					continue;
 				}
-				if (connection->yielded())
+				has_new_bytes = false;
+				auto const parsed = parser.put(buffer.data(), read.error);
+				buffer.consume(parsed);
+				read.bytes += parsed;
+				// The parser takes line by line, and compares only what is left with its limit.
+				auto const size = read.bytes + (parser.is_header_done() ? 0 : buffer.size());
+				if (size > this->limits.header_bytes)
 				{
-					end.error = make_error_code(beast::error::timeout);
-					co_return end;
+					read.error = make_error_code(beast::http::error::header_limit);
 				}
-				auto const room = beast::read_size(buffer, max_buffer_bytes);
-				if (room == 0)
+				if (parser.is_header_done() || read.error != beast::http::error::need_more)
 				{
-					end.error = make_error_code(beast::http::error::header_limit);
-					co_return end;
+					co_return read;
 				}
-				auto const [error, size] = co_await connection->stream().async_read_some(buffer.prepare(room), token);
-				buffer.commit(size);
-				if (error)
+				if (!part)
 				{
-					auto const broken_off =
-						parser.got_some() ? beast::http::error::partial_message : beast::http::error::end_of_stream;
-					end.error = error == asio::error::eof ? make_error_code(broken_off) : error;
-					co_return end;
+					part.emplace(*this, connection);
 				}
+				part->hold(read.bytes + buffer.capacity());
 			}
+			read.error = make_error_code(beast::error::timeout);
+			co_return read;
+		}
+
+		// Reads the next bytes of a head into the connection's buffer.
+		static asio::awaitable<error_code> read_piece(
+			server_connection& connection, beast::http::request_parser<beast::http::string_body> const& parser)
+		{
+			auto& buffer = connection.unparsed();
+			auto const room = beast::read_size(buffer, max_buffer_bytes);
+			if (room == 0)
+			{
+				co_return make_error_code(beast::http::error::header_limit);
+			}
+			auto const [error, size] = co_await connection.stream().async_read_some(buffer.prepare(room), token);
+			buffer.commit(size);
+			auto const at_end =
+				parser.got_some() ? beast::http::error::partial_message : beast::http::error::end_of_stream;
+			co_return error == asio::error::eof ? make_error_code(at_end) : error;
 		}
 
 		// Reads one request, and sends 100 Continue when the client expects it.
-		// part: set when a body follows the head, or the head does not arrive at once.
+		// part: set while the head arrives, if it does not at once, and when a body follows it.
 		asio::awaitable<error_code> read_request(connection_pointer opened,
 			beast::http::request_parser<beast::http::string_body>& parser, std::optional<memory_part>& part)
 		{
@@ -624,6 +639,8 @@
 			connection.set_read_timeout(this->limits.header_timeout);
 			auto const [head_error, head_size] = co_await this->read_head(opened, parser, part);
 			connection.unparsed().max_size(std::numeric_limits<std::size_t>::max());
+			// From here on, nothing of the request can yield until its body arrives.
+			part.reset();
 			if (connection.end_read_timeout() && head_error)
 			{
 				co_return beast::error::timeout;
@@ -648,7 +665,6 @@
 			}
 			if (parser.is_done())
 			{
-				part.reset();
 				co_return error_code();
 			}
 			stream.expires_never();
--- a/tests/contract/request_limits.test.cpp
+++ b/tests/contract/request_limits.test.cpp
@@ -1,13 +1,17 @@
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -73,6 +77,22 @@
 			return read_head(socket).substr(0, std::string_view("HTTP/1.1 200").size());
 		}
 
+		// Sends a text in pieces, most likely so that each arrives by itself, and returns all that is answered.
+		[[nodiscard]] std::string answers_to_pieces(std::vector<std::string> const& pieces)
+		{
+			auto socket = this->send("");
+			socket.set_option(tcp::no_delay(true));
+			boost::system::error_code error;
+			for (auto const& piece : pieces)
+			{
+				asio::write(socket, asio::buffer(piece), error);
+				std::this_thread::sleep_for(std::chrono::milliseconds(1));
+			}
+			std::string text;
+			asio::read(socket, asio::dynamic_buffer(text), error);
+			return text;
+		}
+
 	  private:
 		asio::awaitable<void> serve(http::request message, http::exchange& http_exchange)
 		{
@@ -129,6 +149,59 @@
 	CHECK(server.answer_to(chunked(one_byte_chunks + "0\r\n\r\n")) == "HTTP/1.1 200");
 }
 
+// Guards against a head without end that the parser takes line by line.
+TEST_CASE("a head that comes line by line has the same limit", "[request_limits]")
+{
+	measuring_server server(body_bytes);
+	auto const is_beyond = GENERATE(true, false);
+	std::string const line = ": " + std::string(46, 'x') + "\r\nA";
+	std::vector<std::string> pieces{"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nA"};
+	auto const lines = header_bytes / line.size() + 1;
+	for (std::size_t count = 0; count < (is_beyond ? lines : lines / 2); ++count)
+	{
+		pieces.push_back(line);
+	}
+	pieces.emplace_back(": x\r\n\r\n");
+	CAPTURE(is_beyond);
+	CHECK(server.answers_to_pieces(pieces).starts_with(is_beyond ? "HTTP/1.1 431" : "HTTP/1.1 200"));
+}
+
+TEST_CASE("requests that are split anywhere are read", "[request_limits]")
+{
+	measuring_server server(body_bytes);
+	std::string const text = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+							 "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+							 "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab";
+	for (std::size_t position = 1; position < text.size(); ++position)
+	{
+		auto const answers = server.answers_to_pieces({text.substr(0, position), text.substr(position)});
+		CAPTURE(position, answers);
+		std::size_t served = 0;
+		for (auto at = answers.find("HTTP/1.1 200"); at != std::string::npos; at = answers.find("HTTP/1.1 200", at + 1))
+		{
+			++served;
+		}
+		REQUIRE(served == 3);
+		REQUIRE(answers.ends_with("\r\n\r\n2"));
+	}
+}
+
+TEST_CASE("a request whose connection ends within it is not served", "[request_limits]")
+{
+	measuring_server server(body_bytes);
+	std::string const text = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+	for (std::size_t size = 0; size < text.size(); ++size)
+	{
+		auto socket = server.send(text.substr(0, size));
+		socket.shutdown(tcp::socket::shutdown_send);
+		std::string answer;
+		boost::system::error_code error;
+		asio::read(socket, asio::dynamic_buffer(answer), error);
+		CAPTURE(size, answer);
+		REQUIRE((size > 0 ? answer.starts_with("HTTP/1.1 400") : answer.empty()));
+	}
+}
+
 TEST_CASE("a request gets 503 while another one holds the memory, and is served afterwards", "[request_limits]")
 {
 	measuring_server server(body_bytes);
