--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -67,10 +67,6 @@
 		{
 			seen.is_still_run = co_await this->is_still_run(state, server, deadline);
 		}
-		if (seen.is_still_run)
-		{
-			this->shared->observed[state->service].ends.note_broken_off(monotonic_now());
-		}
 		outcome.is_whole = routing::judge_end(seen) == routing::end_judgement::whole;
 		co_return outcome;
 	}
@@ -93,8 +89,9 @@
 		}
 		auto const events = state->joiner.events() - state->events_before_send;
 		auto const& broken_at = this->present_record(server)->answer_broken_at;
-		seen.can_go_on = state->matched_route->resumable && state->joiner.last_event() && state->joiner.may_go_on() &&
-						 events > 0 && state->is_origin_recorded;
+		auto const is_resumable = state->matched_route->resumable && state->joiner.last_event();
+		auto const is_begun = events > 0 && state->is_origin_recorded;
+		seen.can_go_on = is_resumable && state->joiner.may_go_on() && is_begun;
 		seen.is_still_run = evidence.names_run(state->call.attempt);
 		// A server that lets a stream go on and ends the answer without a further event has proved that none follows.
 		auto const is_empty_follow_up = is_stream && state->joiner.last_event() && events == 0;
@@ -102,8 +99,8 @@
 		auto const& habits = this->shared->observed[state->service].ends;
 		seen.is_unusually_late =
 			events > 0 && routing::is_late_end(state->end_delay, state->mean_gap()) && habits.are_late_ends_rare();
-		seen.can_be_taken_up = state->matched_route->resumable && state->joiner.last_event();
-		// Retries that are spent come back within this time.
+		seen.can_be_taken_up = is_resumable && state->is_origin_recorded;
+		// Retries that are spent now were spent within this time, so a proof of before them still counts.
 		seen.has_service_broken_off =
 			!is_empty_follow_up && habits.were_broken_off(this->shared->retries.window, ended_at);
 		this->log_event(*state, "answer_ended_with_connection",
--- a/packages/gateway/impl/observation_messages.cpp
+++ b/packages/gateway/impl/observation_messages.cpp
@@ -13,6 +13,8 @@
 		constexpr float maximum = 1e7F;
 		// Streams that were broken off longer ago are not told.
 		constexpr duration max_broken_off_age = seconds(60);
+		// A message that is late makes what it tells look later. One proof counts as another only beyond this.
+		constexpr duration max_message_delay = seconds(4);
 
 		void write_average(routing::shared_average const& average, wire::Average& message)
 		{
@@ -59,7 +61,12 @@
 		take(received.begin_ms(), observed.speed.decode_start_ms);
 		if (received.has_broken_off_age())
 		{
-			observed.ends.note_broken_off(now - bounded_time(received.broken_off_age(), max_broken_off_age));
+			auto const at = now - bounded_time(received.broken_off_age(), max_broken_off_age);
+			auto const& known = observed.ends.last_broken_off();
+			if (!known || at - *known > max_message_delay)
+			{
+				observed.ends.note_broken_off(at);
+			}
 		}
 	}
 }
--- a/packages/routing/impl/answer_end.cpp
+++ b/packages/routing/impl/answer_end.cpp
@@ -18,10 +18,15 @@
 		// Part of the retry budget for questions about ends without a sign. The rest is for sends that have failed.
 		constexpr double part_without_sign = 0.75;
 
+		// Returns whether something speaks against this answer by itself.
 		bool has_sign(answer_end const& seen) noexcept
 		{
-			return seen.is_still_run || seen.has_server_broken_off || seen.is_unusually_late ||
-				   (seen.can_be_taken_up && seen.has_service_broken_off);
+			return seen.is_still_run || seen.has_server_broken_off || seen.is_unusually_late;
+		}
+
+		bool is_left_to_caller(answer_end const& seen) noexcept
+		{
+			return seen.can_be_taken_up && seen.has_service_broken_off;
 		}
 	}
 
@@ -75,7 +80,7 @@
 		{
 			return end_judgement::unproved;
 		}
-		return has_sign(seen) ? end_judgement::broken : end_judgement::whole;
+		return has_sign(seen) || is_left_to_caller(seen) ? end_judgement::broken : end_judgement::whole;
 	}
 
 	double budget_part(answer_end const& seen) noexcept
--- a/packages/routing/include/godwittrestle/routing/answer_end.hpp
+++ b/packages/routing/include/godwittrestle/routing/answer_end.hpp
@@ -71,8 +71,8 @@
 
 	// Returns whether such an answer is whole. One whose process has ended, or may have, is broken. Of one whose
 	// process lives on, what follows its last event is the only proof. Where that can't be had, each sign that the
-	// answer was broken off speaks against it. That other servers of the service break streams off is one only where
-	// the caller can find out what follows.
+	// answer was broken off speaks against it; and while servers of the service break streams off, it is left to a
+	// caller that can take it up, so broken.
 	[[nodiscard]] end_judgement judge_end(answer_end const& seen) noexcept;
 
 	// Returns the part of the retry budget, from 0 to 1, that may be spent to ask what follows such an end.
