--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -90,8 +90,12 @@
 		auto const events = state->joiner.events() - state->events_before_send;
 		auto const& broken_at = this->present_record(server)->answer_broken_at;
 		auto const is_resumable = state->matched_route->resumable && state->joiner.last_event();
+		// One that the caller has taken up may have been broken off before its first event. A daemon that passes a
+		// stream on may only be asking what follows.
+		auto const is_empty_take_up =
+			state->joiner.events() == 0 && !state->is_end_asked && !state->call.relayed_servers_left;
 		auto const is_begun = events > 0 && state->is_origin_recorded;
-		seen.can_go_on = is_resumable && state->joiner.may_go_on() && is_begun;
+		seen.can_go_on = is_resumable && state->joiner.may_go_on() && (is_begun || is_empty_take_up);
 		seen.is_still_run = evidence.names_run(state->call.attempt);
 		// A server that lets a stream go on and ends the answer without a further event has proved that none follows.
 		auto const is_empty_follow_up = is_stream && state->joiner.last_event() && events == 0;
@@ -148,6 +152,7 @@
 			co_return outcome;
 		}
 		state->joiner.restart();
+		state->is_end_asked = true;
 		send_options options;
 		options.last_event = state->joiner.last_event();
 		silence_limits const limits{wait, wait};
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -193,6 +193,8 @@
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
+		// Whether a server was asked what follows the end of its answer. If nothing came, nothing follows.
+		bool is_end_asked = false;
 		// Whether other daemons were asked for the stream's origin and did not all answer in time.
 		bool is_origin_unanswered = false;
 		// Whether all other daemons, if there are any, have said what they know of the stream.
--- a/tests/contract/broken_off_answers.test.cpp
+++ b/tests/contract/broken_off_answers.test.cpp
@@ -387,3 +387,27 @@
 	REQUIRE(is_complete_stream(answer) == !is_shown);
 	REQUIRE(system.server.calls.size() == calls_before + 1);
 }
+
+// Guards against a stream that its caller has taken up and that is ended as complete, since its server has broken it
+// off before its first event (ORDER).
+TEST_CASE("a stream that was taken up and ends without an event is asked for once more", "[broken_off]")
+{
+	auto const goes_on = GENERATE(true, false);
+	int asked = 0;
+	living_fixture system(resumable_route(),
+		[&](std::string_view call)
+		{
+			REQUIRE(goes_on_behind(call, 2));
+			return goes_on && ++asked == 2 ? answer_script{{stream_answer(event(3) + event(4), true)}}
+										   : answer_script{{head_without_length()}};
+		});
+	auto const now = daemon::monotonic_now();
+	auto& versions = system.fixture.shared.versions;
+	versions.set_in_service({{service_id("s"), {software_version()}}}, now);
+	versions.note_complete_since(now - seconds(3600));
+	auto const answer = system.fixture.send_request("POST", seconds(4), "Last-Event-Id: 2\r\n");
+	CAPTURE(goes_on, answer);
+	REQUIRE(count(answer, "data: ") == (goes_on ? 2 : 0));
+	REQUIRE(is_complete_stream(answer));
+	REQUIRE(system.server.calls.size() == 2);
+}
