--- a/packages/gateway/impl/stream_origin_exchange.cpp
+++ b/packages/gateway/impl/stream_origin_exchange.cpp
@@ -182,9 +182,11 @@
 	void stream_origin_exchange::apply(wire::StreamOrigin const& received, bool is_version_known, time_point now)
 	{
 		service_id service(received.service());
-		auto const is_valid =
-			received.version().size() <= max_accepted_name && received.server().size() <= max_accepted_name &&
-			received.learnt_from() != this->outgoing.own_id().str() && this->is_known_service(service);
+		// A daemon without a configuration keeps what it is told: nobody tells it twice.
+		auto const may_be_served = !this->shared->routes || this->is_known_service(service);
+		auto const is_valid = received.version().size() <= max_accepted_name &&
+							  received.server().size() <= max_accepted_name &&
+							  received.learnt_from() != this->outgoing.own_id().str() && may_be_served;
 		if (!is_valid)
 		{
 			return;
--- a/tests/unit/stream_origin_exchange.test.cpp
+++ b/tests/unit/stream_origin_exchange.test.cpp
@@ -97,6 +97,31 @@
 	REQUIRE(known->begun_at == at_ms(110));
 }
 
+// Guards against streams that nobody can take up, since the daemon that began them has stopped.
+TEST_CASE("a daemon that stops tells its records, also with one version and to a daemon without a configuration",
+	"[stream_origin_exchange]")
+{
+	test_daemon first("d0");
+	test_daemon second("d1");
+	first.shared.live_daemons = {member(second)};
+	first.set_versions(versions({"v1"}), at_ms(0));
+	first.shared.view.note_read(at_ms(50), at_ms(60));
+	routing::registered_server entry;
+	entry.id = server_id("s1");
+	entry.service = digests;
+	first.shared.servers.put(entry);
+	first.shared.origins.note(fingerprint(1), {{digests, software_version("v1")}, at_ms(100), first.id});
+	first.exchange.tell_due(at_ms(100));
+	REQUIRE(first.sent.empty());
+	first.shared.shutdown_deadline = at_ms(8000);
+	second.shared.routes = nullptr;
+	first.exchange.tell_due(at_ms(200));
+	deliver(first, second, at_ms(210));
+	auto const* const known = second.shared.origins.find(fingerprint(1));
+	REQUIRE(known != nullptr);
+	REQUIRE(known->origin.version == software_version("v1"));
+}
+
 TEST_CASE("a daemon that has just started learns a stream, and which versions were in service, from another one",
 	"[stream_origin_exchange]")
 {
