--- a/tests/contract/relayed_streams.test.cpp
+++ b/tests/contract/relayed_streams.test.cpp
@@ -29,7 +29,7 @@
 		constexpr std::chrono::milliseconds recent{1500};
 		auto const runs = engines.runs(stream);
 		REQUIRE_FALSE(runs.empty());
-		auto const own = runs.back();
+		auto const& own = runs.back();
 		return std::ranges::any_of(engines.runs(""),
 			[&](engine_run const& each)
 			{
