--- a/packages/gateway/impl/counters.cpp
+++ b/packages/gateway/impl/counters.cpp
@@ -103,6 +103,10 @@
 				  .Name("godwittrestle_taken_up_streams_total")
 				  .Help("Streams that callers take up, by how it is known which software version began them")
 				  .Register(this->registry))
+		, sent_streams(&prometheus::BuildCounter()
+				  .Name("godwittrestle_streams_sent_total")
+				  .Help("Streams sent to servers, by how the process that holds the connection is known")
+				  .Register(this->registry))
 		, known_streams(&prometheus::BuildGauge()
 				  .Name("godwittrestle_known_streams")
 				  .Help("Streams of which it is recorded which software version began them")
@@ -241,6 +245,11 @@
 		this->taken_over_requests->Increment();
 	}
 
+	void counters::count_stream_sent(std::string_view process, bool is_begun)
+	{
+		this->sent_streams->Add({{"process", std::string(process)}, {"begun", is_begun ? "yes" : "no"}}).Increment();
+	}
+
 	void counters::count_taken_up_stream(std::string_view outcome)
 	{
 		this->taken_up_streams->Add({{"outcome", std::string(outcome)}}).Increment();
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -330,13 +330,17 @@
 		request_state const& state, routing::server_record const& server, pooled_connection const& connection)
 	{
 		auto const& stated = server.last_statement;
+		auto const is_by_entry =
+			!connection.holder() && !routing::states_start(routing::as_stream_server(server.entry));
+		std::string_view const process = connection.holder() ? "stated" : is_by_entry ? "by_entry" : "unknown";
+		this->totals->count_stream_sent(process, state.joiner.last_event().has_value());
 		this->log_event(state, "stream_sent",
 			{{"server", server.entry.id.str()}, {"entry_start", std::to_string(server.entry.started.count())},
 				{"entry_version", server.entry.version.str()},
 				{"stated_start", stated ? std::to_string(stated->start.count()) : "none"},
 				{"stated_ms", stated ? milliseconds_text(monotonic_now() - stated->asked_at) : "none"},
 				{"holder", connection.holder() ? std::to_string(connection.holder()->count()) : "unknown"},
-				{"port", std::to_string(connection->local_port())},
+				{"process", std::string(process)}, {"port", std::to_string(connection->local_port())},
 				{"last_event", state.joiner.last_event().value_or("")}});
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/counters.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/counters.hpp
@@ -68,6 +68,9 @@
 		// Counts a stream that a caller takes up. outcome: how this daemon knows where it began (recorded,
 		// only_version), or why it is refused (unknown, other_service).
 		void count_taken_up_stream(std::string_view outcome);
+		// Counts a stream that is sent to a server. process: how the process at the other end of the connection is
+		// known (stated, by_entry or unknown); is_begun: whether the caller has events of the stream already.
+		void count_stream_sent(std::string_view process, bool is_begun);
 		// Sets the number of streams whose beginning is recorded.
 		void set_known_streams(std::size_t count);
 		// Sets the number of blocks in force.
@@ -105,6 +108,7 @@
 		prometheus::Family<prometheus::Counter>* relayed_requests;
 		prometheus::Counter* taken_over_requests;
 		prometheus::Family<prometheus::Counter>* taken_up_streams;
+		prometheus::Family<prometheus::Counter>* sent_streams;
 		prometheus::Gauge* known_streams;
 		prometheus::Gauge* request_blocks;
 		prometheus::Gauge* caller_memory;
