--- a/tests/contract/streaming_servers.cpp
+++ b/tests/contract/streaming_servers.cpp
@@ -85,6 +85,12 @@
 		this->is_reporting = reports;
 	}
 
+	void streaming_server::set_start_stated(bool in_entry, bool in_report)
+	{
+		this->is_start_in_entry = in_entry;
+		this->is_start_in_report = in_report;
+	}
+
 	void streaming_server::set_report_delay(std::chrono::milliseconds delay)
 	{
 		this->report_delay = delay;
@@ -145,7 +151,7 @@
 	{
 		auto entry = make_server(this->id, http::to_string({"127.0.0.1", this->listener->port()}), this->role);
 		entry.version = software_version(this->version);
-		entry.started = incarnation(this->starts);
+		entry.started = incarnation(this->is_start_in_entry ? this->starts : 0);
 		return entry;
 	}
 
@@ -169,7 +175,8 @@
 			std::ignore = co_await timer.async_wait(token);
 			http::response answer;
 			answer.status = this->is_reporting ? answer.status : not_found;
-			answer.body = fmt::format("{};{}", this->starts, fmt::join(this->running, ","));
+			answer.body =
+				fmt::format("{};{}", this->is_start_in_report ? this->starts : 0, fmt::join(this->running, ","));
 			std::string next_version;
 			{
 				std::scoped_lock const lock(this->mutex);
--- a/tests/contract/streaming_servers.hpp
+++ b/tests/contract/streaming_servers.hpp
@@ -45,6 +45,9 @@
 		// Sets whether the server answers questions for its report; otherwise it answers 404.
 		void set_reporting(bool reports);
 
+		// Sets where the server states its start; in its entry and its report unless set.
+		void set_start_stated(bool in_entry, bool in_report);
+
 		// Sets how long the server takes to answer a question for its report.
 		void set_report_delay(std::chrono::milliseconds delay);
 
@@ -82,6 +85,8 @@
 		std::uint64_t starts = 1;
 		std::atomic<unsigned> breaks = 0;
 		std::atomic<bool> is_reporting = true;
+		std::atomic<bool> is_start_in_entry = true;
+		std::atomic<bool> is_start_in_report = true;
 		std::atomic<std::chrono::milliseconds> report_delay = std::chrono::milliseconds(0);
 		// Attempts whose streams run. Used only on the server's thread.
 		std::set<std::string> running;
