--- a/packages/gateway/impl/connection_pool.cpp
+++ b/packages/gateway/impl/connection_pool.cpp
@@ -66,6 +66,7 @@
 			this->release(server, server_connection());
 			co_return server_connection();
 		}
+		fresh.opened_at = daemon::monotonic_now();
 		co_return fresh;
 	}
 
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -51,6 +51,14 @@
 			  [](server_id const& /*daemon*/) {})
 		, end_check(io_executor, this->log,
 			  [this](routing::server_pointer called) { return this->ask_start(std::move(called)); })
+		, watches(io_executor, state,
+			  {[this](routing::server_pointer server, http::upstream_pointer connection)
+				  { return this->ask_report(std::move(server), std::move(connection)); },
+				  [this](routing::server_record const& server) { this->note_writer_known(server); },
+				  [this](std::string_view part, asio::awaitable<void> work)
+				  {
+					  this->run_in_background(part, std::move(work));
+				  }})
 		, random(std::random_device{}())
 		, started(monotonic_now())
 	{
@@ -182,8 +190,7 @@
 		}
 		state->attempted_servers.push_back(entry.id.str());
 		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming &&
-							   options.part == call_part::whole &&
-							   routing::states_start(routing::as_stream_server(entry));
+							   options.part == call_part::whole && this->is_process_needed(*server, monotonic_now());
 		engine_connection reached;
 		auto const granted_on = grant.connection ? grant.connection->get() : nullptr;
 		if (is_stream)
@@ -240,7 +247,7 @@
 		auto const present = this->present_record(server);
 		auto const listed = this->shared->servers.find(entry.id);
 		auto const is_leaving = server->is_leaving() || (listed && listed->is_leaving());
-		auto const holder = routing::compare_holder(routing::as_stream_server(entry), pooled.holder());
+		auto const holder = routing::compare_holder(routing::as_stream_server(entry), pooled.holder(), server->writer);
 		// Another stream with the same prompt may have been sent meanwhile. The version of a later process than the
 		// entry's is not known.
 		auto const wanted = this->wanted_origin(*state, monotonic_now());
@@ -283,6 +290,7 @@
 		if (options.part == call_part::whole)
 		{
 			++state->sends;
+			state->connected_at = pooled.opened_at();
 			state->is_holder_known = is_stream && pooled.holder();
 			state->sent_to_process = state->is_holder_known ? routing::server_process{entry.id, *pooled.holder()}
 															: present->newest_process();
@@ -330,9 +338,12 @@
 		request_state const& state, routing::server_record const& server, pooled_connection const& connection)
 	{
 		auto const& stated = server.last_statement;
-		auto const is_by_entry =
-			!connection.holder() && !routing::states_start(routing::as_stream_server(server.entry));
-		std::string_view const process = connection.holder() ? "stated" : is_by_entry ? "by_entry" : "unknown";
+		auto const now = monotonic_now();
+		auto const is_watched = this->is_watch_needed(server, now);
+		auto const is_by_entry = !connection.holder() && !this->is_process_needed(server, now);
+		std::string_view const process = connection.holder() ? (is_watched ? "watched" : "stated")
+										 : is_by_entry       ? "by_entry"
+															 : "unknown";
 		this->totals->count_stream_sent(process, state.joiner.last_event().has_value());
 		this->log_event(state, "stream_sent",
 			{{"server", server.entry.id.str()}, {"entry_start", std::to_string(server.entry.started.count())},
@@ -481,6 +492,7 @@
 
 	void forwarder::close_connections()
 	{
+		this->watches.close();
 		this->pool.close();
 		this->peer_pool.close();
 	}
@@ -519,6 +531,10 @@
 	std::size_t forwarder::connection_limit(routing::registered_server const& server) const
 	{
 		auto const* const terms = this->shared->routes ? this->shared->routes->find_service(server.service) : nullptr;
-		return routing::connection_share(terms == nullptr ? 0 : terms->max_connections, this->shared->daemon_count);
+		auto const share =
+			routing::connection_share(terms == nullptr ? 0 : terms->max_connections, this->shared->daemon_count);
+		// A watch has a connection of its own.
+		auto const is_shared = this->watches.is_watched(server.id) && share > 1;
+		return is_shared ? share - 1 : share;
 	}
 }
--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -131,7 +131,7 @@
 		auto const is_writer_known = state->writer && state->writer_send == state->sends;
 		auto const writer = is_writer_known ? *state->writer : state->sent_to_process;
 		// One that leaves, or that the registry does not list any more, gets no further call.
-		auto const may_be_asked = listed && listed->is_ready() && listed->entry.started == writer.started &&
+		auto const may_be_asked = listed && listed->is_ready() && this->is_present_process(*listed, writer) &&
 								  writer.server == server->entry.id && wait > duration{};
 		if (!may_be_asked)
 		{
@@ -141,9 +141,9 @@
 		auto const events_before = state->joiner.events();
 		constexpr auto holder_is_needed = true;
 		auto reached = co_await this->connect_to_engine(listed, wait, wait, holder_is_needed);
-		auto const states_start = routing::states_start(routing::as_stream_server(listed->entry));
+		auto const is_needed = this->is_process_needed(*listed, monotonic_now());
 		auto const holder = reached.connection ? reached.connection->holder() : std::nullopt;
-		auto const is_writer = reached.connection && (!states_start || holder == writer.started);
+		auto const is_writer = reached.connection && (!is_needed || holder == writer.started);
 		auto& budget = this->shared->retry_budgets[state->service];
 		if (!is_writer ||
 			!budget.try_spend_part(budget_part, this->shared->retries, this->shared->daemon_count, monotonic_now()))
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -41,6 +41,11 @@
 			reached.seen.statement = routing::pause_wanted();
 			co_return reached;
 		}
+		auto const is_watched = this->is_watch_needed(*server, monotonic_now());
+		if (is_watched)
+		{
+			this->watches.begin(*server);
+		}
 		auto const limit = this->connection_limit(entry);
 		auto const ends_at = monotonic_now() + time_left;
 		for (int tried = 1; tried <= max_connections_tried; ++tried)
@@ -60,9 +65,23 @@
 				connection->close();
 				continue;
 			}
+			if (is_watched)
+			{
+				auto const is_usable = co_await this->find_holder(server, connection, answer_wait, holder_is_needed);
+				if (!is_usable)
+				{
+					connection->close();
+					continue;
+				}
+				if (connection.holder() || !holder_is_needed)
+				{
+					reached.connection.emplace(std::move(connection));
+				}
+				co_return reached;
+			}
 			auto const now = monotonic_now();
 			auto const answered_at = connection.answered_at();
-			auto const is_known = connection.holder() || !routing::states_start(routing::as_stream_server(entry));
+			auto const is_known = connection.holder() || !this->is_process_needed(*server, now);
 			auto const answered_without = !is_known && answered_at && now - *answered_at < holder_question_pause;
 			if (connection.holder())
 			{
--- a/packages/gateway/impl/forwarder_origin_search.cpp
+++ b/packages/gateway/impl/forwarder_origin_search.cpp
@@ -119,23 +119,41 @@
 	{
 		auto const& entry = engine->entry;
 		auto const asked_at = monotonic_now();
+		auto const is_watched = this->is_watch_needed(*engine, asked_at);
+		routing::process_evidence before;
+		if (is_watched)
+		{
+			this->watches.begin(*engine);
+			before = co_await this->ask_watched(engine, contents_timeout);
+		}
 		auto report_request = this->protocol.write_report_request(entry.id);
 		auto const report_text = co_await this->fetch(engine, std::move(report_request), contents_timeout);
 		auto const report = report_text ? this->protocol.read_report(*report_text) : std::nullopt;
 		this->totals->count_send("report", report ? "served" : "failed");
 		// What a process runs and keeps is known to be its own only if it states its start, unless its entry names
 		// none.
-		auto const states_start = report && (report->started != incarnation() || entry.started == incarnation());
-		if (states_start)
+		auto process = report && (report->started != incarnation() || entry.started == incarnation())
+						   ? std::optional(report->started)
+						   : std::nullopt;
+		if (process && !is_watched)
+		{
+			this->present_record(engine)->note_stated_start(*process, asked_at, monotonic_now());
+		}
+		if (is_watched)
+		{
+			// The process that answered is the one that was there before and still is.
+			auto const after = co_await this->ask_watched(engine, contents_timeout);
+			process = before.stated() == after.stated() ? after.stated() : std::nullopt;
+		}
+		if (report && process)
 		{
-			this->present_record(engine)->note_stated_start(report->started, asked_at, monotonic_now());
 			for (auto const& each : report->running | std::views::filter(&running_stream::has_events))
 			{
-				search->runs[fingerprint_of(each.attempt)].insert({entry.id, report->started});
+				search->runs[fingerprint_of(each.attempt)].insert({entry.id, *process});
 			}
 		}
 		routing::stream_origin const holder{entry.service, entry.version};
-		auto const is_of_entry = states_start && report->started == entry.started;
+		auto const is_of_entry = process && (is_watched ? process == engine->writer : process == entry.started);
 		std::optional<memory_list> memory;
 		if (is_of_entry)
 		{
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -154,6 +154,7 @@
 				auto engines =
 					routing::rank_decode_engines(this->shared->servers, this->placement_for(*state), draw_number, now);
 				auto const is_late = !waiting.has_begun && now > waiting.start_deadline;
+				this->put_known_first(engines, now);
 				stream_queue.note_try(ticket, now);
 				granted = co_await this->try_reserve(state, std::move(engines), is_late);
 				stream_queue.note_try_end(ticket);
--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -21,6 +21,11 @@
 	asio::awaitable<routing::process_evidence> forwarder::ask_start(routing::server_pointer called)
 	{
 		routing::process_evidence seen;
+		if (this->is_watch_needed(*called, monotonic_now()))
+		{
+			seen = co_await this->ask_watched(called, report_timeout);
+			co_return seen;
+		}
 		auto const known = this->shared->servers.find(called->entry.id);
 		if (known && known->entry.started != called->entry.started && known->entry.started != incarnation())
 		{
@@ -117,11 +122,12 @@
 			return routing::other_process();
 		}
 		auto const report = answer.status == status_ok ? this->protocol.read_report(answer.body) : std::nullopt;
-		if (!report || report->started == incarnation())
+		auto const present = this->present_record(called);
+		present->is_start_unreported = !report || report->started == incarnation();
+		if (present->is_start_unreported)
 		{
 			return routing::start_not_stated();
 		}
-		auto const present = this->present_record(called);
 		present->note_stated_start(report->started, asked_at, monotonic_now());
 		present->last_statement = {report->started, asked_at};
 		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
@@ -144,9 +150,8 @@
 
 	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
 	{
-		auto const may_differ = engine.last_statement || this->has_several_versions(state.service, now);
-		return state.joiner.last_event() && routing::states_start(routing::as_stream_server(engine.entry)) &&
-			   may_differ;
+		auto const has_stated = routing::states_start(routing::as_stream_server(engine.entry)) && engine.last_statement;
+		return state.joiner.last_event() && (has_stated || this->has_several_versions(state.service, now));
 	}
 
 	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
@@ -165,7 +170,7 @@
 		state_pointer state, routing::server_pointer engine)
 	{
 		checked_engine checked;
-		if (!routing::states_start(routing::as_stream_server(engine->entry)))
+		if (!this->is_process_needed(*engine, monotonic_now()))
 		{
 			checked.may_get_stream = true;
 			co_return checked;
@@ -185,7 +190,7 @@
 		checked.connection = std::move(reached.connection);
 		auto const has_begun = state->joiner.last_event().has_value();
 		auto const entry = routing::as_stream_server(engine->entry);
-		auto const holder = routing::compare_holder(entry, checked.holder());
+		auto const holder = routing::compare_holder(entry, checked.holder(), engine->writer);
 		auto const is_later = holder == routing::connection_holder::later;
 		auto const is_refuted = is_later ? has_begun || engine->start_doubted_at
 										 : routing::is_proved_replaced(entry, reached.seen) && !checked.connection;
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -186,6 +186,8 @@
 		// sent; if that was not known, the newest process that was known of the server.
 		std::uint32_t sends = 0;
 		routing::server_process sent_to_process;
+		// Time by which that connection was open.
+		time_point connected_at;
 		// Whether that process is known to hold the connection.
 		bool is_holder_known = false;
 		// Whether the call was last sent with the reservation that was granted for it.
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -171,7 +171,9 @@
 			auto const present = this->present_record(placement.decode);
 			if (present != placement.decode)
 			{
-				if (granted.holder != present->entry.started)
+				auto const is_of_present =
+					granted.holder == present->entry.started || (granted.holder && granted.holder == present->writer);
+				if (!is_of_present)
 				{
 					// The process before granted the reservation.
 					reservation.reset();
--- /dev/null
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -0,0 +1,179 @@
+#include <godwittrestle/gateway/forwarder.hpp>
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include <godwittrestle/decide/rendezvous.hpp>
+
+#include "forwarder_state.hpp"
+
+// How the processes of servers are known that state their start nowhere, or in one place only.
+namespace godwittrestle::gateway
+{
+	namespace
+	{
+		// Servers of one service that are watched at most.
+		constexpr std::size_t max_watched = 32;
+		constexpr duration longest_wait_of_new_stream = milliseconds(25);
+	}
+
+	bool forwarder::is_process_needed(routing::server_record const& server, time_point now) const
+	{
+		return routing::states_start(routing::as_stream_server(server.entry)) ||
+			   this->has_several_versions(server.entry.service, now);
+	}
+
+	bool forwarder::is_watch_needed(routing::server_record const& server, time_point now) const
+	{
+		auto const is_comparable = server.entry.started != incarnation() && !server.is_start_unreported;
+		return !is_comparable && this->has_several_versions(server.entry.service, now);
+	}
+
+	void forwarder::review_watches(time_point now)
+	{
+		std::set<server_id> wanted;
+		auto const& routes = this->shared->routes;
+		std::set<service_id> services;
+		for (auto const& server : this->shared->servers.all() | std::views::values)
+		{
+			if (routes && routes->streams_to(server->entry.service) && this->is_watch_needed(*server, now))
+			{
+				services.insert(server->entry.service);
+			}
+		}
+		for (auto const& service : services)
+		{
+			auto servers = this->shared->servers.stream_servers(service, now);
+			std::erase_if(servers, [&](auto const& each) { return !this->is_watch_needed(*each, now); });
+			std::ranges::sort(servers, std::ranges::greater{}, [this](routing::server_pointer const& each)
+				{ return decide::rank(each->entry.id.str(), this->shared->own_id.str()); });
+			for (auto const& each : servers | std::views::take(max_watched))
+			{
+				wanted.insert(each->entry.id);
+				this->watches.begin(*each);
+			}
+		}
+		this->watches.keep_only(wanted);
+	}
+
+	void forwarder::note_registry_read()
+	{
+		this->watches.ask_undecided();
+	}
+
+	asio::awaitable<bool> forwarder::find_holder(
+		routing::server_pointer server, pooled_connection& connection, duration longest_wait, bool is_needed)
+	{
+		if (connection.holder())
+		{
+			// Without an answer of the watch, what was found out before stands.
+			auto const present = this->watches.holder(server->entry.id);
+			co_return !present || present == connection.holder();
+		}
+		// A new stream does not wait: its process may be found out after it has begun.
+		auto const wait = is_needed ? longest_wait : std::min(longest_wait, longest_wait_of_new_stream);
+		auto const seen = co_await this->watches.ask(server->entry.id, connection.opened_at(), wait);
+		auto const is_same = seen && seen->since <= connection.opened_at();
+		if (is_same)
+		{
+			connection.note_holder(seen->process);
+		}
+		co_return (is_same || !seen || !is_needed) && connection->is_open_without_data();
+	}
+
+	asio::awaitable<routing::process_evidence> forwarder::ask_watched(
+		routing::server_pointer server, duration longest_wait)
+	{
+		routing::process_evidence evidence;
+		evidence.asked_at = monotonic_now();
+		if (server->load.paused_for(evidence.asked_at) > duration{})
+		{
+			evidence.statement = routing::pause_wanted();
+			co_return evidence;
+		}
+		auto const seen = co_await this->watches.ask(server->entry.id, evidence.asked_at, longest_wait);
+		if (seen)
+		{
+			evidence.statement = routing::start_stated{seen->process, seen->running};
+		}
+		co_return evidence;
+	}
+
+	asio::awaitable<bool> forwarder::find_watched_writer(state_pointer state, server_id server, duration longest_wait)
+	{
+		auto const seen =
+			co_await this->watches.ask(server, state->connected_at, std::min(longest_wait, report_timeout));
+		if (state->writer || !seen)
+		{
+			co_return state->writer.has_value();
+		}
+		auto const does_run = seen->running && seen->running->contains(state->call.attempt);
+		auto const is_known = does_run || seen->since <= state->connected_at;
+		if (is_known)
+		{
+			this->record_writer(*state, {server, seen->process}, monotonic_now());
+		}
+		co_return is_known;
+	}
+
+	asio::awaitable<std::optional<report_answer>> forwarder::ask_report(
+		routing::server_pointer server, http::upstream_pointer connection)
+	{
+		auto message = this->protocol.write_report_request(server->entry.id);
+		message.headers.push_back({"Host", server->entry.address});
+		auto const asked_at = monotonic_now();
+		connection->send(message);
+		auto head = co_await this->read_own_head(connection, request_id(), report_timeout);
+		auto* const answer = std::get_if<http::response>(&head);
+		std::optional<report_answer> read;
+		if (answer != nullptr)
+		{
+			auto const metadata = this->protocol.read_answer(*answer);
+			this->record_server_state(*server, metadata);
+			this->record_limit(*server, metadata, answer->status, std::nullopt);
+			auto body = co_await connection->read_rest(report_timeout, max_small_body_bytes);
+			if (auto* const text = std::get_if<std::string>(&body))
+			{
+				answer->body = std::move(*text);
+				read = report_answer{this->read_start(server, *answer, asked_at), nullptr};
+			}
+		}
+		if (auto const report =
+				read && answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt)
+		{
+			auto const attempts = report->running | std::views::transform(&running_stream::attempt);
+			read->running = std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end());
+		}
+		this->totals->count_send("watch", read ? "served" : "failed");
+		co_return read;
+	}
+
+	void forwarder::note_writer_known(routing::server_record const& server)
+	{
+		this->log(make_event("server_entry_writer_known",
+			{{"server", server.entry.id.str()}, {"version", server.entry.version.str()},
+				{"process", std::to_string(server.writer.value_or(incarnation()).count())},
+				{"entry_age_ms", milliseconds_text(monotonic_now() - server.times.changed_at)}}));
+		this->origins->learn_versions();
+		this->origins->tell_due(monotonic_now());
+	}
+
+	bool forwarder::is_present_process(
+		routing::server_record const& server, routing::server_process const& process) const
+	{
+		auto const& id = server.entry.id;
+		auto const is_named = server.entry.started == process.started || server.writer == process.started;
+		return process.server == id && (is_named || this->watches.holder(id) == process.started);
+	}
+
+	void forwarder::put_known_first(std::vector<routing::server_pointer>& engines, time_point now) const
+	{
+		auto const is_known = [&](routing::server_pointer const& each)
+		{
+			return !this->is_watch_needed(*each, now) ||
+				   (each->writer && each->writer == this->watches.holder(each->entry.id));
+		};
+		std::ranges::stable_partition(engines, is_known);
+	}
+}
--- a/packages/gateway/impl/forwarder_writers.cpp
+++ b/packages/gateway/impl/forwarder_writers.cpp
@@ -33,7 +33,7 @@
 			return;
 		}
 		state->writer_send = state->sends;
-		if (state->origin || !routing::states_start(routing::as_stream_server(server->entry)))
+		if (state->origin || !this->is_process_needed(*server, now))
 		{
 			routing::stream_origin const of_entry{state->service, server->entry.version};
 			this->record_origin(*state, {state->origin.value_or(of_entry), now, this->shared->own_id});
@@ -54,6 +54,11 @@
 		state_pointer state, routing::server_pointer server, routing::server_process sent_to, duration longest_wait)
 	{
 		auto const asked = this->present_record(server);
+		if (this->is_watch_needed(*asked, monotonic_now()))
+		{
+			auto const is_found = co_await this->find_watched_writer(state, sent_to.server, longest_wait);
+			co_return is_found;
+		}
 		// The stream's connection was there when the stream was sent, so a process that answers what was asked since
 		// is the one that holds the connection, or a later one.
 		auto const since = state->sent_at.value_or(monotonic_now());
--- a/packages/gateway/impl/pooled_connection.hpp
+++ b/packages/gateway/impl/pooled_connection.hpp
@@ -146,6 +146,18 @@
 			return this->taken.answered_at;
 		}
 
+		// Returns the time by which the connection was open.
+		[[nodiscard]] time_point opened_at() const noexcept
+		{
+			return this->taken.opened_at;
+		}
+
+		// Records which process holds the connection, where that was found out over another one.
+		void note_holder(incarnation process) noexcept
+		{
+			this->taken.holder = process;
+		}
+
 		// Records what the process has stated of its start on this connection; nothing when it answered without it.
 		void note_statement(std::optional<incarnation> stated, time_point asked, time_point answered) noexcept
 		{
--- a/packages/gateway/impl/registry_follower.cpp
+++ b/packages/gateway/impl/registry_follower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -136,6 +137,7 @@
 		update.position = this->cursor.position();
 		update.is_recovery = this->had_outage();
 		update.unobserved = daemon::monotonic_now() - this->last_answer_at;
+		this->position_asked_at = update.asked_at;
 		this->note_answer();
 		this->hooks.sink(std::move(update));
 		co_return true;
@@ -200,6 +202,7 @@
 		update.position = this->cursor.position();
 		update.is_recovery = this->had_outage();
 		update.asked_at = asked_at;
+		update.written_after = std::exchange(this->position_asked_at, asked_at);
 		update.changes = std::move(reply.changes);
 		this->note_answer();
 		auto const has_changes = !update.changes.empty();
--- a/packages/gateway/impl/serving_thread.cpp
+++ b/packages/gateway/impl/serving_thread.cpp
@@ -404,6 +404,7 @@
 		this->totals.set_request_blocks(this->shared.crashes.blocks().size());
 		this->totals.set_caller_memory(this->callers->held_bytes());
 		this->request_forwarder.close_expired_connections(now);
+		this->request_forwarder.review_watches(now);
 	}
 
 	void serving_thread::run_step(std::string_view part, std::function<void()> const& step)
--- a/packages/gateway/impl/serving_thread_registry.cpp
+++ b/packages/gateway/impl/serving_thread_registry.cpp
@@ -34,6 +34,7 @@
 		if (update.is_recovery || update.restore)
 		{
 			this->shared.servers.note_registry_return(now);
+			this->shared.view.note_return(this->settings.servers.return_grace, now);
 		}
 		std::vector<routing::registered_server> whole;
 		for (auto& change : update.changes)
@@ -44,7 +45,8 @@
 			}
 			else if (auto const* const entry = std::get_if<routing::registered_server>(&change))
 			{
-				update.is_complete_list ? whole.push_back(*entry) : this->apply_server_entry(*entry);
+				update.is_complete_list ? whole.push_back(*entry)
+										: this->apply_server_entry(*entry, update.written_after, now);
 			}
 			else if (auto const* const removed = std::get_if<server_removed>(&change))
 			{
@@ -60,6 +62,7 @@
 		{
 			this->note_versions(now);
 		}
+		this->request_forwarder.note_registry_read();
 		this->totals.set_servers(this->shared.servers.all().size());
 	}
 
@@ -135,9 +138,10 @@
 		this->origins.tell_due(now);
 	}
 
-	void serving_thread::apply_server_entry(routing::registered_server const& entry)
+	void serving_thread::apply_server_entry(
+		routing::registered_server const& entry, time_point written_after, time_point now)
 	{
-		if (!this->shared.servers.put(entry))
+		if (!this->shared.servers.put(entry, written_after, now))
 		{
 			return;
 		}
--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -25,12 +25,15 @@
 	{
 		// Null when no connection could be had.
 		http::upstream_pointer stream;
-		// The start that the process has stated on this connection; nothing while it has stated none.
+		// The start that the process has stated on this connection, or the name that a routing::server_watch has given
+		// the process; nothing while it is not known.
 		std::optional<incarnation> holder = std::nullopt;
 		// Time at which the process was last asked on this connection.
 		std::optional<time_point> asked_at = std::nullopt;
 		// Time at which it answered that question.
 		std::optional<time_point> answered_at = std::nullopt;
+		// Time by which the connection was open.
+		time_point opened_at = {};
 
 		[[nodiscard]] explicit operator bool() const noexcept
 		{
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -21,6 +21,7 @@
 #include <godwittrestle/gateway/protocols.hpp>
 #include <godwittrestle/gateway/quota_exchange.hpp>
 #include <godwittrestle/gateway/server_end_check.hpp>
+#include <godwittrestle/gateway/server_watches.hpp>
 #include <godwittrestle/gateway/settings.hpp>
 #include <godwittrestle/gateway/shared_state.hpp>
 #include <godwittrestle/gateway/stream_joiner.hpp>
@@ -89,6 +90,11 @@
 		void close_expired_connections(time_point now);
 		// Closes the connections to a server that was removed.
 		void forget_server(server_id const& server);
+
+		// Begins and ends the watches of servers, as the versions in service and what servers state have changed.
+		void review_watches(time_point now);
+		// Records that the registry was read.
+		void note_registry_read();
 		// Returns the number of idle connections.
 		[[nodiscard]] std::size_t idle_connections() const;
 
@@ -211,6 +217,9 @@
 		// is known now. longest_wait: for the answer.
 		[[nodiscard]] asio::awaitable<bool> find_writer(state_pointer state, routing::server_pointer server,
 			routing::server_process sent_to, duration longest_wait);
+		// Does so with the watch of a server whose process can be known by it only.
+		[[nodiscard]] asio::awaitable<bool> find_watched_writer(
+			state_pointer state, server_id server, duration longest_wait);
 		// Asks as find_writer() does until the process is known, the stream is complete or sent again, or its caller
 		// has been gone for a while. Meanwhile the stream is recorded as one whose process is not known.
 		[[nodiscard]] asio::awaitable<void> confirm_origin(
@@ -425,6 +434,31 @@
 		void log_stream_sent(
 			request_state const& state, routing::server_record const& server, pooled_connection const& connection);
 
+		// Returns whether a stream that has begun may be sent to a server only if its process is known: the server
+		// states its start, or its service may have, or have had, several versions.
+		[[nodiscard]] bool is_process_needed(routing::server_record const& server, time_point now) const;
+		// Returns whether the server's process can be known by a watch only: its service may have several versions, and
+		// the server states its start nowhere, or in one place only.
+		[[nodiscard]] bool is_watch_needed(routing::server_record const& server, time_point now) const;
+		// Finds out by the watch of a server which process holds a connection to it. Returns false when the connection
+		// can't be of use: its process has ended, or is needed and can't be known since the watch began later.
+		[[nodiscard]] asio::awaitable<bool> find_holder(
+			routing::server_pointer server, pooled_connection& connection, duration longest_wait, bool is_needed);
+		// Returns what a server's watch shows of its process now, as an answer to the question for its start.
+		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_watched(
+			routing::server_pointer server, duration longest_wait);
+		// Asks a server for its report on the connection of its watch.
+		[[nodiscard]] asio::awaitable<std::optional<report_answer>> ask_report(
+			routing::server_pointer server, http::upstream_pointer connection);
+		// Fills in the version of the streams that a process has begun whose entry is known now.
+		void note_writer_known(routing::server_record const& server);
+		// Returns whether a process is the one that the server's entry names, or that its watch shows now.
+		[[nodiscard]] bool is_present_process(
+			routing::server_record const& server, routing::server_process const& process) const;
+		// Puts the engines first whose process is known to have written their entry, if they are watched: a stream that
+		// begins there can go on elsewhere.
+		void put_known_first(std::vector<routing::server_pointer>& engines, time_point now) const;
+
 		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
 		// nothing is gained when the server's silence ends the wait for its answer.
 		[[nodiscard]] bool may_go_elsewhere(request_state const& state, routing::server_record const& server) const;
@@ -520,6 +554,7 @@
 		// Connections to other daemons.
 		connection_pool peer_pool;
 		server_end_check end_check;
+		server_watches watches;
 		std::mt19937_64 random;
 		time_point started;
 		// The requests in progress.
--- a/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/registry_follower.hpp
@@ -33,6 +33,8 @@
 		bool is_recovery = false;
 		// Time at which the question that was answered was sent.
 		time_point asked_at = time_point::max();
+		// Without a complete list: the changes were written after this time.
+		time_point written_after;
 		// With a complete list: time since the registry was last read.
 		duration unobserved{};
 		// Set when the list is the first one after the registry came back from a copy: what was written after the copy
@@ -109,6 +111,8 @@
 		// Failed calls since the last successful one.
 		std::uint32_t failures = 0;
 		time_point last_answer_at;
+		// Time at which the question was sent whose answer gave the cursor's position.
+		time_point position_asked_at;
 		// Delay before the next watch call, so that one call fetches the changes that come close together.
 		duration batching_delay{};
 	};
--- a/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/serving_thread.hpp
@@ -74,7 +74,7 @@
 		[[nodiscard]] asio::awaitable<void> review_roles();
 		void apply_update(published_configuration&& published);
 		void set_seeds(std::vector<http::endpoint> const& seeds);
-		void apply_server_entry(routing::registered_server const& entry);
+		void apply_server_entry(routing::registered_server const& entry, time_point written_after, time_point now);
 		// Forwards a request, or refuses it when the requests have been ended for a planned stop.
 		[[nodiscard]] asio::awaitable<void> serve_caller(http::request message, http::exchange& http_exchange);
 		// Logs and counts a caller's request that was not read to its end.
--- a/packages/routing/impl/connection_holder.cpp
+++ b/packages/routing/impl/connection_holder.cpp
@@ -20,21 +20,23 @@
 		return "unknown";
 	}
 
-	connection_holder compare_holder(registered_server const& entry, std::optional<incarnation> stated) noexcept
+	connection_holder compare_holder(
+		registered_server const& entry, std::optional<incarnation> holder, std::optional<incarnation> writer) noexcept
 	{
-		if (!states_start(entry))
+		if (entry.role == server_role::plain)
 		{
 			return connection_holder::listed;
 		}
-		if (!stated)
+		if (!holder)
 		{
 			return connection_holder::unknown;
 		}
-		if (*stated == entry.started)
+		auto const has_stated_start = states_start(entry) && *holder == entry.started;
+		if (has_stated_start || holder == writer)
 		{
 			return connection_holder::listed;
 		}
-		return *stated < entry.started ? connection_holder::earlier : connection_holder::later;
+		return *holder < entry.started ? connection_holder::earlier : connection_holder::later;
 	}
 
 	bool may_send_stream(registered_server const& entry, connection_holder holder, stream_terms const& terms) noexcept
--- a/packages/routing/impl/directory.cpp
+++ b/packages/routing/impl/directory.cpp
@@ -8,10 +8,12 @@
 {
 	namespace
 	{
-		// Returns whether a record is that of the entry's server and of the same start of it.
+		// Returns whether a record is that of the entry's server and of the same start of it. Where no start is stated,
+		// another version shows another process.
 		bool is_same_incarnation(server_record const& known, registered_server const& entry)
 		{
-			return known.entry.started == entry.started && known.entry.address == entry.address;
+			auto const is_same_process = entry.started != incarnation() || known.entry.version == entry.version;
+			return known.entry.started == entry.started && known.entry.address == entry.address && is_same_process;
 		}
 
 		void set_entry(server_record& known, registered_server const& entry)
@@ -23,15 +25,17 @@
 		}
 	}
 
-	bool directory::put(registered_server const& entry)
+	bool directory::put(registered_server const& entry, time_point written_after, time_point now)
 	{
 		auto const known = this->find_or_revive(entry);
 		if (!known || !is_same_incarnation(*known, entry))
 		{
 			auto const added = std::make_shared<server_record>();
 			added->entry = entry;
+			added->times = {now, written_after, now};
 			if (known)
 			{
+				added->is_start_unreported = known->is_start_unreported;
 				added->note_stated_start(known->newest_process().started, time_point(), known->stated_start_heard_at);
 			}
 			auto const gone = this->departed.find(entry.id);
@@ -52,9 +56,23 @@
 		}
 		auto const is_changed = known->entry != entry || known->missing_until.has_value();
 		set_entry(*known, entry);
+		if (written_after > known->times.written_after)
+		{
+			known->times.written_after = written_after;
+			known->times.read_at = now;
+		}
 		return is_changed;
 	}
 
+	void directory::note_writer(server_record& known, incarnation process)
+	{
+		if (known.writer && known.writer != process)
+		{
+			this->remember_version({known.entry.id, *known.writer}, known.entry.version);
+		}
+		known.writer = process;
+	}
+
 	void directory::note_address(server_pointer const& added)
 	{
 		auto const& entry = added->entry;
@@ -94,10 +112,19 @@
 		auto const before = gone == this->departed.end() ? this->find(id) : gone->second.server;
 		if (before)
 		{
-			this->past_processes[{id, before->entry.started}] = {before->entry.version, std::nullopt};
+			this->remember_version({id, before->writer.value_or(before->entry.started)}, before->entry.version);
+		}
+		if (before && before->writer)
+		{
+			this->remember_version({id, before->entry.started}, before->entry.version);
 		}
 	}
 
+	void directory::remember_version(server_process const& process, software_version const& version)
+	{
+		this->past_processes[process] = {version, std::nullopt};
+	}
+
 	void directory::remove(server_id const& id, time_point now)
 	{
 		auto const found = this->find(id);
@@ -117,7 +144,7 @@
 		for (auto const& entry : entries)
 		{
 			named.insert(entry.id);
-			this->put(entry);
+			this->put(entry, time_point(), now);
 		}
 		for (auto const& [id, known] : this->servers)
 		{
@@ -142,7 +169,7 @@
 			}
 			else
 			{
-				this->put(entry);
+				this->put(entry, time_point(), now);
 				++summary.added;
 			}
 		}
@@ -189,7 +216,7 @@
 			++summary.doubted;
 			return;
 		}
-		this->put(entry);
+		this->put(entry, time_point(), now);
 		++summary.confirmed;
 	}
 
@@ -399,7 +426,9 @@
 
 	std::optional<software_version> directory::version_of(server_process const& process) const
 	{
-		if (auto const known = this->find(process.server); known && known->entry.started == process.started)
+		auto const known = this->find(process.server);
+		auto const is_present = known && (known->entry.started == process.started || known->writer == process.started);
+		if (is_present)
 		{
 			return known->entry.version;
 		}
@@ -408,7 +437,11 @@
 			return past->second.version;
 		}
 		auto const gone = this->departed.find(process.server);
-		auto const has_departed = gone != this->departed.end() && gone->second.server->entry.started == process.started;
+		auto const is_of_process = [&process](server_record const& known)
+		{
+			return known.entry.started == process.started || known.writer == process.started;
+		};
+		auto const has_departed = gone != this->departed.end() && is_of_process(*gone->second.server);
 		return has_departed ? std::optional(gone->second.server->entry.version) : std::nullopt;
 	}
 
--- a/packages/routing/impl/registry_view.cpp
+++ b/packages/routing/impl/registry_view.cpp
@@ -1,5 +1,7 @@
 #include <godwittrestle/routing/registry_view.hpp>
 
+#include <algorithm>
+
 namespace godwittrestle::routing
 {
 	namespace
@@ -16,12 +18,23 @@
 	void registry_view::note_read(time_point asked_at, time_point now) noexcept
 	{
 		this->note_running(now);
+		this->asked_until = std::max(this->asked_until, std::min(asked_at, now));
 		if (asked_at >= this->stopped_until)
 		{
 			this->read_at = now;
 		}
 	}
 
+	void registry_view::note_return(duration return_grace, time_point now) noexcept
+	{
+		this->complete_from = now + return_grace;
+	}
+
+	time_point registry_view::read_until() const noexcept
+	{
+		return this->asked_until >= this->complete_from ? this->asked_until : time_point();
+	}
+
 	void registry_view::note_running(time_point now) noexcept
 	{
 		if (this->ran_at && now - *this->ran_at > longest_pause)
--- a/packages/routing/include/godwittrestle/routing.hpp
+++ b/packages/routing/include/godwittrestle/routing.hpp
@@ -37,6 +37,7 @@
 #include <godwittrestle/routing/server_limit.hpp>
 #include <godwittrestle/routing/server_load.hpp>
 #include <godwittrestle/routing/server_reach.hpp>
+#include <godwittrestle/routing/server_watch.hpp>
 #include <godwittrestle/routing/service_observations.hpp>
 #include <godwittrestle/routing/shared_average.hpp>
 #include <godwittrestle/routing/stream_origins.hpp>
--- a/packages/routing/include/godwittrestle/routing/connection_holder.hpp
+++ b/packages/routing/include/godwittrestle/routing/connection_holder.hpp
@@ -25,10 +25,12 @@
 
 	[[nodiscard]] std::string_view to_string(connection_holder holder) noexcept;
 
-	// Returns which process holds a connection. stated: the start that the process has stated on it. Of a server that
-	// states no start, nothing better than its entry can be had.
-	[[nodiscard]] connection_holder compare_holder(
-		registered_server const& entry, std::optional<incarnation> stated) noexcept;
+	// Returns which process holds a connection. holder: the process that is known to hold it, by the start that it has
+	// stated on it or as a server_watch names it; writer: the one that is known to have written the entry, where that
+	// does not follow from the start that the entry states. A server that serves no streams is not asked for its
+	// process; see as_stream_server().
+	[[nodiscard]] connection_holder compare_holder(registered_server const& entry, std::optional<incarnation> holder,
+		std::optional<incarnation> writer = std::nullopt) noexcept;
 
 	// What decides, besides the holder of the connection, whether a stream may be sent over it.
 	struct stream_terms
--- a/packages/routing/include/godwittrestle/routing/directory.hpp
+++ b/packages/routing/include/godwittrestle/routing/directory.hpp
@@ -15,6 +15,7 @@
 #include <godwittrestle/routing/server_health.hpp>
 #include <godwittrestle/routing/server_limit.hpp>
 #include <godwittrestle/routing/server_load.hpp>
+#include <godwittrestle/routing/server_watch.hpp>
 
 namespace godwittrestle::routing
 {
@@ -46,6 +47,7 @@
 	struct server_record
 	{
 		registered_server entry;
+		entry_times times;
 		server_health health;
 		server_load load;
 		// How long the server takes to answer questions of this daemon's own.
@@ -86,6 +88,13 @@
 		// What the server has stated last, whether or not it is the start of the entry.
 		std::optional<start_statement> last_statement;
 
+		// Whether the server's last report stated no start.
+		bool is_start_unreported = false;
+
+		// The process that is known to have written the entry, where the server states its start nowhere, or in one
+		// place only; see server_watch.
+		std::optional<incarnation> writer;
+
 		// Set when another server answered at this address: this server is gone, even if the registry still lists it.
 		bool is_replaced = false;
 
@@ -110,6 +119,11 @@
 		// heard of.
 		void note_stated_start(incarnation stated, time_point asked_at, time_point now) noexcept
 		{
+			if (this->entry.started == incarnation())
+			{
+				// There is nothing to compare it with.
+				return;
+			}
 			if (stated == this->entry.started && asked_at > this->stated_start_heard_at)
 			{
 				this->stated_start.reset();
@@ -201,9 +215,12 @@
 		{
 		}
 
-		// Adds or updates the server of a registry entry. Returns whether the entry is new or differs from the stored
-		// one.
-		bool put(registered_server const& entry);
+		// Adds or updates the server of a registry entry that was written after a time. Returns whether the entry is
+		// new or differs from the stored one.
+		bool put(registered_server const& entry, time_point written_after = {}, time_point now = {});
+
+		// Records which process has written a server's present entry.
+		void note_writer(server_record& known, incarnation process);
 
 		// Records that the entry of a server was removed from the registry.
 		void remove(server_id const& id, time_point now);
@@ -266,6 +283,11 @@
 		// Returns the services of which that is so.
 		[[nodiscard]] std::set<service_id> services_with_unlisted_process() const;
 
+		[[nodiscard]] directory_settings const& settings() const noexcept
+		{
+			return this->terms;
+		}
+
 		[[nodiscard]] std::map<server_id, server_pointer> const& all() const noexcept
 		{
 			return this->servers;
@@ -288,6 +310,7 @@
 		[[nodiscard]] bool is_gone(server_record const& known) const;
 		// Keeps the version of the process that the server had until now.
 		void remember_version(server_id const& id);
+		void remember_version(server_process const& process, software_version const& version);
 		// Applies an entry of a copy to the server's record and counts it.
 		void put_from_copy(server_record& known, registered_server const& entry, copy_summary& summary, time_point now);
 		// Doubts the start that a server's entry states. A server that states none can't be asked.
--- a/packages/routing/include/godwittrestle/routing/registry_view.hpp
+++ b/packages/routing/include/godwittrestle/routing/registry_view.hpp
@@ -19,6 +19,13 @@
 		// Records that the answer to a question to the registry was applied. asked_at: when it was sent.
 		void note_read(time_point asked_at, time_point now) noexcept;
 
+		// Records that the registry could be read again, or came back from a copy. Servers write within this time what
+		// is missing.
+		void note_return(duration return_grace, time_point now) noexcept;
+
+		// Returns the time before which all that servers have written was read.
+		[[nodiscard]] time_point read_until() const noexcept;
+
 		// Records that this process runs. Must be called often; a gap shows that the process was stopped meanwhile.
 		void note_running(time_point now) noexcept;
 
@@ -33,6 +40,10 @@
 		duration max_age = milliseconds(3600);
 		std::optional<time_point> read_at;
 		std::optional<time_point> ran_at;
+		// The time before which everything was read that the registry held.
+		time_point asked_until;
+		// From this time on the registry holds what servers have written while it could not be reached.
+		time_point complete_from;
 		// End of the last time during which the process was stopped.
 		time_point stopped_until;
 	};
