--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -126,6 +126,7 @@
 		present->is_start_unreported = !report || report->started == incarnation();
 		if (present->is_start_unreported)
 		{
+			this->shared->observed[called->entry.service].has_unreported_starts = true;
 			return routing::start_not_stated();
 		}
 		present->note_stated_start(report->started, asked_at, monotonic_now());
--- a/packages/gateway/impl/forwarder_watches.cpp
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -26,7 +26,12 @@
 
 	bool forwarder::is_watch_needed(routing::server_record const& server, time_point now) const
 	{
-		auto const is_comparable = server.entry.started != incarnation() && !server.is_start_unreported;
+		auto const observed = this->shared->observed.find(server.entry.service);
+		auto const is_observed = observed != this->shared->observed.end();
+		// One that was not asked yet will answer as others of its service do.
+		auto const is_reported = !server.is_start_unreported &&
+								 (server.last_statement || !is_observed || !observed->second.has_unreported_starts);
+		auto const is_comparable = server.entry.started != incarnation() && is_reported;
 		return !is_comparable && this->has_several_versions(server.entry.service, now);
 	}
 
--- a/packages/routing/include/godwittrestle/routing/service_observations.hpp
+++ b/packages/routing/include/godwittrestle/routing/service_observations.hpp
@@ -14,5 +14,7 @@
 		output_estimate outputs;
 		engine_speed_estimate speed;
 		end_habits ends;
+		// Whether a server has answered the question for its report without its start.
+		bool has_unreported_starts = false;
 	};
 }
