--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -83,6 +83,13 @@
 		called.started = is_writer_known ? state->writer->started : state->sent_to_process.started;
 		routing::answer_end seen;
 		seen.process = routing::judge_process(called, evidence);
+		seen.is_still_run = evidence.names_run(state->call.attempt);
+		if (is_stream && this->watches.is_watched(asked->entry.id))
+		{
+			auto const end = co_await this->look_at_watched_end(*state, asked->entry.id, ended_at, longest_wait);
+			seen.process = end ? end->process : seen.process;
+			seen.is_still_run = end ? end->is_still_run : seen.is_still_run;
+		}
 		if (seen.process == routing::process_state::ended && !this->shared->reach.is_doubtful())
 		{
 			this->shared->servers.note_end_sign(server->entry.id, ended_at);
@@ -96,7 +103,6 @@
 			state->joiner.events() == 0 && !state->is_end_asked && !state->call.relayed_servers_left;
 		auto const is_begun = events > 0 && state->is_origin_recorded;
 		seen.can_go_on = is_resumable && state->joiner.may_go_on() && (is_begun || is_empty_take_up);
-		seen.is_still_run = evidence.names_run(state->call.attempt);
 		// A server that lets a stream go on and ends the answer without a further event has proved that none follows.
 		auto const is_empty_follow_up = is_stream && state->joiner.last_event() && events == 0;
 		seen.has_server_broken_off = !is_empty_follow_up && broken_at && ended_at - *broken_at <= recent_break_time;
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -346,6 +346,10 @@
 	{
 		auto const is_repeatable = state->matched_route->is_repeatable();
 		auto const connection = answer.connection.get();
+		if (connection->ends_with_connection() && !state->is_relayed_on)
+		{
+			this->expect_end_with_connection(*server);
+		}
 		// Only complete events count as progress of the stream.
 		auto progress_at = monotonic_now();
 		while (true)
--- a/packages/gateway/impl/forwarder_watches.cpp
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -26,13 +26,15 @@
 
 	bool forwarder::is_watch_needed(routing::server_record const& server, time_point now) const
 	{
-		auto const observed = this->shared->observed.find(server.entry.service);
+		auto const& service = server.entry.service;
+		auto const observed = this->shared->observed.find(service);
 		auto const is_observed = observed != this->shared->observed.end();
+		auto const has_open_ends = is_observed && observed->second.has_streams_without_length;
 		// One that was not asked yet will answer as others of its service do.
 		auto const is_reported = !server.is_start_unreported &&
 								 (server.last_statement || !is_observed || !observed->second.has_unreported_starts);
 		auto const is_comparable = server.entry.started != incarnation() && is_reported;
-		return !is_comparable && this->has_several_versions(server.entry.service, now);
+		return !is_comparable && (has_open_ends || this->has_several_versions(service, now));
 	}
 
 	void forwarder::review_watches(time_point now)
@@ -122,6 +124,36 @@
 		co_return is_known;
 	}
 
+	void forwarder::expect_end_with_connection(routing::server_record const& server)
+	{
+		this->shared->observed[server.entry.service].has_streams_without_length = true;
+		if (this->is_watch_needed(server, monotonic_now()))
+		{
+			this->watches.begin(server);
+		}
+	}
+
+	asio::awaitable<std::optional<forwarder::watched_end>> forwarder::look_at_watched_end(
+		request_state const& state, server_id server, time_point ended_at, duration longest_wait)
+	{
+		// The process lived when it made the last event, or else when it was connected to.
+		auto const has_events = state.joiner.events() > state.events_before_send;
+		auto const lived_at = has_events ? state.last_event_at : state.connected_at;
+		auto const attempt = state.call.attempt;
+		watched_end end;
+		auto const seen = co_await this->watches.ask(std::move(server), ended_at, longest_wait);
+		if (seen && seen->watched_since > lived_at)
+		{
+			co_return std::nullopt;
+		}
+		if (seen)
+		{
+			end.process = seen->since <= lived_at ? routing::process_state::same : routing::process_state::ended;
+			end.is_still_run = seen->running && seen->running->contains(attempt);
+		}
+		co_return end;
+	}
+
 	asio::awaitable<std::optional<report_answer>> forwarder::ask_report(
 		routing::server_pointer server, http::upstream_pointer connection)
 	{
--- a/packages/gateway/impl/server_watches.cpp
+++ b/packages/gateway/impl/server_watches.cpp
@@ -50,6 +50,7 @@
 		routing::server_watch watch;
 		http::upstream_pointer connection;
 		std::shared_ptr<std::set<request_id> const> running;
+		std::optional<time_point> first_opened_at;
 		bool is_wanted = true;
 		bool is_question_due = false;
 		// Expires when the next question is due.
@@ -142,7 +143,8 @@
 		{
 			co_return std::nullopt;
 		}
-		co_return watched_process{*process, *watched->watch.opened_at(), watched->running};
+		co_return watched_process{
+			*process, *watched->watch.opened_at(), watched->first_opened_at.value_or(time_point()), watched->running};
 	}
 
 	std::optional<incarnation> server_watches::holder(server_id const& server) const
@@ -207,7 +209,9 @@
 			co_return false;
 		}
 		watched->connection = connection;
-		watched->watch.note_opened(this->next_name(), monotonic_now());
+		auto const now = monotonic_now();
+		watched->watch.note_opened(this->next_name(), now);
+		watched->first_opened_at = watched->first_opened_at.value_or(now);
 		co_return true;
 	}
 
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -119,6 +119,14 @@
 			std::optional<routing::send_failure> failure;
 		};
 
+		// What a watch has shown after the end of an answer.
+		struct watched_end
+		{
+			routing::process_state process = routing::process_state::unknown;
+			// Whether the process says that it still runs the attempt.
+			bool is_still_run = false;
+		};
+
 		// How long a server may be silent.
 		struct silence_limits
 		{
@@ -437,8 +445,9 @@
 		// Returns whether a stream that has begun may be sent to a server only if its process is known: the server
 		// states its start, or its service may have, or have had, several versions.
 		[[nodiscard]] bool is_process_needed(routing::server_record const& server, time_point now) const;
-		// Returns whether the server's process can be known by a watch only: its service may have several versions, and
-		// the server states its start nowhere, or in one place only.
+		// Returns whether the server's process has to be known, and can be by a watch only: its service may have
+		// several versions, or streams that end with their connection, and the server states its start nowhere, or in
+		// one place only.
 		[[nodiscard]] bool is_watch_needed(routing::server_record const& server, time_point now) const;
 		// Finds out by the watch of a server which process holds a connection to it. Returns false when the connection
 		// can't be of use: its process has ended, or is needed and can't be known since the watch began later.
@@ -447,6 +456,13 @@
 		// Returns what a server's watch shows of its process now, as an answer to the question for its start.
 		[[nodiscard]] asio::awaitable<routing::process_evidence> ask_watched(
 			routing::server_pointer server, duration longest_wait);
+		// Records that a server sends a stream that ends with its connection: what has become of its process by then
+		// has to be known.
+		void expect_end_with_connection(routing::server_record const& server);
+		// Returns what has become of the process of a watched server that has made the last event of a stream; nothing
+		// when the watch began later.
+		[[nodiscard]] asio::awaitable<std::optional<watched_end>> look_at_watched_end(
+			request_state const& state, server_id server, time_point ended_at, duration longest_wait);
 		// Asks a server for its report on the connection of its watch.
 		[[nodiscard]] asio::awaitable<std::optional<report_answer>> ask_report(
 			routing::server_pointer server, http::upstream_pointer connection);
--- a/packages/gateway/include/godwittrestle/gateway/server_watches.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/server_watches.hpp
@@ -36,6 +36,8 @@
 		incarnation process;
 		// The process has been the server's only one since this time.
 		time_point since;
+		// Time at which the watch's first connection was open.
+		time_point watched_since;
 		// The callers' attempts that it runs; null when it did not say.
 		std::shared_ptr<std::set<request_id> const> running = nullptr;
 	};
--- a/packages/routing/include/godwittrestle/routing/service_observations.hpp
+++ b/packages/routing/include/godwittrestle/routing/service_observations.hpp
@@ -16,5 +16,7 @@
 		end_habits ends;
 		// Whether a server has answered the question for its report without its start.
 		bool has_unreported_starts = false;
+		// Whether a stream without length or chunks has come, which is whole only if its process lives on.
+		bool has_streams_without_length = false;
 	};
 }
