--- a/packages/gateway/impl/forwarder_watches.cpp
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -1,8 +1,11 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
+#include <map>
 #include <ranges>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include <godwittrestle/decide/rendezvous.hpp>
 
@@ -39,20 +42,21 @@
 
 	void forwarder::review_watches(time_point now)
 	{
-		std::set<server_id> wanted;
 		auto const& routes = this->shared->routes;
-		std::set<service_id> services;
+		std::map<service_id, std::vector<routing::server_pointer>> needed;
 		for (auto const& server : this->shared->servers.all() | std::views::values)
 		{
-			if (routes && routes->streams_to(server->entry.service) && this->is_watch_needed(*server, now))
+			// A server that gets no new streams may still write some.
+			auto const& entry = server->entry;
+			auto const may_write_streams = entry.role != routing::server_role::prefill;
+			if (routes && may_write_streams && routes->streams_to(entry.service) && this->is_watch_needed(*server, now))
 			{
-				services.insert(server->entry.service);
+				needed[entry.service].push_back(server);
 			}
 		}
-		for (auto const& service : services)
+		std::set<server_id> wanted;
+		for (auto& servers : needed | std::views::values)
 		{
-			auto servers = this->shared->servers.stream_servers(service, now);
-			std::erase_if(servers, [&](auto const& each) { return !this->is_watch_needed(*each, now); });
 			std::ranges::sort(servers, std::ranges::greater{}, [this](routing::server_pointer const& each)
 				{ return decide::rank(each->entry.id.str(), this->shared->own_id.str()); });
 			for (auto const& each : servers | std::views::take(max_watched))
