--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -534,7 +534,8 @@
 		auto const share =
 			routing::connection_share(terms == nullptr ? 0 : terms->max_connections, this->shared->daemon_count);
 		// A watch has a connection of its own.
-		auto const is_shared = this->watches.is_watched(server.id) && share > 1;
+		constexpr std::size_t least_share = 2;
+		auto const is_shared = this->watches.is_watched(server.id) && share > least_share;
 		return is_shared ? share - 1 : share;
 	}
 }
--- a/packages/gateway/impl/forwarder_answer_ends.cpp
+++ b/packages/gateway/impl/forwarder_answer_ends.cpp
@@ -87,7 +87,10 @@
 		if (is_stream && this->watches.is_watched(asked->entry.id))
 		{
 			auto const end = co_await this->look_at_watched_end(*state, asked->entry.id, ended_at, longest_wait);
-			seen.process = end ? end->process : seen.process;
+			// Without it, the names that a watch gives can't be compared with the start of the entry.
+			auto unstated = evidence;
+			unstated.statement = routing::start_not_stated();
+			seen.process = end ? end->process : routing::judge_process(called, unstated);
 			seen.is_still_run = end ? end->is_still_run : seen.is_still_run;
 		}
 		if (seen.process == routing::process_state::ended && !this->shared->reach.is_doubtful())
--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -65,6 +65,12 @@
 				connection->close();
 				continue;
 			}
+			if (!is_watched && connection.holder() && server_watches::is_name(*connection.holder()))
+			{
+				// Its process is compared by starts from now on.
+				connection->close();
+				continue;
+			}
 			if (is_watched)
 			{
 				auto const is_usable = co_await this->find_holder(server, connection, answer_wait, holder_is_needed);
--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -123,10 +123,15 @@
 		}
 		auto const report = answer.status == status_ok ? this->protocol.read_report(answer.body) : std::nullopt;
 		auto const present = this->present_record(called);
-		present->is_start_unreported = !report || report->started == incarnation();
-		if (present->is_start_unreported)
+		auto const is_stated = report && report->started != incarnation();
+		if (report)
+		{
+			// A server that gives no report may state its start another time.
+			present->is_start_unreported = !is_stated;
+			this->shared->observed[called->entry.service].has_unreported_starts = !is_stated;
+		}
+		if (!is_stated)
 		{
-			this->shared->observed[called->entry.service].has_unreported_starts = true;
 			return routing::start_not_stated();
 		}
 		present->note_stated_start(report->started, asked_at, monotonic_now());
--- a/packages/gateway/impl/forwarder_watches.cpp
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -37,7 +37,9 @@
 		auto const is_reported = !server.is_start_unreported &&
 								 (server.last_statement || !is_observed || !observed->second.has_unreported_starts);
 		auto const is_comparable = server.entry.started != incarnation() && is_reported;
-		return !is_comparable && (has_open_ends || this->has_several_versions(service, now));
+		// Only a stated start lifts the doubt that a sign of the process's end has raised.
+		auto const is_doubted = server.end_sign_at.has_value();
+		return !is_comparable && (has_open_ends || is_doubted || this->has_several_versions(service, now));
 	}
 
 	void forwarder::review_watches(time_point now)
@@ -113,14 +115,14 @@
 
 	asio::awaitable<bool> forwarder::find_watched_writer(state_pointer state, server_id server, duration longest_wait)
 	{
-		auto const seen =
-			co_await this->watches.ask(server, state->connected_at, std::min(longest_wait, report_timeout));
+		auto const connected_at = state->connected_at;
+		auto const seen = co_await this->watches.ask(server, connected_at, std::min(longest_wait, report_timeout));
 		if (state->writer || !seen)
 		{
 			co_return state->writer.has_value();
 		}
 		auto const does_run = seen->running && seen->running->contains(state->call.attempt);
-		auto const is_known = does_run || seen->since <= state->connected_at;
+		auto const is_known = does_run || seen->since <= connected_at;
 		if (is_known)
 		{
 			this->record_writer(*state, {server, seen->process}, monotonic_now());
@@ -140,19 +142,22 @@
 	asio::awaitable<std::optional<forwarder::watched_end>> forwarder::look_at_watched_end(
 		request_state const& state, server_id server, time_point ended_at, duration longest_wait)
 	{
-		// The process lived when it made the last event, or else when it was connected to.
-		auto const has_events = state.joiner.events() > state.events_before_send;
-		auto const lived_at = has_events ? state.last_event_at : state.connected_at;
+		// The process that answers lived when the call was sent. Events may have waited to be read since they were
+		// made.
+		auto const sent_at = state.sent_at.value_or(state.connected_at);
+		auto const last_read_at = state.joiner.events() > state.events_before_send ? state.last_event_at : sent_at;
 		auto const attempt = state.call.attempt;
 		watched_end end;
 		auto const seen = co_await this->watches.ask(std::move(server), ended_at, longest_wait);
-		if (seen && seen->watched_since > lived_at)
+		if (seen && seen->watched_since > last_read_at)
 		{
 			co_return std::nullopt;
 		}
 		if (seen)
 		{
-			end.process = seen->since <= lived_at ? routing::process_state::same : routing::process_state::ended;
+			// The first connection of a watch is opened when the answer begins.
+			auto const is_same = seen->since <= sent_at || seen->since == seen->watched_since;
+			end.process = is_same ? routing::process_state::same : routing::process_state::ended;
 			end.is_still_run = seen->running && seen->running->contains(attempt);
 		}
 		co_return end;
--- a/packages/gateway/impl/server_watches.cpp
+++ b/packages/gateway/impl/server_watches.cpp
@@ -27,10 +27,15 @@
 		// Interval at which the connection is looked at between two questions.
 		constexpr duration look_interval = milliseconds(50);
 
-		// Names of processes are above every start in milliseconds, and other daemons give others.
+		// The times of an entry that the registry does not list at present, so it proves nothing.
+		constexpr routing::entry_times not_listed{time_point::max(), time_point(), time_point::max()};
+
+		// Names of processes are above every start in milliseconds.
+		constexpr std::uint64_t above_all_starts = std::uint64_t{1} << 63U;
+
+		// Returns a name that no other daemon gives.
 		incarnation first_name()
 		{
-			constexpr std::uint64_t above_all_starts = std::uint64_t{1} << 63U;
 			constexpr unsigned names_per_daemon_bits = 31;
 			return incarnation(above_all_starts + (std::uint64_t{std::random_device{}()} << names_per_daemon_bits));
 		}
@@ -158,6 +163,11 @@
 		return this->servers.contains(server);
 	}
 
+	bool server_watches::is_name(incarnation process) noexcept
+	{
+		return process.count() >= above_all_starts;
+	}
+
 	asio::awaitable<void> server_watches::run(watched_pointer watched)
 	{
 		asio::steady_timer pause(this->executor);
@@ -175,9 +185,11 @@
 				co_await this->ask_once(watched, server);
 			}
 			notify_waiting(*watched);
-			if (!watched->connection)
+			if (!is_open || !watched->connection)
 			{
-				pause.expires_after(is_open ? duration{} : pause_after_failure);
+				// Nothing wakes this pause, so that a server that can't be asked is not tried again at once.
+				watched->is_question_due = false;
+				pause.expires_after(is_open ? look_interval : pause_after_failure);
 				std::ignore = co_await pause.async_wait(token);
 				continue;
 			}
@@ -240,7 +252,9 @@
 		watched->running = answer->running;
 		if (present)
 		{
-			watched->watch.note_answer(asked_at, present->times, this->shared->view.read_until());
+			auto const is_listed = !present->missing_until && !present->awaited_until && !present->doubted;
+			auto const entry = is_listed ? present->times : not_listed;
+			watched->watch.note_answer(asked_at, entry, this->shared->view.read_until());
 			auto const holder = watched->watch.holder();
 			if (watched->watch.has_written(present->times.changed_at) && present->writer != holder)
 			{
--- a/packages/gateway/include/godwittrestle/gateway/server_watches.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/server_watches.hpp
@@ -84,6 +84,9 @@
 
 		[[nodiscard]] bool is_watched(server_id const& server) const;
 
+		// Returns whether a process is named by a watch, and not by the start that it states.
+		[[nodiscard]] static bool is_name(incarnation process) noexcept;
+
 		[[nodiscard]] std::size_t size() const noexcept
 		{
 			return this->servers.size();
--- a/packages/routing/impl/server_watch.cpp
+++ b/packages/routing/impl/server_watch.cpp
@@ -80,7 +80,9 @@
 	{
 		auto const was_written_since = *this->opened + this->settings.longest_write <= entry.written_after;
 		auto const would_have_lapsed = *this->opened + this->settings.entry_lifetime <= registry_read_until;
-		auto const is_of_successor = this->before && this->before->entry_changed_at != entry.changed_at;
+		// Entries of a copy of the registry may be older than those that were read before.
+		auto const is_complete = registry_read_until > time_point();
+		auto const is_of_successor = is_complete && this->before && this->before->entry_changed_at != entry.changed_at;
 		return was_written_since || would_have_lapsed || is_of_successor;
 	}
 }
--- a/packages/routing/include/godwittrestle/routing/server_watch.hpp
+++ b/packages/routing/include/godwittrestle/routing/server_watch.hpp
@@ -50,7 +50,7 @@
 
 		// Records that the process has answered on the connection. asked_at: time of the question; entry: what had been
 		// read of the server's entry by the time of the answer; registry_read_until: all that was written before this
-		// time has been read.
+		// time has been read; the epoch when that is not known, as after a return of the registry.
 		void note_answer(time_point asked_at, entry_times const& entry, time_point registry_read_until) noexcept;
 
 		// Returns the process that holds the connection; nothing before its first answer.
--- a/tests/unit/server_watch.test.cpp
+++ b/tests/unit/server_watch.test.cpp
@@ -100,6 +100,16 @@
 	REQUIRE_FALSE(watch.has_written(at(milliseconds(6500))));
 }
 
+TEST_CASE("an entry of a copy of the registry is not taken for a successor's", "[server_watch]")
+{
+	auto watch = make_known();
+	watch.note_ended();
+	watch.note_opened(second_process, at(milliseconds(5100)));
+	watch.note_answer(at(milliseconds(6400)), read_at(milliseconds(6300)), time_point());
+	REQUIRE(watch.holder() == second_process);
+	REQUIRE_FALSE(watch.has_written(at(milliseconds(6300))));
+}
+
 TEST_CASE("the successor of a process that is not known is not known either", "[server_watch]")
 {
 	server_watch watch(terms);
