--- a/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/connection_pool.hpp
@@ -33,7 +33,7 @@
 		// Time at which it answered that question.
 		std::optional<time_point> answered_at = std::nullopt;
 		// Time by which the connection was open.
-		time_point opened_at = {};
+		time_point opened_at;
 
 		[[nodiscard]] explicit operator bool() const noexcept
 		{
