--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -157,7 +157,10 @@
 	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
 	{
 		auto const has_stated = routing::states_start(routing::as_stream_server(engine.entry)) && engine.last_statement;
-		return state.joiner.last_event() && (has_stated || this->has_several_versions(state.service, now));
+		auto const has_versions = engine.entry.started == incarnation()
+									  ? this->is_process_needed(engine, now)
+									  : this->has_several_versions(state.service, now);
+		return state.joiner.last_event() && (has_stated || has_versions);
 	}
 
 	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
--- a/packages/gateway/impl/forwarder_watches.cpp
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -19,12 +19,20 @@
 		// Servers of one service that are watched at most.
 		constexpr std::size_t max_watched = 32;
 		constexpr duration longest_wait_of_new_stream = milliseconds(25);
+
+		// Returns whether several versions of a service are known. Of a daemon that has just started, that is less than
+		// that there may have been several.
+		bool knows_several_versions(shared_state const& shared, service_id const& service, time_point now)
+		{
+			auto const since = now - longest_stream_life(shared);
+			return shared.versions.served_since(service, since, now).size() > 1;
+		}
 	}
 
 	bool forwarder::is_process_needed(routing::server_record const& server, time_point now) const
 	{
 		return routing::states_start(routing::as_stream_server(server.entry)) ||
-			   this->has_several_versions(server.entry.service, now);
+			   knows_several_versions(*this->shared, server.entry.service, now);
 	}
 
 	bool forwarder::is_watch_needed(routing::server_record const& server, time_point now) const
@@ -39,7 +47,10 @@
 		auto const is_comparable = server.entry.started != incarnation() && is_reported;
 		// Only a stated start lifts the doubt that a sign of the process's end has raised.
 		auto const is_doubted = server.end_sign_at.has_value();
-		return !is_comparable && (has_open_ends || is_doubted || this->has_several_versions(service, now));
+		auto const has_versions = server.entry.started == incarnation()
+									  ? knows_several_versions(*this->shared, service, now)
+									  : this->has_several_versions(service, now);
+		return !is_comparable && (has_open_ends || is_doubted || has_versions);
 	}
 
 	void forwarder::review_watches(time_point now)
@@ -147,6 +158,12 @@
 		auto const sent_at = state.sent_at.value_or(state.connected_at);
 		auto const last_read_at = state.joiner.events() > state.events_before_send ? state.last_event_at : sent_at;
 		auto const attempt = state.call.attempt;
+		auto const known = this->shared->servers.find(server);
+		if (!this->watches.holder(server) && known && !known->is_start_unreported)
+		{
+			// It has never given a report.
+			co_return std::nullopt;
+		}
 		watched_end end;
 		auto const seen = co_await this->watches.ask(std::move(server), ended_at, longest_wait);
 		if (seen && seen->watched_since > last_read_at)
