http/server: its memory and the refusal of requests in files of their own

server.cpp had 829 lines, now 565. server_memory holds what requests and answers take, with the connections that give it up; unread_request says why a request was not read and what answers it.

--- a/packages/http/impl/server.cpp
+++ b/packages/http/impl/server.cpp
@@ -1,9 +1,7 @@
 #include <godwittrestle/http/server.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
-#include <map>
 #include <new>
 #include <optional>
 #include <ranges>
@@ -27,6 +25,8 @@
 #include <godwittrestle/http/memory_budget.hpp>
 
 #include "server_connection.hpp"
+#include "server_memory.hpp"
+#include "unread_request.hpp"
 
 namespace godwittrestle::http
 {
@@ -44,105 +44,7 @@
 		constexpr std::size_t max_buffer_bytes = 65'536;
 		// What the buffer may keep while the connection waits for a request.
 		constexpr std::size_t max_idle_buffer_bytes = 4'096;
-		// Retry-After of a request for which there is no memory.
-		constexpr duration no_memory_delay = seconds(1);
-		// Time between two looks at what callers have taken of their answers while the memory is spent.
-		constexpr duration look_interval = milliseconds(20);
 		constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-
-		time_point monotonic_now()
-		{
-			auto const reading = std::chrono::steady_clock::now().time_since_epoch();
-			return time_point(std::chrono::duration_cast<duration>(reading));
-		}
-
-		request to_head(beast::http::request<beast::http::string_body> const& message)
-		{
-			request converted;
-			converted.method = std::string(message.method_string());
-			converted.target = std::string(message.target());
-			std::ranges::transform(message, std::back_inserter(converted.headers),
-				[](auto const& field) { return header{std::string(field.name_string()), std::string(field.value())}; });
-			return converted;
-		}
-
-		request to_request(beast::http::request<beast::http::string_body>&& message)
-		{
-			auto converted = to_head(message);
-			converted.body = std::move(message.body());
-			return converted;
-		}
-
-		unread_reason to_unread_reason(error_code const& error, bool is_header_done)
-		{
-			if (error == beast::error::timeout)
-			{
-				return is_header_done ? unread_reason::body_timeout : unread_reason::header_timeout;
-			}
-			auto const is_peer_gone = error.category() == asio::error::get_system_category() ||
-									  error == asio::error::eof || error == beast::http::error::end_of_stream ||
-									  error == beast::http::error::partial_message;
-			return is_peer_gone ? unread_reason::peer_closed : unread_reason::malformed;
-		}
-
-		response make_read_error(error_code const& error)
-		{
-			if (error == beast::error::timeout)
-			{
-				return make_error(
-					408, "timeout", "the request did not arrive in time", "send it again, without pauses within it");
-			}
-			if (error == beast::http::error::body_limit)
-			{
-				return make_error(413, "too_large", "the body is too large", "send a smaller body");
-			}
-			if (error == beast::http::error::header_limit)
-			{
-				return make_error(431, "too_large", "the header is too large", "send fewer or shorter headers");
-			}
-			return make_error(400, "invalid_request", "the request is not HTTP/1.1: " + error.message(),
-				"send a well-formed request");
-		}
-
-		unread_reason to_unread_reason(yield_reason reason, bool is_header_done)
-		{
-			if (reason == yield_reason::no_room)
-			{
-				return unread_reason::no_memory;
-			}
-			return is_header_done ? unread_reason::body_stopped : unread_reason::header_timeout;
-		}
-
-		response make_yield_error(yield_reason reason)
-		{
-			if (reason == yield_reason::stopped)
-			{
-				return make_read_error(beast::error::timeout);
-			}
-			return make_error(503, "no_memory", "this instance holds as many requests as it can", "send it again later",
-				no_memory_delay);
-		}
-
-		// Returns whether the message has at most one Host and at most one of Content-Length and Transfer-Encoding,
-		// which must be chunked. Rejecting other messages prevents request smuggling: two servers that read such a
-		// message differently can take part of it for another request.
-		bool has_unambiguous_framing(beast::http::request<beast::http::string_body> const& message)
-		{
-			auto const count = [&](beast::http::field name)
-			{
-				auto const range = message.equal_range(name);
-				return std::distance(range.first, range.second);
-			};
-			auto const codings = count(beast::http::field::transfer_encoding);
-			auto const lengths = count(beast::http::field::content_length);
-			return count(beast::http::field::host) <= 1 && lengths <= 1 && codings <= 1 && lengths + codings <= 1 &&
-				   (codings == 0 || message.chunked());
-		}
-
-		bool expects_continue(beast::http::request<beast::http::string_body> const& message)
-		{
-			return beast::iequals(message[beast::http::field::expect], "100-continue");
-		}
 	}
 
 	class server::implementation : public std::enable_shared_from_this<implementation>
@@ -153,7 +55,8 @@
 			: executor(std::move(io_executor))
 			, acceptor(this->executor, tcp::endpoint(asio::ip::make_address(where.address), where.port))
 			, limits(allowed)
-			, memory(to_memory_limits(allowed))
+			, memory(std::make_shared<server_memory>(
+				  to_memory_limits(allowed), [this] { this->report_unread(unread_reason::answer_stopped, request()); }))
 			, handle(std::move(respond))
 			, hooks(std::move(callbacks))
 		{
@@ -168,7 +71,7 @@
 		void set_limits(server_limits const& given)
 		{
 			this->limits = given;
-			this->memory.set_limits(to_memory_limits(given));
+			this->memory->set_limits(to_memory_limits(given));
 		}
 
 		void drain()
@@ -199,152 +102,12 @@
 
 		[[nodiscard]] std::size_t held_bytes() const noexcept
 		{
-			return this->memory.held();
+			return this->memory->held();
 		}
 
 	  private:
 		using connection_pointer = std::shared_ptr<server_connection>;
 
-		// The part of a request in the account of memory.
-		class memory_part
-		{
-		  public:
-			memory_part(implementation& owning_server, connection_pointer const& connection)
-				: owner(owning_server.shared_from_this())
-				, id(owner->memory.begin(connection->peer_address(), monotonic_now()))
-			{
-				this->owner->arriving.emplace(this->id, connection);
-			}
-
-			~memory_part()
-			{
-				this->owner->arriving.erase(this->id);
-				this->owner->memory.end(this->id);
-			}
-
-			memory_part(memory_part const&) = delete;
-			memory_part& operator=(memory_part const&) = delete;
-			memory_part(memory_part&&) = delete;
-			memory_part& operator=(memory_part&&) = delete;
-
-			void hold(std::size_t bytes)
-			{
-				this->owner->hold_memory(this->id, bytes);
-			}
-
-			void complete()
-			{
-				this->owner->memory.complete(this->id);
-			}
-
-		  private:
-			std::shared_ptr<implementation> owner;
-			holder_id id;
-		};
-
-		// The part of an answer in the account of memory.
-		class answer_part final : public answer_account
-		{
-		  public:
-			answer_part(implementation& owning_server, connection_pointer const& connection)
-				: owner(owning_server.shared_from_this())
-				, id(owner->memory.begin_answer(connection->peer_address(), monotonic_now()))
-			{
-				this->owner->answered.emplace(this->id, connection);
-			}
-
-			~answer_part() override
-			{
-				this->owner->answered.erase(this->id);
-				this->owner->memory.end(this->id);
-			}
-
-			answer_part(answer_part const&) = delete;
-			answer_part& operator=(answer_part const&) = delete;
-			answer_part(answer_part&&) = delete;
-			answer_part& operator=(answer_part&&) = delete;
-
-			void hold(std::size_t bytes) override
-			{
-				this->owner->hold_memory(this->id, bytes);
-			}
-
-			void begin_wait() override
-			{
-				this->owner->memory.begin_wait(this->id, monotonic_now());
-				this->owner->answered.at(this->id)->note_unsent();
-			}
-
-			void note_move() override
-			{
-				this->owner->memory.note_move(this->id, monotonic_now());
-				this->owner->answered.at(this->id)->note_unsent();
-			}
-
-			void end_wait() override
-			{
-				this->owner->memory.end_wait(this->id);
-			}
-
-			[[nodiscard]] bool make_room() override
-			{
-				if (!this->owner->memory.has_room() && this->owner->note_moves())
-				{
-					this->owner->yield_memory(this->owner->memory.make_room(monotonic_now()));
-				}
-				return this->owner->memory.has_room();
-			}
-
-		  private:
-			std::shared_ptr<implementation> owner;
-			holder_id id;
-		};
-
-		void hold_memory(holder_id id, std::size_t bytes)
-		{
-			if (!this->memory.has_room())
-			{
-				std::ignore = this->note_moves();
-			}
-			this->yield_memory(this->memory.hold(id, bytes, monotonic_now()));
-		}
-
-		// Tells the account which callers have taken some of their answers, unless it was told just before. Returns
-		// whether it was told.
-		bool note_moves()
-		{
-			auto const now = monotonic_now();
-			if (now - this->looked_at < look_interval)
-			{
-				return false;
-			}
-			this->looked_at = now;
-			for (auto const& [id, connection] : this->answered)
-			{
-				if (connection->has_peer_taken_bytes())
-				{
-					this->memory.note_move(id, now);
-				}
-			}
-			return true;
-		}
-
-		// Ends the reading of requests, and the connections of answers, that give up their memory.
-		void yield_memory(std::vector<yielding_request> const& yielding)
-		{
-			for (auto const& each : yielding)
-			{
-				auto const answer = this->answered.find(each.id);
-				if (answer == this->answered.end())
-				{
-					this->arriving.at(each.id)->yield_memory(each.reason);
-					continue;
-				}
-				answer->second->reset();
-				this->report_unread(unread_reason::answer_stopped, request());
-			}
-		}
-
 		static memory_limits to_memory_limits(server_limits const& limits)
 		{
 			return {limits.memory_bytes, limits.body_bytes + limits.header_bytes + max_buffer_bytes};
@@ -465,7 +228,7 @@
 			beast::http::request_parser<beast::http::string_body> parser;
 			parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
 			parser.body_limit(this->limits.body_bytes);
-			std::optional<memory_part> part;
+			std::optional<request_memory> part;
 			auto const error = co_await this->read_request(connection, parser, part);
 			if (error)
 			{
@@ -503,7 +266,7 @@
 
 		[[nodiscard]] std::shared_ptr<server_exchange> make_exchange(connection_pointer connection, bool keep_alive)
 		{
-			auto account = std::make_unique<answer_part>(*this, connection);
+			auto account = std::make_unique<answer_memory>(this->memory, connection);
 			return std::make_shared<server_exchange>(
 				std::move(connection), this->limits.write_timeout, keep_alive,
 				[self = this->shared_from_this()] { return self->is_draining; }, std::move(account));
@@ -566,7 +329,7 @@
 
 		// Reads the head of a request. part: set when the head does not arrive at once.
 		asio::awaitable<head_result> read_head(connection_pointer connection,
-			beast::http::request_parser<beast::http::string_body>& parser, std::optional<memory_part>& part)
+			beast::http::request_parser<beast::http::string_body>& parser, std::optional<request_memory>& part)
 		{
 			auto& buffer = connection->unparsed();
 			// The buffer grows no further than a head may. The parser's own limit is reached at this size, not beyond
@@ -603,7 +366,7 @@
 				}
 				if (!part)
 				{
-					part.emplace(*this, connection);
+					part.emplace(this->memory, connection);
 				}
 				part->hold(read.bytes + buffer.capacity());
 			}
@@ -631,7 +394,7 @@
 		// Reads one request, and sends 100 Continue when the client expects it.
 		// part: set while the head arrives, if it does not at once, and when a body follows it.
 		asio::awaitable<error_code> read_request(connection_pointer opened,
-			beast::http::request_parser<beast::http::string_body>& parser, std::optional<memory_part>& part)
+			beast::http::request_parser<beast::http::string_body>& parser, std::optional<request_memory>& part)
 		{
 			auto& connection = *opened;
 			auto& stream = connection.stream();
@@ -668,7 +431,7 @@
 				co_return error_code();
 			}
 			stream.expires_never();
-			part.emplace(*this, opened);
+			part.emplace(this->memory, opened);
 			auto const rest = this->limits.header_bytes - std::min(this->limits.header_bytes, head_size);
 			connection.set_read_timeout(this->limits.read_timeout);
 			auto const body_error = co_await this->read_body(connection, parser, *part, rest);
@@ -682,7 +445,7 @@
 		// Reads the body of a request. max_framing_bytes: what may arrive beside the body's bytes and the chunks'
 		// sizes, as chunk extensions and trailers.
 		asio::awaitable<error_code> read_body(server_connection& connection,
-			beast::http::request_parser<beast::http::string_body>& parser, memory_part& part,
+			beast::http::request_parser<beast::http::string_body>& parser, request_memory& part,
 			std::size_t max_framing_bytes)
 		{
 			auto& buffer = connection.unparsed();
@@ -728,12 +491,7 @@
 		asio::any_io_executor executor;
 		tcp::acceptor acceptor;
 		server_limits limits;
-		memory_budget memory;
-		// The connections of the requests in the account of memory.
-		std::map<holder_id, connection_pointer> arriving;
-		// The connections of the answers in the account of memory.
-		std::map<holder_id, connection_pointer> answered;
-		time_point looked_at;
+		std::shared_ptr<server_memory> memory;
 		handler handle;
 		server_hooks hooks;
 		std::set<connection_pointer> open;
@@ -741,28 +499,6 @@
 		bool is_stopping = false;
 	};
 
-	std::string_view to_string(unread_reason reason) noexcept
-	{
-		switch (reason)
-		{
-			case unread_reason::header_timeout:
-				return "header_timeout";
-			case unread_reason::body_timeout:
-				return "body_timeout";
-			case unread_reason::peer_closed:
-				return "peer_closed";
-			case unread_reason::malformed:
-				return "malformed";
-			case unread_reason::body_stopped:
-				return "body_stopped";
-			case unread_reason::no_memory:
-				return "no_memory";
-			case unread_reason::answer_stopped:
-				return "answer_stopped";
-		}
-		return "malformed";
-	}
-
 	server::server(asio::any_io_executor executor, endpoint const& where, server_limits const& limits, handler handle,
 		server_hooks hooks)
 		: impl(
