--- a/packages/gateway/impl/forwarder_connections.cpp
+++ b/packages/gateway/impl/forwarder_connections.cpp
@@ -167,7 +167,7 @@
 		if (answer)
 		{
 			server->answers.note_answer(monotonic_now() - seen.asked_at);
-			seen.statement = this->read_start(server, *answer, seen.asked_at);
+			seen.statement = this->read_report(server, *answer, seen.asked_at).statement;
 			connection.note_statement(seen.stated(), seen.asked_at, monotonic_now());
 		}
 		if (seen.stated() == server->entry.started)
@@ -197,21 +197,10 @@
 		routing::server_pointer server, pooled_connection& pooled, http::request message, duration timeout)
 	{
 		auto const& connection = pooled.get();
-		message.headers.push_back({"Host", server->entry.address});
-		connection->send(message);
-		auto const no_attempt = request_id();
-		auto head = co_await this->read_own_head(connection, no_attempt, timeout);
-		if (auto* const answer = std::get_if<http::response>(&head))
+		auto answer = co_await this->exchange_on(server, connection, std::move(message), timeout);
+		if (answer)
 		{
-			auto const metadata = this->protocol.read_answer(*answer);
-			this->record_server_state(*server, metadata);
-			this->record_limit(*server, metadata, answer->status, std::nullopt);
-			auto body = co_await connection->read_rest(timeout, max_small_body_bytes);
-			if (auto* const text = std::get_if<std::string>(&body))
-			{
-				answer->body = std::move(*text);
-				co_return std::move(*answer);
-			}
+			co_return answer;
 		}
 		this->shared->reach.note_failure(server->entry.id);
 		if (connection->was_closed_by_peer())
@@ -222,6 +211,31 @@
 		co_return std::nullopt;
 	}
 
+	asio::awaitable<std::optional<http::response>> forwarder::exchange_on(
+		routing::server_pointer server, http::upstream_pointer connection, http::request message, duration timeout)
+	{
+		message.headers.push_back({"Host", server->entry.address});
+		connection->send(message);
+		auto const no_attempt = request_id();
+		auto head = co_await this->read_own_head(connection, no_attempt, timeout);
+		auto* const answer = std::get_if<http::response>(&head);
+		if (answer == nullptr)
+		{
+			co_return std::nullopt;
+		}
+		auto const metadata = this->protocol.read_answer(*answer);
+		this->record_server_state(*server, metadata);
+		this->record_limit(*server, metadata, answer->status, std::nullopt);
+		auto body = co_await connection->read_rest(timeout, max_small_body_bytes);
+		auto* const text = std::get_if<std::string>(&body);
+		if (text == nullptr)
+		{
+			co_return std::nullopt;
+		}
+		answer->body = std::move(*text);
+		co_return std::move(*answer);
+	}
+
 	asio::awaitable<std::optional<http::response>> forwarder::call_server(
 		routing::server_pointer server, http::request message, duration timeout)
 	{
--- a/packages/gateway/impl/forwarder_starts.cpp
+++ b/packages/gateway/impl/forwarder_starts.cpp
@@ -89,56 +89,44 @@
 		{
 			co_return stated;
 		}
-		auto message = this->protocol.write_report_request(called->entry.id);
-		message.headers.push_back({"Host", called->entry.address});
 		auto const asked_at = monotonic_now();
-		connection->send(message);
-		auto head = co_await connection->read_head(report_timeout);
-		auto is_read = false;
-		if (auto* const answer = std::get_if<http::response>(&head))
-		{
-			auto const metadata = this->protocol.read_answer(*answer);
-			this->record_server_state(*called, metadata);
-			this->record_limit(*called, metadata, answer->status, std::nullopt);
-			auto body = co_await connection->read_rest(report_timeout, max_small_body_bytes);
-			if (auto* const text = std::get_if<std::string>(&body))
-			{
-				answer->body = std::move(*text);
-				stated = this->read_start(called, *answer, asked_at);
-				is_read = true;
-			}
+		auto message = this->protocol.write_report_request(called->entry.id);
+		auto const answer = co_await this->exchange_on(called, connection, std::move(message), report_timeout);
+		this->totals->count_send("report", answer ? "served" : "failed");
+		if (answer)
+		{
+			stated = this->read_report(called, *answer, asked_at).statement;
 		}
-		this->totals->count_send("report", is_read ? "served" : "failed");
 		connection->close();
 		co_return stated;
 	}
 
-	routing::process_statement forwarder::read_start(
+	report_answer forwarder::read_report(
 		routing::server_pointer const& called, http::response const& answer, time_point asked_at) const
 	{
 		auto const metadata = this->protocol.read_answer(answer);
 		if (metadata.is_misdirected && !metadata.server.empty() && metadata.server != called->entry.id)
 		{
-			return routing::other_process();
+			return {routing::other_process()};
 		}
 		auto const report = answer.status == status_ok ? this->protocol.read_report(answer.body) : std::nullopt;
-		auto const present = this->present_record(called);
-		auto const is_stated = report && report->started != incarnation();
-		if (report)
+		if (!report)
 		{
 			// A server that gives no report may state its start another time.
-			present->is_start_unreported = !is_stated;
-			this->shared->observed[called->entry.service].has_unreported_starts = !is_stated;
+			return {routing::start_not_stated()};
 		}
-		if (!is_stated)
+		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
+		auto const running = std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end());
+		auto const present = this->present_record(called);
+		present->is_start_unreported = report->started == incarnation();
+		this->shared->observed[called->entry.service].has_unreported_starts = present->is_start_unreported;
+		if (present->is_start_unreported)
 		{
-			return routing::start_not_stated();
+			return {routing::start_not_stated(), running};
 		}
 		present->note_stated_start(report->started, asked_at, monotonic_now());
 		present->last_statement = {report->started, asked_at};
-		auto const attempts = report->running | std::views::transform(&running_stream::attempt);
-		return routing::start_stated{
-			report->started, std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end())};
+		return {routing::start_stated{report->started, running}, running};
 	}
 
 	bool forwarder::is_start_doubtful(request_state const& state, routing::server_record const& engine) const
@@ -157,10 +145,7 @@
 	bool forwarder::needs_holder(request_state const& state, routing::server_record const& engine, time_point now) const
 	{
 		auto const has_stated = routing::states_start(routing::as_stream_server(engine.entry)) && engine.last_statement;
-		auto const has_versions = engine.entry.started == incarnation()
-									  ? this->is_process_needed(engine, now)
-									  : this->has_several_versions(state.service, now);
-		return state.joiner.last_event() && (has_stated || has_versions);
+		return state.joiner.last_event() && (has_stated || this->may_differ_in_version(engine, now));
 	}
 
 	routing::stream_terms forwarder::terms_of(request_state const& state, routing::server_record const& engine) const
--- a/packages/gateway/impl/forwarder_watches.cpp
+++ b/packages/gateway/impl/forwarder_watches.cpp
@@ -29,10 +29,16 @@
 		}
 	}
 
+	bool forwarder::may_differ_in_version(routing::server_record const& server, time_point now) const
+	{
+		auto const& service = server.entry.service;
+		return server.entry.started == incarnation() ? knows_several_versions(*this->shared, service, now)
+													 : this->has_several_versions(service, now);
+	}
+
 	bool forwarder::is_process_needed(routing::server_record const& server, time_point now) const
 	{
-		return routing::states_start(routing::as_stream_server(server.entry)) ||
-			   knows_several_versions(*this->shared, server.entry.service, now);
+		return server.entry.started != incarnation() || this->may_differ_in_version(server, now);
 	}
 
 	bool forwarder::is_watch_needed(routing::server_record const& server, time_point now) const
@@ -47,10 +53,7 @@
 		auto const is_comparable = server.entry.started != incarnation() && is_reported;
 		// Only a stated start lifts the doubt that a sign of the process's end has raised.
 		auto const is_doubted = server.end_sign_at.has_value();
-		auto const has_versions = server.entry.started == incarnation()
-									  ? knows_several_versions(*this->shared, service, now)
-									  : this->has_several_versions(service, now);
-		return !is_comparable && (has_open_ends || is_doubted || has_versions);
+		return !is_comparable && (has_open_ends || is_doubted || this->may_differ_in_version(server, now));
 	}
 
 	void forwarder::review_watches(time_point now)
@@ -183,33 +186,12 @@
 	asio::awaitable<std::optional<report_answer>> forwarder::ask_report(
 		routing::server_pointer server, http::upstream_pointer connection)
 	{
-		auto message = this->protocol.write_report_request(server->entry.id);
-		message.headers.push_back({"Host", server->entry.address});
 		auto const asked_at = monotonic_now();
-		connection->send(message);
-		auto head = co_await this->read_own_head(connection, request_id(), report_timeout);
-		auto* const answer = std::get_if<http::response>(&head);
-		std::optional<report_answer> read;
-		if (answer != nullptr)
-		{
-			auto const metadata = this->protocol.read_answer(*answer);
-			this->record_server_state(*server, metadata);
-			this->record_limit(*server, metadata, answer->status, std::nullopt);
-			auto body = co_await connection->read_rest(report_timeout, max_small_body_bytes);
-			if (auto* const text = std::get_if<std::string>(&body))
-			{
-				answer->body = std::move(*text);
-				read = report_answer{this->read_start(server, *answer, asked_at), nullptr};
-			}
-		}
-		if (auto const report =
-				read && answer->status == status_ok ? this->protocol.read_report(answer->body) : std::nullopt)
-		{
-			auto const attempts = report->running | std::views::transform(&running_stream::attempt);
-			read->running = std::make_shared<std::set<request_id> const>(attempts.begin(), attempts.end());
-		}
-		this->totals->count_send("watch", read ? "served" : "failed");
-		co_return read;
+		auto message = this->protocol.write_report_request(server->entry.id);
+		auto const answer =
+			co_await this->exchange_on(server, std::move(connection), std::move(message), report_timeout);
+		this->totals->count_send("watch", answer ? "served" : "failed");
+		co_return answer ? std::optional(this->read_report(server, *answer, asked_at)) : std::nullopt;
 	}
 
 	void forwarder::note_writer_known(routing::server_record const& server)
--- a/packages/gateway/impl/server_watches.cpp
+++ b/packages/gateway/impl/server_watches.cpp
@@ -60,7 +60,8 @@
 		bool is_question_due = false;
 		// Expires when the next question is due.
 		asio::steady_timer due;
-		// Cancelled after each question, answered or not, and when the connection has ended.
+		// The timers of those that wait for an answer. They are cancelled after each question, answered or not, and
+		// when the connection has ended.
 		std::set<asio::steady_timer*> waiting;
 	};
 
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -332,6 +332,9 @@
 			request_state const& state, routing::server_record const& engine, time_point now) const;
 		[[nodiscard]] routing::stream_terms terms_of(
 			request_state const& state, routing::server_record const& engine) const;
+		// Sends a request of this daemon's own and reads the whole answer. Returns nothing when that fails.
+		[[nodiscard]] asio::awaitable<std::optional<http::response>> exchange_on(
+			routing::server_pointer server, http::upstream_pointer connection, http::request message, duration timeout);
 		// Sends a request of this daemon's own over a connection and reads the answer. Closes the connection when that
 		// fails.
 		[[nodiscard]] asio::awaitable<std::optional<http::response>> call_on(
@@ -434,16 +437,19 @@
 		// Asks on a connection of its own, which counts for no limit of this daemon: the one that has ended has left
 		// its place at the server.
 		[[nodiscard]] asio::awaitable<routing::process_statement> ask_start_directly(routing::server_pointer called);
-		// Returns what the answer to the question for a server's start states, and records it. asked_at: time of the
+		// Returns what a server's answer to the question for its report says, and records it. asked_at: time of the
 		// question.
-		[[nodiscard]] routing::process_statement read_start(
+		[[nodiscard]] report_answer read_report(
 			routing::server_pointer const& called, http::response const& answer, time_point asked_at) const;
 		// Logs over which connection a stream is sent, and what is known of the process that holds it.
 		void log_stream_sent(
 			request_state const& state, routing::server_record const& server, pooled_connection const& connection);
 
+		// Returns whether another process of a server may have another version. Where a server states no start, several
+		// versions have to be known; otherwise it is enough that not all versions of the time are known.
+		[[nodiscard]] bool may_differ_in_version(routing::server_record const& server, time_point now) const;
 		// Returns whether a stream that has begun may be sent to a server only if its process is known: the server
-		// states its start, or its service may have, or have had, several versions.
+		// states its start, or its processes may differ in version.
 		[[nodiscard]] bool is_process_needed(routing::server_record const& server, time_point now) const;
 		// Returns whether the server's process has to be known, and can be by a watch only: its service may have
 		// several versions, or streams that end with their connection, and the server states its start nowhere, or in
