--- a/tests/contract/unstated_starts.test.cpp
+++ b/tests/contract/unstated_starts.test.cpp
@@ -10,6 +10,7 @@
 #include "daemon_group.hpp"
 #include "open_stream.hpp"
 #include "stream_answers.hpp"
+#include "stream_with_second_server.hpp"
 #include "streaming_servers.hpp"
 #include "test_protocol.hpp"
 
@@ -21,46 +22,12 @@
 {
 	using std::chrono::milliseconds;
 
-	constexpr duration route_timeout = seconds(14);
 	// The timeout of a route whose streams are so short that a daemon soon knows all versions of their time.
 	constexpr duration short_route_timeout = milliseconds(1500);
 	// Time after which a daemon knows all versions of a short stream's longest life.
 	constexpr milliseconds history_time{4000};
 	// Time after which a daemon that has not read the registry does not know that its view is complete.
 	constexpr milliseconds old_view_time{4800};
-
-	// A stream that began at a server of version v1, and a second server whose entry is of that version. Servers of
-	// version v1.1 are in service too.
-	class stream_with_second_server
-	{
-	  public:
-		void begin(int events = events_asked)
-		{
-			this->stream.emplace(this->daemons.addresses()[0], "t1", events);
-			REQUIRE(this->stream->read_until("id: 3\n"));
-			this->daemons.publish({this->first_entry, this->second_entry, this->newer.entry()});
-			std::this_thread::sleep_for(settle_time);
-		}
-
-		// Breaks the stream off at its first server. Returns all that the caller received.
-		[[nodiscard]] std::string const& break_off()
-		{
-			this->first.break_streams();
-			return this->stream->read_rest();
-		}
-
-		streaming_server first{"first", "v1"};
-		streaming_server second{"second", "v1"};
-		streaming_server newer{"newer", "v1.1"};
-
-	  private:
-		routing::registered_server first_entry = this->first.entry();
-		routing::registered_server second_entry = this->second.entry();
-		std::optional<open_stream> stream;
-
-	  public:
-		daemon_group daemons{1, make_long_route(route_timeout), {this->first_entry}};
-	};
 }
 
 // Guards against an answer that states no start and passes for the confirmation of the entry's (ORDER).
@@ -100,9 +67,9 @@
 	constexpr milliseconds unstated_time{3000};
 	stream_with_second_server system;
 	system.first.set_reporting(false);
-	system.daemons.publish({system.newer.entry(), system.first.entry()});
+	system.daemons->publish({system.newer.entry(), system.first.entry()});
 	std::this_thread::sleep_for(settle_time);
-	system.daemons.publish({system.first.entry()});
+	system.daemons->publish({system.first.entry()});
 	std::this_thread::sleep_for(settle_time);
 	system.begin(events);
 	std::this_thread::sleep_for(unstated_time);
