--- a/packages/daemon/impl/telemetry.cpp
+++ b/packages/daemon/impl/telemetry.cpp
@@ -11,11 +11,15 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <godwittrestle/daemon/core_loop.hpp>
+#include <godwittrestle/daemon/wall_clock.hpp>
+
 namespace godwittrestle::daemon
 {
 	namespace
 	{
 		constexpr duration poll_interval = milliseconds(200);
+		constexpr duration gap_interval = seconds(1);
 
 		// Returns whether an event is logged at INFO, because operators need it at the default log level. Other events
 		// are logged at DEBUG.
@@ -25,8 +29,9 @@
 				   name.starts_with("server_") || name.starts_with("orphan_") || name == "ready" || name == "leaving" ||
 				   name == "left" || name == "woke_up" || name.starts_with("answer_") || name.starts_with("request_") ||
 				   name.starts_with("registry_") || name.starts_with("settings_") || name.starts_with("servers_") ||
-				   name.starts_with("stream_") || name.starts_with("peer_") || name == "started" || name == "stopped" ||
-				   name == "draining" || name == "requests_ended" || name == "drained";
+				   name.starts_with("stream_") || name.starts_with("peer_") || name.starts_with("log_") ||
+				   name == "started" || name == "stopped" || name == "draining" || name == "requests_ended" ||
+				   name == "drained";
 		}
 
 		log4cplus::Logger logger()
@@ -106,6 +111,7 @@
 		while (!this->is_stopping || this->inputs.size() > 0)
 		{
 			auto event = this->inputs.pop_for(poll_interval);
+			this->write_gap(monotonic_now());
 			if (!event)
 			{
 				continue;
@@ -114,6 +120,25 @@
 			std::scoped_lock const lock(this->mutex);
 			this->kept_events.push_back(std::move(*event));
 		}
+		this->gap_written_at = time_point();
+		this->write_gap(monotonic_now());
+	}
+
+	void telemetry::write_gap(time_point now)
+	{
+		auto const dropped = this->dropped();
+		if (dropped == this->dropped_events_written || now - this->gap_written_at < gap_interval)
+		{
+			return;
+		}
+		decide::record_event line;
+		line.timestamp = wall_clock_us();
+		line.name = "log_lines_dropped";
+		line.fields = {{"lines", std::to_string(dropped - this->dropped_events_written)},
+			{"since_start", std::to_string(dropped)}};
+		this->dropped_events_written = dropped;
+		this->gap_written_at = now;
+		this->write(line);
 	}
 
 	void telemetry::write(decide::record_event const& event)
--- a/packages/daemon/include/godwittrestle/daemon/telemetry.hpp
+++ b/packages/daemon/include/godwittrestle/daemon/telemetry.hpp
@@ -12,6 +12,7 @@
 
 #include <godwittrestle/base/bounded_ring.hpp>
 #include <godwittrestle/base/ids.hpp>
+#include <godwittrestle/base/units.hpp>
 #include <godwittrestle/decide/action.hpp>
 
 namespace godwittrestle::daemon
@@ -51,6 +52,7 @@
 		void stop();
 
 		// Queues an event. Drops and counts the event when the ring is full, so that logging never delays an answer.
+		// The log says so with a line log_lines_dropped.
 		void record(decide::record_event event);
 
 		// Writes a log line at INFO on the calling thread, without adding an event to the timeline.
@@ -67,6 +69,8 @@
 
 	  private:
 		void run();
+		// Writes how many lines were dropped since this was last written, if any were, at most once a second.
+		void write_gap(time_point now);
 		void write(decide::record_event const& event);
 
 		std::string instance;
@@ -75,6 +79,9 @@
 		mutable std::mutex mutex;
 		boost::circular_buffer<decide::record_event> kept_events;
 		std::atomic<std::uint64_t> dropped_events = 0;
+		// What the log says of dropped events, and since when. Used by the log's thread only.
+		std::uint64_t dropped_events_written = 0;
+		time_point gap_written_at;
 		std::atomic<bool> is_stopping = false;
 		std::thread thread;
 	};
--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -380,51 +380,6 @@
 		co_return http::upstream_failure::broken;
 	}
 
-	bool forwarder::may_go_elsewhere(request_state const& state, routing::server_record const& server) const
-	{
-		auto const is_sent_here = state.sent_to.contains(server.entry.id);
-		auto const servers_left_here = state.servers_left() + (is_sent_here ? 1U : 0U);
-		auto const others = this->shared->servers.candidates(state.service, server.entry.role, monotonic_now());
-		return servers_left_here > 1 && std::ranges::any_of(others,
-											[&](routing::server_pointer const& each)
-											{
-												auto const is_of_version =
-													!state.origin || each->entry.version == state.origin->version;
-												return each->entry.id != server.entry.id &&
-													   !state.excluded.contains(each->entry.id) && is_of_version;
-											});
-	}
-
-	http::further_wait forwarder::wait_unless_moved(
-		state_pointer const& state, routing::server_pointer const& server, silence_limits limits, time_point since)
-	{
-		return [this, state = std::weak_ptr(state), server, limits, since]
-		{
-			auto const waiting = state.lock();
-			return waiting ? this->decide_further_wait(*waiting, *server, limits, since, monotonic_now()) : duration{};
-		};
-	}
-
-	duration forwarder::decide_further_wait(request_state& state, routing::server_record const& server,
-		silence_limits limits, time_point since, time_point now)
-	{
-		auto const left = std::min(limits.longest - (now - since), state.time_left());
-		if (left <= duration{} || state.is_caller_gone)
-		{
-			return duration{};
-		}
-		// The retry is spent here, since several requests may wait for the last one. One that gets none waits on.
-		auto const is_refused_next =
-			state.matched_route->kind == routing::call_kind::streaming && this->must_refuse_before_stop(state);
-		auto const may_be_repeated = !state.is_out_of_time() && state.joiner.may_go_on() && !is_refused_next;
-		if (may_be_repeated && this->may_go_elsewhere(state, server) && this->spend_retry(state))
-		{
-			state.is_retry_spent = true;
-			return duration{};
-		}
-		return std::min(left, silence_check_interval);
-	}
-
 	bool forwarder::authorize_retry(request_state& state, send_failure failure)
 	{
 		if (failure == send_failure::blocked)
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -516,6 +516,10 @@
 		// Returns for how much longer to wait for a silent server; see wait_unless_moved().
 		[[nodiscard]] duration decide_further_wait(request_state& state, routing::server_record const& server,
 			silence_limits limits, time_point since, time_point now);
+		// Logs that a server has been silent for long, by how much later than due that is noticed, for how long this
+		// daemon has heard of no server at all, and what was decided. further: the further wait.
+		void log_silence(request_state const& state, routing::server_record const& server, silence_limits limits,
+			time_point since, duration further, time_point now);
 		// Returns whether the call may be sent once more. Spends one retry of the budget unless the failed call was
 		// never sent.
 		[[nodiscard]] bool authorize_retry(request_state& state, routing::send_failure failure);
