--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -82,6 +82,7 @@
 			thrown = std::current_exception();
 			this->record_exception(*state);
 		}
+		this->end_search(*state);
 		this->return_quota(*state);
 		http_exchange.on_close(nullptr);
 		state->http_exchange = nullptr;
@@ -309,12 +310,14 @@
 		auto const wait = std::min(max_silence.before_move, state->time_left());
 		auto wait_on = this->wait_unless_moved(state, server, max_silence, sent_at);
 		auto head = co_await this->read_own_head(connection, state->call.attempt, wait, std::move(wait_on));
-		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
+		auto const is_given_up = is_answer_given_up(*state);
+		if (auto const* const failure = std::get_if<http::upstream_failure>(&head); failure != nullptr || is_given_up)
 		{
 			connection->close();
 			this->shared->reach.note_failure(entry.id);
-			co_return to_send_failure(*failure);
+			co_return is_given_up ? send_failure::silent : to_send_failure(*failure);
 		}
+		this->end_search(*state);
 		auto& answer = std::get<http::response>(head);
 		auto const metadata = this->protocol.read_answer(answer);
 		this->record_server_state(*server, metadata);
--- a/packages/gateway/impl/forwarder_reservations.cpp
+++ b/packages/gateway/impl/forwarder_reservations.cpp
@@ -113,7 +113,8 @@
 		return monotonic_now() - this->started < discovery_time;
 	}
 
-	asio::awaitable<std::optional<forwarder::reserved_engine>> forwarder::wait_for_reservation(state_pointer state)
+	asio::awaitable<std::optional<forwarder::reserved_engine>> forwarder::wait_for_reservation(
+		state_pointer state, std::shared_ptr<place_search> search)
 	{
 		auto const speed = this->engine_speed(*state);
 		auto const time_to_first_event = speed.prefill_time(state->call.prompt.count()) + speed.decode_start;
@@ -139,7 +140,7 @@
 		std::optional<reserved_engine> granted;
 		auto has_waited = false;
 		asio::steady_timer pause(this->executor);
-		while (!state->is_caller_gone && !state->is_out_of_time())
+		while (!state->is_caller_gone && !state->is_out_of_time() && (!search || search->is_wanted))
 		{
 			auto const now = monotonic_now();
 			if (this->is_blocked(*state, now))
--- a/packages/gateway/impl/forwarder_silence.cpp
+++ b/packages/gateway/impl/forwarder_silence.cpp
@@ -33,7 +33,7 @@
 				return duration{};
 			}
 			auto const now = monotonic_now();
-			auto const further = this->decide_further_wait(*waiting, *server, limits, since, now);
+			auto const further = this->decide_further_wait(waiting, *server, limits, since, now);
 			if (std::exchange(is_first, false))
 			{
 				this->log_silence(*waiting, *server, limits, since, further, now);
@@ -42,24 +42,107 @@
 		};
 	}
 
-	duration forwarder::decide_further_wait(request_state& state, routing::server_record const& server,
+	duration forwarder::decide_further_wait(state_pointer const& state, routing::server_record const& server,
 		silence_limits limits, time_point since, time_point now)
 	{
-		auto const left = std::min(limits.longest - (now - since), state.time_left());
-		if (left <= duration{} || state.is_caller_gone)
+		auto const left = std::min(limits.longest - (now - since), state->time_left());
+		if (left <= duration{} || state->is_caller_gone)
 		{
 			return duration{};
 		}
+		auto const further = std::min(left, silence_check_interval);
+		auto const is_stream = state->matched_route->kind == routing::call_kind::streaming;
+		auto const is_refused_next = is_stream && this->must_refuse_before_stop(*state);
+		auto const may_be_repeated = !state->is_out_of_time() && state->joiner.may_go_on() && !is_refused_next;
+		if (!may_be_repeated || !this->may_go_elsewhere(*state, server))
+		{
+			return further;
+		}
+		if (is_stream)
+		{
+			this->begin_search(state, server.entry.id);
+			return further;
+		}
 		// The retry is spent here, since several requests may wait for the last one. One that gets none waits on.
-		auto const is_refused_next =
-			state.matched_route->kind == routing::call_kind::streaming && this->must_refuse_before_stop(state);
-		auto const may_be_repeated = !state.is_out_of_time() && state.joiner.may_go_on() && !is_refused_next;
-		if (may_be_repeated && this->may_go_elsewhere(state, server) && this->spend_retry(state))
+		if (!this->spend_retry(*state))
 		{
-			state.is_retry_spent = true;
-			return duration{};
+			return further;
+		}
+		state->is_retry_spent = true;
+		return duration{};
+	}
+
+	void forwarder::begin_search(state_pointer const& state, server_id const& silent)
+	{
+		auto const is_searching = state->search && !state->search->has_ended;
+		auto& budget = this->shared->retry_budgets[state->service];
+		if (is_searching || !budget.has_left(this->shared->retries, this->shared->daemon_count, monotonic_now()))
+		{
+			return;
+		}
+		state->excluded.insert(silent);
+		state->search = std::make_shared<place_search>();
+		this->run_in_background("place_search", this->search_place(state, state->search, silent));
+	}
+
+	asio::awaitable<void> forwarder::search_place(
+		state_pointer state, std::shared_ptr<place_search> search, server_id silent)
+	{
+		co_await this->settle_prompt_version(state);
+		auto const is_origin_known = co_await this->settle_origin(state);
+		std::optional<reserved_engine> place;
+		if (is_origin_known && search->is_wanted)
+		{
+			place = co_await this->wait_for_reservation(state, search);
+		}
+		search->has_ended = true;
+		// Another daemon is asked for a place only once it has the stream, so one that has begun stays.
+		auto const goes_to_daemon = !place && !state->first_event_at && this->should_relay(*state);
+		auto const is_found = (place || goes_to_daemon) && search->is_wanted && !state->is_caller_gone;
+		// The retry is spent here, since several streams may have found a place for the last one.
+		if (!is_found || !this->spend_retry(*state))
+		{
+			this->release_place(std::move(place));
+			co_return;
+		}
+		state->is_retry_spent = true;
+		this->log_event(*state, "stream_moved",
+			{{"from", silent.str()}, {"to", place ? place->engine->entry.id.str() : "another daemon"},
+				{"last_event", state->joiner.last_event().value_or("")}});
+		search->place = std::move(place);
+		search->is_answer_given_up = true;
+		state->connection->close();
+	}
+
+	bool forwarder::is_answer_given_up(request_state const& state)
+	{
+		return state.search && state.search->is_answer_given_up;
+	}
+
+	void forwarder::end_search(request_state& state)
+	{
+		this->release_place(take_place(state));
+	}
+
+	std::optional<forwarder::reserved_engine> forwarder::take_place(request_state& state)
+	{
+		auto const search = std::exchange(state.search, nullptr);
+		if (!search)
+		{
+			return std::nullopt;
+		}
+		search->is_wanted = false;
+		return std::exchange(search->place, std::nullopt);
+	}
+
+	void forwarder::release_place(std::optional<reserved_engine> place)
+	{
+		if (place && place->reservation)
+		{
+			auto const& engine = place->engine;
+			this->release_in_background(
+				engine, this->protocol.cancel_reservation(engine->entry.id, *place->reservation));
 		}
-		return std::min(left, silence_check_interval);
 	}
 
 	void forwarder::log_silence(request_state const& state, routing::server_record const& server, silence_limits limits,
@@ -72,7 +155,9 @@
 				{"unheard_ms", milliseconds_text(this->shared->reach.unheard_for(now))},
 				{"last_event", state.joiner.last_event().value_or("")},
 				{"elsewhere", this->may_go_elsewhere(state, server) ? "yes" : "no"},
-				{"decided", further > duration{} ? "wait" : "give_up"},
+				{"decided", further == duration{} ? "give_up"
+							: state.search        ? "search"
+												  : "wait"},
 				{"left_ms", milliseconds_text(state.time_left())}});
 	}
 }
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -171,6 +171,8 @@
 		// The last error response of a server. It is passed on when no server serves the request.
 		std::optional<http::response> server_failure;
 		stream_joiner joiner{std::nullopt};
+		// The search for a place at another server while the stream's server is silent; null when there is none.
+		std::shared_ptr<place_search> search;
 		std::shared_ptr<connection_in_use> const connection = std::make_shared<connection_in_use>();
 		// While the stream waits for an engine: the time at which its caller gives up.
 		std::optional<time_point> gives_up_at;
@@ -372,6 +374,17 @@
 		std::optional<pooled_connection> connection;
 	};
 
+	// The search for a place at another server while a stream's server is silent. Its answer is read on meanwhile.
+	struct forwarder::place_search
+	{
+		// Whether the stream still needs the place: its server has not been heard since the search began.
+		bool is_wanted = true;
+		bool has_ended = false;
+		// Whether the answer of the silent server was given up, for the place or for another daemon.
+		bool is_answer_given_up = false;
+		std::optional<reserved_engine> place;
+	};
+
 	// Whether an engine may get a stream, and the connection on which its process has stated its start.
 	struct forwarder::checked_engine
 	{
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -49,8 +49,13 @@
 		};
 		while (!this->must_refuse_before_stop(*state))
 		{
-			co_await this->settle_prompt_version(state);
-			auto granted = co_await this->wait_for_reservation(state);
+			auto granted = take_place(*state);
+			if (!granted)
+			{
+				co_await this->settle_prompt_version(state);
+				std::shared_ptr<place_search> const no_search;
+				granted = co_await this->wait_for_reservation(state, no_search);
+			}
 			if (!granted)
 			{
 				if (this->should_relay(*state) || this->lacks_connections(*state) ||
@@ -99,7 +104,8 @@
 			{
 				break;
 			}
-			if (this->should_relay(*state))
+			auto const has_place = state->search && state->search->place;
+			if (!has_place && this->should_relay(*state))
 			{
 				co_await this->relay(state);
 				co_return;
@@ -372,16 +378,19 @@
 			auto const waits_since = monotonic_now();
 			auto piece = co_await connection->read_piece(wait, std::move(wait_on));
 			state->end_delay = monotonic_now() - waits_since;
-			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
+			auto const is_given_up = is_answer_given_up(*state);
+			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece);
+				failure != nullptr || is_given_up)
 			{
 				connection->close();
-				if (*failure == http::upstream_failure::broken)
+				auto const is_silent = is_given_up || *failure == http::upstream_failure::silent;
+				if (!is_silent && *failure == http::upstream_failure::broken)
 				{
 					this->note_answer_broken(*state, *server, monotonic_now());
 				}
 				this->note_unheard(*state, server->entry.id);
 				state->joiner.restart();
-				co_return *failure == http::upstream_failure::silent ? send_failure::silent : send_failure::broken;
+				co_return is_silent ? send_failure::silent : send_failure::broken;
 			}
 			this->note_heard(*state, monotonic_now());
 			auto const& received = std::get<std::string>(piece);
@@ -393,6 +402,10 @@
 			auto const is_empty_without_length =
 				is_end && !goes_on && events_before == state->events_before_send && connection->ends_with_connection();
 			auto is_broken = !passed_on || is_empty_without_length || state->joiner.is_overlong();
+			if (is_end || is_broken || state->joiner.events() > events_before)
+			{
+				this->end_search(*state);
+			}
 			if (is_broken)
 			{
 				this->note_answer_broken(*state, *server, monotonic_now());
@@ -441,10 +454,11 @@
 				}
 				if (is_repeatable)
 				{
-					// Without another try, only the caller can take the stream up, as with a relayed one.
-					auto const longest = routing::relayed_event_timeout(*state->matched_route);
-					max_silence = {
-						state->is_relayed_on ? longest : routing::event_timeout(*state->matched_route), longest};
+					// Another daemon needs time to find another server.
+					auto const of_daemon = routing::relayed_event_timeout(*state->matched_route);
+					max_silence = state->is_relayed_on
+									  ? silence_limits{of_daemon, of_daemon}
+									  : silence_limits{routing::event_timeout(*state->matched_route), default_timeout};
 				}
 			}
 			auto is_accepted = !state->is_caller_gone;
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -112,6 +112,7 @@
 		struct engine_connection;
 		struct holder_question;
 		struct reserved_engine;
+		struct place_search;
 		struct checked_engine;
 		struct send_grant;
 		struct reservation_question;
@@ -323,8 +324,11 @@
 		void note_unheard(request_state const& state, server_id const& server);
 
 		// Waits in the queue until a decode engine has memory for the stream. Returns nothing when the service has no
-		// decode engine, the wait is too long, the caller has disconnected or this daemon is about to stop.
-		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> wait_for_reservation(state_pointer state);
+		// decode engine, the wait is too long, the caller has disconnected or this daemon is about to stop. search:
+		// while the stream's present server is silent, the search for another one, which ends the wait when it is not
+		// wanted any more; null for a stream that no server has.
+		[[nodiscard]] asio::awaitable<std::optional<reserved_engine>> wait_for_reservation(
+			state_pointer state, std::shared_ptr<place_search> search);
 		// Returns whether all decode engines are at the limits that they state, and the next permit comes too late for
 		// the stream. gives_up_at: time at which it stops waiting for memory.
 		[[nodiscard]] bool is_beyond_limits(request_state const& state, routing::waiting_stream const& waiting,
@@ -509,13 +513,27 @@
 		// Returns whether the request may go to another server than this one, and the service has one for it. Otherwise
 		// nothing is gained when the server's silence ends the wait for its answer.
 		[[nodiscard]] bool may_go_elsewhere(request_state const& state, routing::server_record const& server) const;
-		// Returns what decides, when a server has been silent, whether to wait on for it. The wait ends early only for
-		// another try, for which a retry has then been spent. since: begin of the silence.
+		// Returns what decides, when a server has been silent, whether to wait on for it. since: begin of the silence.
+		// A stream's wait does not end: its answer is read on while a place at another server is sought. That of
+		// another request ends early only for another try, for which a retry has then been spent.
 		[[nodiscard]] http::further_wait wait_unless_moved(
 			state_pointer const& state, routing::server_pointer const& server, silence_limits limits, time_point since);
 		// Returns for how much longer to wait for a silent server; see wait_unless_moved().
-		[[nodiscard]] duration decide_further_wait(request_state& state, routing::server_record const& server,
+		[[nodiscard]] duration decide_further_wait(state_pointer const& state, routing::server_record const& server,
 			silence_limits limits, time_point since, time_point now);
+		// Begins to seek a place for a stream at another server, unless that is sought already or no retry is left.
+		void begin_search(state_pointer const& state, server_id const& silent);
+		// Seeks it. When a place is held, and the silent server has not been heard since, gives its answer up: closes
+		// the connection before the stream is sent to another server, so that no two servers run it.
+		[[nodiscard]] asio::awaitable<void> search_place(
+			state_pointer state, std::shared_ptr<place_search> search, server_id silent);
+		// Returns whether the answer of the stream's silent server was given up for a place elsewhere.
+		[[nodiscard]] static bool is_answer_given_up(request_state const& state);
+		// Ends the search, since the server has been heard or the request ends. A place that was found is released.
+		void end_search(request_state& state);
+		// Ends the search and returns the place that was found.
+		[[nodiscard]] static std::optional<reserved_engine> take_place(request_state& state);
+		void release_place(std::optional<reserved_engine> place);
 		// Logs that a server has been silent for long, by how much later than due that is noticed, for how long this
 		// daemon has heard of no server at all, and what was decided. further: the further wait.
 		void log_silence(request_state const& state, routing::server_record const& server, silence_limits limits,
