--- a/packages/gateway/impl/forwarder.cpp
+++ b/packages/gateway/impl/forwarder.cpp
@@ -100,7 +100,7 @@
 		for (auto const& state : this->requests)
 		{
 			state->deadline = std::min(state->deadline, now);
-			state->connection->close();
+			state->close_connections();
 		}
 	}
 
@@ -306,16 +306,19 @@
 			this->totals->count_limited_send();
 		}
 		connection->send(outgoing);
+		if (state->kept_connection)
+		{
+			this->run_in_background("handover", this->close_kept_in_time(state, state->kept_connection));
+		}
 		auto const may_be_sent_again_here = options.source.has_value();
 		auto const wait = std::min(max_silence.before_move, state->time_left());
 		auto wait_on = this->wait_unless_moved(state, server, max_silence, sent_at);
 		auto head = co_await this->read_own_head(connection, state->call.attempt, wait, std::move(wait_on));
-		auto const is_given_up = is_answer_given_up(*state);
-		if (auto const* const failure = std::get_if<http::upstream_failure>(&head); failure != nullptr || is_given_up)
+		if (auto const* const failure = std::get_if<http::upstream_failure>(&head))
 		{
 			connection->close();
 			this->shared->reach.note_failure(entry.id);
-			co_return is_given_up ? send_failure::silent : to_send_failure(*failure);
+			co_return is_reading_ended(*state) ? send_failure::silent : to_send_failure(*failure);
 		}
 		this->end_search(*state);
 		auto& answer = std::get<http::response>(head);
@@ -334,6 +337,10 @@
 			auto const is_other = metadata.is_misdirected && metadata.server != entry.id;
 			co_return is_other ? send_failure::wrong_server : send_failure::not_run;
 		}
+		if (answer.status == status_ok)
+		{
+			state->close_kept();
+		}
 		co_return unread_answer{std::move(answer), std::move(pooled)};
 	}
 
--- a/packages/gateway/impl/forwarder_silence.cpp
+++ b/packages/gateway/impl/forwarder_silence.cpp
@@ -1,12 +1,22 @@
 #include <godwittrestle/gateway/forwarder.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "forwarder_state.hpp"
 
 namespace godwittrestle::gateway
 {
+	namespace
+	{
+		// A server that refuses a stream does so within this time. The servers before and after may not run it both for
+		// longer than 400 ms.
+		constexpr duration longest_overlap = milliseconds(200);
+	}
+
 	bool forwarder::may_go_elsewhere(request_state const& state, routing::server_record const& server) const
 	{
 		auto const is_sent_here = state.sent_to.contains(server.entry.id);
@@ -110,17 +120,67 @@
 			{{"from", silent.str()}, {"to", place ? place->engine->entry.id.str() : "another daemon"},
 				{"last_event", state->joiner.last_event().value_or("")}});
 		search->place = std::move(place);
-		search->is_answer_given_up = true;
-		state->connection->close();
+		search->is_reading_ended = true;
+		if (!state->connection->interrupt())
+		{
+			state->connection->close();
+		}
 	}
 
-	bool forwarder::is_answer_given_up(request_state const& state)
+	bool forwarder::is_reading_ended(request_state const& state)
 	{
-		return state.search && state.search->is_answer_given_up;
+		return state.search && state.search->is_reading_ended;
+	}
+
+	bool forwarder::may_hand_over(request_state const& state)
+	{
+		return state.search && state.search->place && state.search->is_answer_kept;
+	}
+
+	asio::awaitable<forwarder::handover_outcome> forwarder::hand_over(
+		state_pointer state, unread_answer& answer, routing::server_pointer server)
+	{
+		auto place = take_place(*state);
+		sent_call sent_before = *state;
+		auto const joiner_before = state->joiner;
+		this->record_failure(*state, *server, send_failure::silent);
+		state->is_retry_spent = false;
+		state->joiner.restart();
+		answer.connection.take_back();
+		state->kept_connection = answer.connection.get();
+		handover_outcome outcome;
+		outcome.failure = co_await this->run_at(state, std::move(*place));
+		outcome.is_answer_kept = outcome.failure && state->kept_connection && !state->is_caller_gone;
+		if (outcome.is_answer_kept)
+		{
+			state->kept_connection = nullptr;
+			static_cast<sent_call&>(*state) = std::move(sent_before);
+			state->joiner = joiner_before;
+			answer.connection.lend_to(state->connection);
+			this->log_event(*state, "stream_kept",
+				{{"server", server->entry.id.str()}, {"failure", std::string(routing::to_string(*outcome.failure))},
+					{"last_event", state->joiner.last_event().value_or("")}});
+		}
+		state->close_kept();
+		co_return outcome;
+	}
+
+	asio::awaitable<void> forwarder::close_kept_in_time(state_pointer state, http::upstream_pointer kept)
+	{
+		asio::steady_timer timer(this->executor, longest_overlap);
+		std::ignore = co_await timer.async_wait(wait_token);
+		if (state->kept_connection == kept)
+		{
+			state->close_kept();
+		}
 	}
 
 	void forwarder::end_search(request_state& state)
 	{
+		if (is_reading_ended(state))
+		{
+			state.connection->cancel_interruption();
+		}
 		this->release_place(take_place(state));
 	}
 
--- a/packages/gateway/impl/forwarder_state.hpp
+++ b/packages/gateway/impl/forwarder_state.hpp
@@ -124,6 +124,7 @@
 			case http::upstream_failure::broken:
 				return send_failure::broken;
 			case http::upstream_failure::silent:
+			case http::upstream_failure::interrupted:
 				return send_failure::silent;
 		}
 		return send_failure::broken;
@@ -141,8 +142,26 @@
 		time_point asked_at;
 	};
 
+	// How a call was last sent to a server.
+	struct sent_call
+	{
+		// Time at which it was sent, and the number of events that had been passed on by then.
+		std::optional<time_point> sent_at;
+		std::uint64_t events_before_send = 0;
+		// Number of times that the call was sent to a server, and the process that held the connection when it was last
+		// sent; if that was not known, the newest process that was known of the server.
+		std::uint32_t sends = 0;
+		routing::server_process sent_to_process;
+		// Time by which that connection was open.
+		time_point connected_at;
+		// Whether that process is known to hold the connection.
+		bool is_holder_known = false;
+		// Whether the call was last sent with the reservation that was granted for it.
+		bool is_reservation_sent = false;
+	};
+
 	// State of one caller's request while this daemon serves it.
-	struct forwarder::request_state
+	struct forwarder::request_state : sent_call
 	{
 		http::request message;
 		http::exchange* http_exchange = nullptr;
@@ -174,26 +193,15 @@
 		// The search for a place at another server while the stream's server is silent; null when there is none.
 		std::shared_ptr<place_search> search;
 		std::shared_ptr<connection_in_use> const connection = std::make_shared<connection_in_use>();
+		// The connection of a silent server whose answer is kept until another server has accepted the stream.
+		http::upstream_pointer kept_connection;
 		// While the stream waits for an engine: the time at which its caller gives up.
 		std::optional<time_point> gives_up_at;
 		// Set when the stream's turn would have come too late: the time until then.
 		duration turn_after{};
-		// Time at which the call was last sent to a server, and the number of events that had been passed on by then.
-		std::optional<time_point> sent_at;
-		std::uint64_t events_before_send = 0;
 		// Whether the request was last sent to another daemon instead of a server, and that daemon's last refusal.
 		bool is_relayed_on = false;
 		std::optional<http::response> relayed_refusal;
-		// Number of times that the call was sent to a server, and the process that held the connection when it was last
-		// sent; if that was not known, the newest process that was known of the server.
-		std::uint32_t sends = 0;
-		routing::server_process sent_to_process;
-		// Time by which that connection was open.
-		time_point connected_at;
-		// Whether that process is known to hold the connection.
-		bool is_holder_known = false;
-		// Whether the call was last sent with the reservation that was granted for it.
-		bool is_reservation_sent = false;
 		// Where the stream began; nothing before its first event. It may go on only there.
 		std::optional<routing::stream_origin> origin;
 		bool is_origin_recorded = false;
@@ -350,13 +358,28 @@
 			return !this->is_caller_gone || !this->is_repeatable();
 		}
 
+		// Gives up the answer that is kept.
+		void close_kept()
+		{
+			if (auto const kept = std::exchange(this->kept_connection, nullptr))
+			{
+				kept->close();
+			}
+		}
+
+		void close_connections()
+		{
+			this->close_kept();
+			this->connection->close();
+		}
+
 		// Closes the connection to the server after the caller has disconnected. A non-idempotent call runs to its end.
 		void handle_caller_gone()
 		{
 			this->is_caller_gone = true;
 			if (this->is_repeatable())
 			{
-				this->connection->close();
+				this->close_connections();
 			}
 		}
 	};
@@ -380,8 +403,10 @@
 		// Whether the stream still needs the place: its server has not been heard since the search began.
 		bool is_wanted = true;
 		bool has_ended = false;
-		// Whether the answer of the silent server was given up, for the place or for another daemon.
-		bool is_answer_given_up = false;
+		// Whether the reading of the silent server's answer was ended, for the place or for another daemon.
+		bool is_reading_ended = false;
+		// Whether that answer can still be read on.
+		bool is_answer_kept = false;
 		std::optional<reserved_engine> place;
 	};
 
--- a/packages/gateway/impl/forwarder_streams.cpp
+++ b/packages/gateway/impl/forwarder_streams.cpp
@@ -43,10 +43,6 @@
 		observed.outputs.note_hint(state->call.expected_output);
 		observed.demand.note_stream(
 			state->call.prompt, observed.outputs.predict(state->call.expected_output, state->call.max_output));
-		auto const draw_number = [this]
-		{
-			return this->draw();
-		};
 		while (!this->must_refuse_before_stop(*state))
 		{
 			auto granted = take_place(*state);
@@ -66,35 +62,11 @@
 				}
 				break;
 			}
-			if (this->shared->crashes.find_block(state->identity) != nullptr)
-			{
-				// A trial uses one server only.
-				state->is_separate_prefill_disabled = true;
-			}
-			auto request = this->placement_for(*state);
-			request.may_use_prefill_engine = !state->is_separate_prefill_disabled && !state->joiner.last_event();
-			request.idle_split_limit = this->is_recently_started()
-										   ? state->matched_route->timeout
-										   : state->matched_route->objective / prefill_wait_divisor;
-			auto const now = monotonic_now();
-			request.first_event_limit = state->first_event_deadline() - now;
-			auto placement = routing::place_prefill(
-				this->shared->servers, request, granted->engine, this->engine_speed(*state), draw_number, now);
-			auto const has_separate_prefill = placement.prefill != nullptr;
-			auto const engine = granted->engine->entry.id;
-			this->record_placement(*state, placement, granted->reservation.has_value());
-			auto const failure = co_await this->run_stream(state, std::move(placement), std::move(*granted));
+			auto const failure = co_await this->run_at(state, std::move(*granted));
 			if (!failure)
 			{
 				co_return;
 			}
-			// An engine that could not fetch the KV cache may still prefill the prompt itself.
-			if (has_separate_prefill && *failure == send_failure::not_run)
-			{
-				state->is_separate_prefill_disabled = true;
-				state->excluded.erase(engine);
-				state->sent_to.erase(engine);
-			}
 			auto const is_origin_known = co_await this->settle_origin(state);
 			if (!is_origin_known)
 			{
@@ -120,6 +92,39 @@
 		co_await this->fail_request(state);
 	}
 
+	asio::awaitable<std::optional<send_failure>> forwarder::run_at(state_pointer state, reserved_engine granted)
+	{
+		if (this->shared->crashes.find_block(state->identity) != nullptr)
+		{
+			// A trial uses one server only.
+			state->is_separate_prefill_disabled = true;
+		}
+		auto request = this->placement_for(*state);
+		request.may_use_prefill_engine = !state->is_separate_prefill_disabled && !state->joiner.last_event();
+		request.idle_split_limit = this->is_recently_started() ? state->matched_route->timeout
+															   : state->matched_route->objective / prefill_wait_divisor;
+		auto const now = monotonic_now();
+		request.first_event_limit = state->first_event_deadline() - now;
+		auto const draw_number = [this]
+		{
+			return this->draw();
+		};
+		auto placement = routing::place_prefill(
+			this->shared->servers, request, granted.engine, this->engine_speed(*state), draw_number, now);
+		auto const has_separate_prefill = placement.prefill != nullptr;
+		auto const engine = granted.engine->entry.id;
+		this->record_placement(*state, placement, granted.reservation.has_value());
+		auto const failure = co_await this->run_stream(state, std::move(placement), std::move(granted));
+		// An engine that could not fetch the KV cache may still prefill the prompt itself.
+		if (has_separate_prefill && failure == send_failure::not_run)
+		{
+			state->is_separate_prefill_disabled = true;
+			state->excluded.erase(engine);
+			state->sent_to.erase(engine);
+		}
+		co_return failure;
+	}
+
 	bool forwarder::must_refuse_before_stop(request_state const& state) const
 	{
 		auto const others_live = this->shared->daemon_count > 1;
@@ -226,6 +231,17 @@
 			{
 				silence_limits const first_silence{default_timeout, default_timeout};
 				failure = co_await this->forward_events(state, *answer, placement.decode, guard->id(), first_silence);
+				while (may_hand_over(*state))
+				{
+					auto const outcome = co_await this->hand_over(state, *answer, placement.decode);
+					if (!outcome.is_answer_kept)
+					{
+						co_return outcome.failure;
+					}
+					silence_limits const later_silence{routing::event_timeout(*state->matched_route), default_timeout};
+					failure =
+						co_await this->forward_events(state, *answer, placement.decode, guard->id(), later_silence);
+				}
 			}
 			else
 			{
@@ -378,12 +394,21 @@
 			auto const waits_since = monotonic_now();
 			auto piece = co_await connection->read_piece(wait, std::move(wait_on));
 			state->end_delay = monotonic_now() - waits_since;
-			auto const is_given_up = is_answer_given_up(*state);
-			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece);
-				failure != nullptr || is_given_up)
+			if (auto const* const failure = std::get_if<http::upstream_failure>(&piece))
 			{
+				auto const is_interrupted = *failure == http::upstream_failure::interrupted;
+				if (is_interrupted && !is_reading_ended(*state))
+				{
+					// The server was heard before the interruption.
+					continue;
+				}
+				if (is_interrupted && state->search->place)
+				{
+					state->search->is_answer_kept = true;
+					co_return send_failure::silent;
+				}
 				connection->close();
-				auto const is_silent = is_given_up || *failure == http::upstream_failure::silent;
+				auto const is_silent = is_reading_ended(*state) || *failure == http::upstream_failure::silent;
 				if (!is_silent && *failure == http::upstream_failure::broken)
 				{
 					this->note_answer_broken(*state, *server, monotonic_now());
--- a/packages/gateway/impl/pooled_connection.hpp
+++ b/packages/gateway/impl/pooled_connection.hpp
@@ -44,6 +44,20 @@
 			}
 		}
 
+		// Interrupts the reading of the answer; see http::upstream::interrupt().
+		[[nodiscard]] bool interrupt()
+		{
+			return this->connection && this->connection->interrupt();
+		}
+
+		void cancel_interruption() noexcept
+		{
+			if (this->connection)
+			{
+				this->connection->cancel_interruption();
+			}
+		}
+
 		[[nodiscard]] bool was_closed_by_peer() const
 		{
 			return this->connection ? this->connection->was_closed_by_peer() : this->has_peer_closed;
@@ -79,6 +93,15 @@
 			this->borrower = std::move(request);
 		}
 
+		// Ends what lend_to() began, so that the request can use another connection beside this one.
+		void take_back()
+		{
+			if (auto const request = std::exchange(this->borrower, nullptr))
+			{
+				request->end();
+			}
+		}
+
 		~pooled_connection()
 		{
 			this->release();
@@ -106,10 +129,7 @@
 		{
 			if (auto const returned = std::exchange(this->taken, server_connection()))
 			{
-				if (auto const request = std::exchange(this->borrower, nullptr))
-				{
-					request->end();
-				}
+				this->take_back();
 				this->pool->release(this->server, returned);
 			}
 		}
--- a/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
+++ b/packages/gateway/include/godwittrestle/gateway/forwarder.hpp
@@ -127,6 +127,14 @@
 			std::optional<routing::send_failure> failure;
 		};
 
+		// What became of a stream that was sent to another server while the answer of a silent one was kept.
+		struct handover_outcome
+		{
+			// Whether the other server did not accept it, so that the answer of the silent one is read on.
+			bool is_answer_kept = false;
+			std::optional<routing::send_failure> failure;
+		};
+
 		// What a watch has shown after the end of an answer.
 		struct watched_end
 		{
@@ -425,6 +433,10 @@
 		// Releases the KV cache and the reservation of a stream that did not run.
 		void release_unused(routing::stream_placement const& placement, std::optional<kv_source> const& source,
 			std::optional<std::string> const& reservation);
+		// Chooses a prefill engine for a stream that has a place at a decode engine, and runs it. Returns what
+		// run_stream() returns.
+		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> run_at(
+			state_pointer state, reserved_engine granted);
 		// Sends the stream to its decode engine and passes its events on. Returns nothing when the stream is complete
 		// or its caller has disconnected.
 		[[nodiscard]] asio::awaitable<std::optional<routing::send_failure>> run_stream(
@@ -523,12 +535,20 @@
 			silence_limits limits, time_point since, time_point now);
 		// Begins to seek a place for a stream at another server, unless that is sought already or no retry is left.
 		void begin_search(state_pointer const& state, server_id const& silent);
-		// Seeks it. When a place is held, and the silent server has not been heard since, gives its answer up: closes
-		// the connection before the stream is sent to another server, so that no two servers run it.
+		// Seeks it. When a place is held, and the silent server has not been heard since, ends the reading of its
+		// answer.
 		[[nodiscard]] asio::awaitable<void> search_place(
 			state_pointer state, std::shared_ptr<place_search> search, server_id silent);
-		// Returns whether the answer of the stream's silent server was given up for a place elsewhere.
-		[[nodiscard]] static bool is_answer_given_up(request_state const& state);
+		// Returns whether the reading of the silent server's answer was ended for a place elsewhere.
+		[[nodiscard]] static bool is_reading_ended(request_state const& state);
+		// Returns whether a place is held for a stream whose silent answer can still be read on.
+		[[nodiscard]] static bool may_hand_over(request_state const& state);
+		// Sends a stream to the place that was found, and keeps the answer of its silent server unread until the other
+		// one has accepted the stream. If that fails before, the answer is read on.
+		[[nodiscard]] asio::awaitable<handover_outcome> hand_over(
+			state_pointer state, unread_answer& answer, routing::server_pointer server);
+		// Closes the kept connection when the other server has not refused the stream for a while.
+		[[nodiscard]] asio::awaitable<void> close_kept_in_time(state_pointer state, http::upstream_pointer kept);
 		// Ends the search, since the server has been heard or the request ends. A place that was found is released.
 		void end_search(request_state& state);
 		// Ends the search and returns the place that was found.
--- a/packages/http/impl/upstream.cpp
+++ b/packages/http/impl/upstream.cpp
@@ -158,12 +158,16 @@
 			co_return !this->is_sending && !this->has_send_failed;
 		}
 
-		[[nodiscard]] upstream_failure failure() const noexcept
+		[[nodiscard]] upstream_failure failure() noexcept
 		{
 			if (this->is_timed_out)
 			{
 				return upstream_failure::silent;
 			}
+			if (std::exchange(this->is_interrupted, false))
+			{
+				return upstream_failure::interrupted;
+			}
 			return this->has_sent_nothing ? upstream_failure::not_sent : upstream_failure::broken;
 		}
 
@@ -184,6 +188,7 @@
 		// Writing the request failed before any byte was sent.
 		bool has_sent_nothing = false;
 		bool is_timed_out = false;
+		bool is_interrupted = false;
 		bool was_closed_by_peer = false;
 	};
 
@@ -223,6 +228,7 @@
 		this->impl->is_sending = true;
 		this->impl->has_send_failed = false;
 		this->impl->has_sent_nothing = false;
+		this->impl->is_interrupted = false;
 		this->impl->parser.reset();
 		beast::http::async_write(this->impl->socket, *outgoing,
 			[self = this->shared_from_this(), outgoing](error_code const& error, std::size_t size)
@@ -283,6 +289,10 @@
 	{
 		auto const self = this->shared_from_this();
 		auto& state = *this->impl;
+		if (std::exchange(state.is_interrupted, false))
+		{
+			co_return upstream_failure::interrupted;
+		}
 		state.start_timeout(timeout, self, std::move(wait_on));
 		std::string received;
 		while (received.empty() && !state.parser->is_done())
@@ -334,6 +344,23 @@
 		co_return upstream_failure::broken;
 	}
 
+	bool upstream::interrupt()
+	{
+		if (this->impl->is_sending)
+		{
+			return false;
+		}
+		this->impl->is_interrupted = true;
+		error_code ignored;
+		std::ignore = this->impl->socket.cancel(ignored);
+		return true;
+	}
+
+	void upstream::cancel_interruption() noexcept
+	{
+		this->impl->is_interrupted = false;
+	}
+
 	bool upstream::is_reusable() const
 	{
 		auto const& state = *this->impl;
--- a/packages/http/include/godwittrestle/http/upstream.hpp
+++ b/packages/http/include/godwittrestle/http/upstream.hpp
@@ -24,6 +24,8 @@
 		broken,
 		// The timeout expired.
 		silent,
+		// The read was interrupted; see upstream::interrupt().
+		interrupted,
 	};
 
 	// The contents of the server's Keep-Alive header.
@@ -69,6 +71,12 @@
 		[[nodiscard]] asio::awaitable<std::variant<std::string, upstream_failure>> read_rest(
 			duration timeout, std::size_t limit);
 
+		// Ends the read in progress, or the next one, with interrupted. The answer can be read on afterwards. Returns
+		// false, and does nothing, while the request is still being sent.
+		[[nodiscard]] bool interrupt();
+		// Takes back an interruption that no read has seen yet.
+		void cancel_interruption() noexcept;
+
 		// Returns whether the connection can carry another request: the request is sent, the answer is read to its end,
 		// no further bytes are buffered, and the answer allows keeping the connection open.
 		[[nodiscard]] bool is_reusable() const;
--- a/tests/contract/stream_joins.test.cpp
+++ b/tests/contract/stream_joins.test.cpp
@@ -400,10 +400,18 @@
 	row.add_address(silent.address());
 	auto was_closed = false;
 	auto was_early = false;
+	// The silent server is left once the second one has accepted the stream.
+	constexpr std::chrono::milliseconds time_to_close(50);
+	asio::steady_timer closed(row.fixture.loop);
 	auto const note_state = [&]
 	{
-		was_closed = silent.is_closed_by_peer();
-		was_early = !silent.has_sent_rest;
+		closed.expires_after(time_to_close);
+		closed.async_wait(
+			[&](boost::system::error_code const& /*error*/)
+			{
+				was_closed = silent.is_closed_by_peer();
+				was_early = !silent.has_sent_rest;
+			});
 	};
 	// The stream goes on before the silent server sends its late events, and ends at the third server after them.
 	observing_server second(row.fixture.loop, stream_answer(events({4}, "x"), false), note_state);
