--- a/tests/contract/pausing_engine.cpp
+++ b/tests/contract/pausing_engine.cpp
@@ -89,7 +89,9 @@
 
 	asio::awaitable<void> pausing_engine::reserve(http::exchange& http_exchange)
 	{
+		++this->unanswered;
 		co_await this->wait(this->plan.reservation_time);
+		--this->unanswered;
 		http::response answer;
 		if (this->has_room)
 		{
--- a/tests/contract/pausing_engine.hpp
+++ b/tests/contract/pausing_engine.hpp
@@ -67,6 +67,12 @@
 			return this->held.size();
 		}
 
+		// Returns how many requests for a reservation are not answered yet.
+		[[nodiscard]] int asked() const noexcept
+		{
+			return this->unanswered;
+		}
+
 	  private:
 		[[nodiscard]] boost::asio::awaitable<void> serve(http::request message, http::exchange& http_exchange);
 		[[nodiscard]] boost::asio::awaitable<void> reserve(http::exchange& http_exchange);
@@ -80,6 +86,7 @@
 		int begun = 0;
 		int left = 0;
 		int grants = 0;
+		int unanswered = 0;
 		std::set<std::string> held;
 		http::server listener;
 	};
--- a/tests/contract/silent_engines.test.cpp
+++ b/tests/contract/silent_engines.test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -55,10 +56,18 @@
 			this->put_second_later();
 		}
 
-		// A search that still waits refers to what is destroyed before the event loop.
+		// What still runs in the background refers to the forwarder, which is destroyed before the event loop.
 		~two_engines()
 		{
-			this->fixture.run_until([this] { return this->fixture.shared.stream_queue.size() == 0; });
+			constexpr std::chrono::milliseconds time_for_answers(50);
+			this->fixture.run_until(
+				[this]
+				{
+					auto const is_queue_empty = this->fixture.shared.stream_queue.size() == 0;
+					return is_queue_empty && this->first.asked() == 0 && this->second.asked() == 0;
+				});
+			this->fixture.loop.restart();
+			this->fixture.loop.run_for(time_for_answers);
 		}
 
 		two_engines(two_engines const&) = delete;
